build: project, wire messages, kernel and the headers of every part

The parts are built side by side, so their interfaces come first: protobuf messages between processes, one state machine header a part, the kernel (findings with place, registry of plug-ins, time, random, hashing, token buckets) with tests, and the checks that every change must pass.

--- /dev/null
+++ b/include/radishrudder/calls/agent_gate.h
@@ -0,0 +1,100 @@
+#ifndef RADISHRUDDER_CALLS_AGENT_GATE_H_
+#define RADISHRUDDER_CALLS_AGENT_GATE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "radishrudder/calls/outcome.h"
+#include "radishrudder/document/service_document.h"
+#include "radishrudder/kernel/random.h"
+#include "radishrudder/kernel/time.h"
+#include "radishrudder/wire/process_id.h"
+
+namespace radishrudder::calls {
+
+// Number of a call at the endpoint, given by the gate.
+using EndpointCallId = std::uint64_t;
+
+// Send this call to the endpoint now.
+struct StartEndpointCall {
+  EndpointCallId call = 0;
+  std::string method;
+  std::string target;
+  std::vector<Header> headers;
+  std::string body;
+  std::chrono::milliseconds timeout{0};
+  std::string manifest_digest;
+};
+
+// Stop that call at the endpoint.
+struct CancelEndpointCall {
+  EndpointCallId call = 0;
+};
+
+// How a call at the endpoint ended.
+enum class EndpointEnd {
+  kComplete,    // The whole answer came.
+  kNotSent,     // No byte of the request reached the endpoint.
+  kInterrupted  // It may have run.
+};
+
+using GateOutput =
+    std::variant<wire::Send, StartEndpointCall, CancelEndpointCall>;
+
+struct GateSettings {
+  wire::ProcessKey self;
+  std::string service;
+  // Longest time an issued key may be used, and how long it is remembered.
+  std::chrono::milliseconds key_lifetime{15 * 60 * 1000};
+  std::uint32_t maximum_waiting = 16;
+  std::uint64_t maximum_recorded_bytes = 32ULL << 20U;
+};
+
+// The endpoint's only gate: admits attempts, runs each at most once, answers
+// the entry, and refuses for good what it said it did not run. State machine
+// without sockets, threads or clocks.
+class AgentGate {
+ public:
+  AgentGate(GateSettings settings, kernel::Random random);
+  ~AgentGate();
+
+  void OnDocument(kernel::Time now, const document::ServiceDocument& document);
+  // What the endpoint really runs; empty for none. Calls are taken only while
+  // `open`. Plain services have an empty digest and are open.
+  void OnEndpointState(kernel::Time now, std::string running_digest, bool open);
+  void OnMessage(kernel::Time now,
+                 kernel::WallTime wall_now,
+                 const wire::Envelope& message);
+  void OnEndpointHead(kernel::Time now,
+                      EndpointCallId call,
+                      std::uint32_t status,
+                      std::vector<Header> headers,
+                      std::string manifest_digest);
+  void OnEndpointData(kernel::Time now,
+                      EndpointCallId call,
+                      std::string_view data);
+  void OnEndpointEnd(kernel::Time now, EndpointCallId call, EndpointEnd end);
+  // An entry's stream ended or its process died: cancels what may be
+  // cancelled for it.
+  void OnPeerLost(kernel::Time now, const wire::ProcessKey& peer);
+  // Refuses new attempts from now on; those in progress go on.
+  void OnDrain(kernel::Time now);
+  void OnTick(kernel::Time now);
+  kernel::Time NextTick() const;
+  std::vector<GateOutput> TakeOutputs();
+
+  std::size_t CallsInProgress() const;
+  std::size_t CallsWaiting() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> m_state;
+};
+
+}  // namespace radishrudder::calls
+
+#endif  // RADISHRUDDER_CALLS_AGENT_GATE_H_
--- /dev/null
+++ b/source/radishrudder/wire/process_id.cc
@@ -0,0 +1,37 @@
+#include "radishrudder/wire/process_id.h"
+
+#include <chrono>
+
+namespace radishrudder::wire {
+namespace {
+
+constexpr int kRandomBits = 20;
+
+}  // namespace
+
+ProcessKey FromMessage(const ProcessId& message) {
+  return {message.instance(), message.incarnation()};
+}
+
+ProcessId ToMessage(const ProcessKey& key) {
+  ProcessId message;
+  message.set_instance(key.instance);
+  message.set_incarnation(key.incarnation);
+  return message;
+}
+
+std::uint64_t DrawIncarnation(kernel::WallTime now, kernel::Random& random) {
+  const auto since_epoch =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          now.time_since_epoch());
+  const auto milliseconds = static_cast<std::uint64_t>(since_epoch.count());
+  return (milliseconds << kRandomBits) |
+         random.Below(std::uint64_t{1} << kRandomBits);
+}
+
+kernel::WallTime StartOf(std::uint64_t incarnation) {
+  const std::chrono::milliseconds since_epoch(incarnation >> kRandomBits);
+  return kernel::WallTime(since_epoch);
+}
+
+}  // namespace radishrudder::wire
