--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -37,28 +37,63 @@
 
 // Numbers: 1xx processes, 2xx documents, 3xx membership, 4xx weights,
 // 5xx calls, 6xx rollout and orders, 7xx transport and HTTP.
-extern const Event kProcessStarted;
-extern const Event kProcessDraining;
-extern const Event kProcessStopped;
-extern const Event kCallsCut;
-extern const Event kDocumentInForce;
-extern const Event kDocumentRejected;
-extern const Event kConfigurationUnavailable;
-extern const Event kInstanceJoined;
-extern const Event kInstanceLeaving;
-extern const Event kInstanceLost;
-extern const Event kTransferStarted;
-extern const Event kChunkCorrupted;
-extern const Event kTransferComplete;
-extern const Event kCallFailed;
-extern const Event kCallRefused;
-extern const Event kOrderSent;
-extern const Event kOrderRefused;
-extern const Event kVersionRunning;
-extern const Event kPeerConnected;
-extern const Event kPeerLost;
-extern const Event kMessageRejected;
-extern const Event kHttpFailed;
+inline constexpr Event kProcessStarted{101, Level::kInfo, "process-started",
+                                       "The process is ready and listens."};
+inline constexpr Event kProcessDraining{
+    102, Level::kInfo, "process-draining",
+    "A planned stop began: no new work is accepted, work in progress is "
+    "finished."};
+inline constexpr Event kProcessStopped{103, Level::kInfo, "process-stopped",
+                                       "The process ends."};
+inline constexpr Event kCallsCut{
+    104, Level::kWarning, "calls-cut",
+    "The drain limit or a second signal ended calls in progress."};
+inline constexpr Event kDocumentInForce{
+    201, Level::kInfo, "document-in-force",
+    "A revision of a document took effect."};
+inline constexpr Event kDocumentRejected{
+    202, Level::kError, "document-rejected",
+    "A revision has errors; the revision before it stays in force."};
+inline constexpr Event kConfigurationUnavailable{
+    203, Level::kWarning, "configuration-unavailable",
+    "The configuration service did not answer; documents in force stay."};
+inline constexpr Event kInstanceJoined{
+    301, Level::kInfo, "instance-joined",
+    "An instance was seen for the first time."};
+inline constexpr Event kInstanceLeaving{
+    302, Level::kInfo, "instance-leaving",
+    "An instance is leaving and receives no new work."};
+inline constexpr Event kInstanceLost{303, Level::kWarning, "instance-lost",
+                                     "An instance no longer answers."};
+inline constexpr Event kTransferStarted{401, Level::kInfo, "transfer-started",
+                                        "The transfer of a version began."};
+inline constexpr Event kChunkCorrupted{
+    402, Level::kWarning, "chunk-corrupted",
+    "A chunk did not match its digest and was discarded."};
+inline constexpr Event kTransferComplete{
+    403, Level::kInfo, "transfer-complete",
+    "All chunks of a version are present and the whole was verified."};
+inline constexpr Event kCallFailed{501, Level::kWarning, "call-failed",
+                                   "A call ended without a whole answer."};
+inline constexpr Event kCallRefused{502, Level::kInfo, "call-refused",
+                                    "A call was refused and was not run."};
+inline constexpr Event kOrderSent{601, Level::kInfo, "order-sent",
+                                  "The agent sent its endpoint an order."};
+inline constexpr Event kOrderRefused{602, Level::kWarning, "order-refused",
+                                     "The endpoint refused an order."};
+inline constexpr Event kVersionRunning{
+    603, Level::kInfo, "version-running",
+    "The endpoint runs a version, by its own report."};
+inline constexpr Event kPeerConnected{701, Level::kInfo, "peer-connected",
+                                      "A connection to a peer is open."};
+inline constexpr Event kPeerLost{
+    702, Level::kWarning, "peer-lost",
+    "A connection to a peer was closed or failed."};
+inline constexpr Event kMessageRejected{
+    703, Level::kWarning, "message-rejected",
+    "A message from a peer broke the protocol and was discarded."};
+inline constexpr Event kHttpFailed{704, Level::kWarning, "http-failed",
+                                   "An HTTP request ended without an answer."};
 
 }  // namespace radishrudder::logging
 
--- a/include/radishrudder/settings/settings.h
+++ b/include/radishrudder/settings/settings.h
@@ -14,19 +14,29 @@
 
 namespace radishrudder::settings {
 
-enum class ValueKind { kText, kInteger, kAddress, kUrl, kMilliseconds, kBytes };
+// kAddress is an IP number, with or without ":port"; kUrl is http or https;
+// kSwitch takes no value and is "true" when given.
+enum class ValueKind {
+  kText,
+  kInteger,
+  kAddress,
+  kUrl,
+  kMilliseconds,
+  kBytes,
+  kSwitch
+};
 
 // One setting of a program: a flag `--name` and an environment variable
 // `RADISHRUDDER_NAME` (upper case, dashes as underscores). A flag wins.
 struct Option {
-  std::string name;
+  std::string name = {};
   ValueKind kind = ValueKind::kText;
-  std::string help;           // One sentence, with the unit.
-  std::string default_value;  // Empty and `required`: must be given.
+  std::string help = {};           // One sentence, with the unit.
+  std::string default_value = {};  // Empty and `required`: must be given.
   bool required = false;
   std::int64_t minimum = 0;  // For numbers, inclusive.
   std::int64_t maximum = INT64_MAX;
-  std::vector<std::string> choices;  // For text; empty: any.
+  std::vector<std::string> choices = {};  // For text; empty: any.
 };
 
 // Checked values of all options, by name.
@@ -34,6 +44,7 @@
  public:
   const std::string& Text(std::string_view name) const;
   std::int64_t Integer(std::string_view name) const;
+  bool Switch(std::string_view name) const;
   void Set(std::string name, std::string value);
 
  private:
@@ -58,10 +69,15 @@
                   const Environment& environment,
                   kernel::Findings& findings);
 
-// Returns the help text of a program.
+// Returns the environment variable of an option: RADISHRUDDER_NAME.
+std::string VariableName(std::string_view option_name);
+
+// Returns the help text of a program. `positional` names what it takes beside
+// options, for example "FILE..."; empty if it takes nothing.
 std::string Help(std::string_view program,
                  std::string_view purpose,
-                 std::span<const Option> options);
+                 std::span<const Option> options,
+                 std::string_view positional = "");
 
 // Exit codes of every program.
 inline constexpr int kExitSuccess = 0;
@@ -69,7 +85,8 @@
 inline constexpr int kExitUsage = 2;
 
 // Handles --help, --version and findings for a main function. Returns the
-// values, or the exit code with which the program must end.
+// values, or the exit code with which the program must end. Positional
+// arguments are findings unless `positional` names them.
 struct Start {
   std::optional<CommandLine> command_line;
   int exit_code = kExitSuccess;
@@ -78,7 +95,8 @@
                 std::string_view purpose,
                 std::span<const Option> options,
                 int argc,
-                const char* const* argv);
+                const char* const* argv,
+                std::string_view positional = "");
 
 }  // namespace radishrudder::settings
 
