weights: manifests with bounded strict parsing

Cause: versions need an identity that does not depend on who wrote the text. Conclusion: accepted text is always the canonical text of what was parsed.

--- /dev/null
+++ b/include/radishrudder/weights/digest_stream.h
@@ -0,0 +1,30 @@
+#ifndef RADISHRUDDER_WEIGHTS_DIGEST_STREAM_H_
+#define RADISHRUDDER_WEIGHTS_DIGEST_STREAM_H_
+
+#include <memory>
+#include <string_view>
+
+#include "radishrudder/weights/manifest.h"
+
+namespace radishrudder::weights {
+
+// SHA-256 over bytes that arrive in pieces.
+class DigestStream {
+ public:
+  DigestStream();
+  ~DigestStream();
+  DigestStream(DigestStream&&) noexcept;
+  DigestStream& operator=(DigestStream&&) noexcept;
+
+  void Update(std::string_view bytes);
+  // Returns the digest of all bytes so far; no `Update` may follow.
+  Digest Finish();
+
+ private:
+  struct Context;
+  std::unique_ptr<Context> m_context;
+};
+
+}  // namespace radishrudder::weights
+
+#endif  // RADISHRUDDER_WEIGHTS_DIGEST_STREAM_H_
--- a/include/radishrudder/weights/manifest.h
+++ b/include/radishrudder/weights/manifest.h
@@ -16,6 +16,12 @@
 
 inline constexpr std::size_t kDigestBytes = 32;
 
+// Bounds of a manifest. A chunk travels in one message of the transport.
+inline constexpr std::uint32_t kMaximumChunkBytes = 4U << 20U;
+inline constexpr std::size_t kMaximumManifestBytes = 16U << 20U;
+inline constexpr std::size_t kMaximumChunks = 1U << 17U;
+inline constexpr std::size_t kMaximumFileNameBytes = 255;
+
 // SHA-256 of some bytes.
 using Digest = std::array<std::uint8_t, kDigestBytes>;
 
@@ -40,15 +46,18 @@
   std::string base;  // Manifest digest of the base, for an adapter, or empty.
 };
 
-// Cuts `bytes` into chunks of `chunk_bytes` and describes them.
+// Cuts `bytes` into chunks of `chunk_bytes`, which is brought into the range
+// 1 to `kMaximumChunkBytes`, and describes them.
 Manifest Describe(std::string file,
                   std::string_view bytes,
                   std::uint32_t chunk_bytes);
-// Returns the canonical JSON text.
+// Returns the canonical JSON text: compact, members in alphabetical order.
 std::string ToText(const Manifest& manifest);
 // Returns "sha256:..." of the canonical text.
 std::string IdentityOf(const Manifest& manifest);
-// Parses with bounds on sizes and counts; lies about them are findings.
+// Parses canonical text, which one line feed may end. Sizes, counts and offsets
+// that contradict each other or exceed the bounds above are findings with a
+// JSON pointer; `source` names the text in them.
 std::optional<Manifest> ParseManifest(std::string_view source,
                                       std::string_view text,
                                       kernel::Findings& findings);
--- /dev/null
+++ b/tests/weights/manifest_property_test.cc
@@ -0,0 +1,57 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+#include "radishrudder/weights/manifest.h"
+
+namespace radishrudder::weights {
+namespace {
+
+// Every accepted text is the canonical text of what was parsed.
+void ParseNeverLies(const std::string& text) {
+  kernel::Findings findings;
+  const auto parsed = ParseManifest("m.json", text, findings);
+  RC_ASSERT(parsed.has_value() != findings.HasErrors());
+  if (parsed) {
+    RC_ASSERT(text == ToText(*parsed) || text == ToText(*parsed) + "\n");
+  }
+}
+
+TEST(ManifestPropertyTest, RandomBytesNeverCrash) {
+  EXPECT_TRUE(rc::check([](const std::string& text) { ParseNeverLies(text); }));
+}
+
+TEST(ManifestPropertyTest, MutatedTextIsRefusedOrCanonical) {
+  EXPECT_TRUE(rc::check([](const std::string& bytes) {
+    const auto chunk_bytes = *rc::gen::inRange<std::uint32_t>(1, 20);
+    std::string text = ToText(Describe("model.bin", bytes, chunk_bytes));
+    const auto changes = *rc::gen::inRange(1, 4);
+    for (int i = 0; i < changes; ++i) {
+      const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+      const auto count = *rc::gen::inRange<std::size_t>(0, 5);
+      text.replace(at, count, *rc::gen::arbitrary<std::string>());
+    }
+    ParseNeverLies(text);
+  }));
+}
+
+TEST(ManifestPropertyTest, DescribedFileRoundTrips) {
+  EXPECT_TRUE(rc::check([](const std::string& bytes) {
+    const auto chunk_bytes = *rc::gen::inRange<std::uint32_t>(1, 50);
+    const Manifest manifest = Describe("a/b-c_d.bin", bytes, chunk_bytes);
+    kernel::Findings findings;
+    const auto parsed = ParseManifest("m.json", ToText(manifest), findings);
+    RC_ASSERT(parsed.has_value());
+    RC_ASSERT(ToText(*parsed) == ToText(manifest));
+    RC_ASSERT(IdentityOf(*parsed) == IdentityOf(manifest));
+    std::string joined;
+    for (const Chunk& chunk : parsed->chunks) {
+      joined += bytes.substr(chunk.offset, chunk.size);
+    }
+    RC_ASSERT(joined == bytes);
+  }));
+}
+
+}  // namespace
+}  // namespace radishrudder::weights
--- /dev/null
+++ b/tests/weights/manifest_test.cc
@@ -0,0 +1,111 @@
+#include "radishrudder/weights/manifest.h"
+
+#include <gtest/gtest.h>
+
+namespace radishrudder::weights {
+namespace {
+
+constexpr std::string_view kBytes = "0123456789";
+
+std::string Replace(std::string text,
+                    std::string_view from,
+                    std::string_view to) {
+  const std::size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return text.replace(at, from.size(), to);
+}
+
+TEST(ManifestTest, CutsTheFileWithoutGaps) {
+  const Manifest manifest = Describe("model.bin", kBytes, 4);
+  ASSERT_EQ(manifest.chunks.size(), 3U);
+  EXPECT_EQ(manifest.chunks[2].offset, 8U);
+  EXPECT_EQ(manifest.chunks[2].size, 2U);
+  EXPECT_EQ(manifest.chunks[2].digest, Sha256("89"));
+  EXPECT_EQ(manifest.whole, Sha256(kBytes));
+}
+
+TEST(ManifestTest, IdentityIsTheDigestOfTheCanonicalText) {
+  Manifest manifest = Describe("model.bin", kBytes, 4);
+  const std::string identity = IdentityOf(manifest);
+  EXPECT_EQ(identity, ToText(Sha256(ToText(manifest))));
+  manifest.base = identity;
+  EXPECT_NE(IdentityOf(manifest), identity);
+}
+
+TEST(ManifestTest, OneTrailingLineFeedIsNoPartOfTheText) {
+  const Manifest manifest = Describe("model.bin", kBytes, 4);
+  kernel::Findings findings;
+  const auto parsed =
+      ParseManifest("m.json", ToText(manifest) + "\n", findings);
+  ASSERT_TRUE(parsed) << kernel::Format(findings);
+  EXPECT_EQ(IdentityOf(*parsed), IdentityOf(manifest));
+}
+
+struct Lie {
+  std::string name;
+  std::string from;
+  std::string to;
+  std::string pointer;
+};
+
+void PrintTo(const Lie& lie, std::ostream* out) {
+  *out << lie.name;
+}
+
+class ManifestLieTest : public testing::TestWithParam<Lie> {};
+
+TEST_P(ManifestLieTest, IsRefusedWithItsPlace) {
+  const std::string text = Replace(ToText(Describe("model.bin", kBytes, 4)),
+                                   GetParam().from, GetParam().to);
+  kernel::Findings findings;
+  EXPECT_FALSE(ParseManifest("m.json", text, findings));
+  ASSERT_FALSE(findings.Empty());
+  EXPECT_EQ(findings.Items()[0].place.source, "m.json");
+  EXPECT_EQ(findings.Items()[0].place.pointer, GetParam().pointer);
+  EXPECT_FALSE(findings.Items()[0].valid.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Lies,
+    ManifestLieTest,
+    testing::Values(
+        Lie{"SizeOfFile", "\"size\":10", "\"size\":11", "/size"},
+        Lie{"HugeSize", "\"size\":10", "\"size\":18446744073709551615",
+            "/size"},
+        Lie{"NegativeSize", "\"size\":10", "\"size\":-1", "/size"},
+        Lie{"FractionalSize", "\"size\":10", "\"size\":10.5", "/size"},
+        Lie{"SizeOfChunk", "\"size\":4", "\"size\":5", "/chunks/1/offset"},
+        Lie{"EmptyChunk", "\"size\":4", "\"size\":0", "/chunks/0/size"},
+        Lie{"ChunkTooLarge", "\"size\":4", "\"size\":4194305",
+            "/chunks/0/size"},
+        Lie{"Gap", "\"offset\":4", "\"offset\":5", "/chunks/1/offset"},
+        Lie{"HugeOffset", "\"offset\":8", "\"offset\":18446744073709551615",
+            "/chunks/2/offset"},
+        Lie{"FileAbove", "model.bin", "../m.bin", "/file"},
+        Lie{"FileAtRoot", "model.bin", "/m.bin", "/file"},
+        Lie{"NoFileName", "model.bin", "", "/file"},
+        Lie{"Base", "\"base\":\"\"", "\"base\":\"x\"", "/base"},
+        Lie{"UnknownMember", "\"file\"", "\"name\":1,\"file\"", "/name"},
+        Lie{"MemberTwice", "\"file\"", "\"size\":10,\"file\"", ""},
+        Lie{"Blank", "\"file\":", "\"file\": ", ""},
+        Lie{"ChunksAreNoArray", "\"chunks\":[", "\"chunks\":7,\"other\":[",
+            "/other"},
+        Lie{"Cut", "]", "", ""}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(ManifestTest, TextBeyondTheBoundIsNotParsed) {
+  kernel::Findings findings;
+  const std::string text(kMaximumManifestBytes + 1, '[');
+  EXPECT_FALSE(ParseManifest("m.json", text, findings));
+  EXPECT_EQ(findings.Items().size(), 1U);
+}
+
+TEST(ManifestTest, DeepNestingIsRefused) {
+  kernel::Findings findings;
+  const std::string text = std::string(1000, '[') + std::string(1000, ']');
+  EXPECT_FALSE(ParseManifest("m.json", text, findings));
+  EXPECT_FALSE(findings.Empty());
+}
+
+}  // namespace
+}  // namespace radishrudder::weights
