routing: policies that register themselves

Entries need a choice among endpoints; the registry was empty. A static library drops object files that nothing refers to, so RegisterBuiltInPolicies refers to an empty function in each.

--- /dev/null
+++ b/source/radishrudder/routing/prefix_affinity_policy.cc
@@ -0,0 +1,83 @@
+#include <algorithm>
+
+#include "radishrudder/routing/candidate_draw.h"
+#include "radishrudder/routing/policy.h"
+#include "radishrudder/routing/policy_anchors.h"
+
+namespace radishrudder::routing {
+namespace {
+
+// A whole cached prompt is worth this much relative load.
+constexpr double kCachedPromptWorth = 0.5;
+// A candidate above this multiple of the mean load, plus one call, is not
+// chosen for its cache.
+constexpr double kLoadBound = 1.25;
+
+// Chooses among two random candidates and the one with the largest cached
+// part of the prompt, by load less the worth of the cache. The cached one
+// counts only while its load is bounded.
+class PrefixAffinityPolicy : public Policy {
+ public:
+  std::size_t Choose(const CallView& call,
+                     std::span<const Candidate> candidates,
+                     kernel::Random& random) override {
+    const CandidatePair pair = DrawTwo(candidates.size(), random);
+    std::size_t best = Better(candidates, pair.first, pair.second);
+    const std::size_t cached = BestCached(candidates, random);
+    if (cached < candidates.size()) {
+      best = Better(candidates, best, cached);
+    }
+    return best;
+  }
+
+ private:
+  static double Cost(const Candidate& candidate) {
+    return RelativeLoad(candidate) -
+           kCachedPromptWorth * candidate.cached_prefix_share;
+  }
+
+  static std::size_t Better(std::span<const Candidate> candidates,
+                            std::size_t first,
+                            std::size_t second) {
+    return Cost(candidates[second]) < Cost(candidates[first]) ? second : first;
+  }
+
+  // Returns the cheapest candidate that has a part of the prompt cached and
+  // is within the load bound, or the number of candidates if there is none.
+  static std::size_t BestCached(std::span<const Candidate> candidates,
+                                kernel::Random& random) {
+    const double mean = MeanRelativeLoad(candidates);
+    std::size_t best = candidates.size();
+    std::size_t ties = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+      if (candidates[i].cached_prefix_share <= 0 ||
+          !IsWithinBound(candidates[i], mean)) {
+        continue;
+      }
+      if (best == candidates.size() ||
+          Cost(candidates[i]) < Cost(candidates[best])) {
+        best = i;
+        ties = 1;
+      } else if (Cost(candidates[i]) == Cost(candidates[best]) &&
+                 random.Below(++ties) == 0) {
+        best = i;
+      }
+    }
+    return best;
+  }
+
+  static bool IsWithinBound(const Candidate& candidate, double mean) {
+    const double capacity = std::max(candidate.capacity, 1.0);
+    return candidate.estimated_calls <= kLoadBound * mean * capacity + 1;
+  }
+};
+
+const kernel::Registration<PolicyFactory> registration("prefix-affinity", [] {
+  return std::make_unique<PrefixAffinityPolicy>();
+});
+
+}  // namespace
+
+void AnchorPrefixAffinityPolicy() {}
+
+}  // namespace radishrudder::routing
--- /dev/null
+++ b/source/radishrudder/routing/random_policy.cc
@@ -0,0 +1,26 @@
+#include "radishrudder/routing/policy.h"
+#include "radishrudder/routing/policy_anchors.h"
+
+namespace radishrudder::routing {
+namespace {
+
+// Chooses every candidate with the same probability. Uses no load, so it can
+// not herd; it is the baseline for the others.
+class RandomPolicy : public Policy {
+ public:
+  std::size_t Choose(const CallView& call,
+                     std::span<const Candidate> candidates,
+                     kernel::Random& random) override {
+    return random.Below(candidates.size());
+  }
+};
+
+const kernel::Registration<PolicyFactory> registration("random", [] {
+  return std::make_unique<RandomPolicy>();
+});
+
+}  // namespace
+
+void AnchorRandomPolicy() {}
+
+}  // namespace radishrudder::routing
