calls: keys issued by an agent make calls run at most once

Cause: a call that must not be repeated could run again when its caller repeats it through another entry, after a restart, or much later. Change: an agent issues keys that name its own run and an expiry on its own monotonic clock; entries send them to that run only; its ledger keeps the digest of the call and the recorded answer until the key expires. A key that was reported as not run never runs afterwards, so that a delayed copy can't run beside its replacement (AKeyReportedNotRunNeverRuns). A caller's own key on such a route is refused as not run with an issued one to use.

--- a/include/radishrudder/calls/endpoint_set.h
+++ b/include/radishrudder/calls/endpoint_set.h
@@ -42,6 +42,8 @@
                 const routing::CallView& call,
                 const std::set<wire::ProcessKey>& excluded,
                 kernel::Random& random);
+  // Chooses among all that are not closed, with or without room.
+  Choice ChooseAny(kernel::Time now, kernel::Random& random) const;
   // Returns the agent of that name, if the instance is known.
   std::optional<wire::ProcessKey> Find(std::string_view instance) const;
 
@@ -71,6 +73,7 @@
     kernel::Time closed_until;
   };
 
+  bool IsUsable(kernel::Time now, const Endpoint& endpoint) const;
   Endpoint* FindRun(const wire::ProcessKey& agent);
   double CapacityOf(const Endpoint& endpoint) const;
   double EstimatedCalls(kernel::Time now, const Endpoint& endpoint) const;
--- a/include/radishrudder/calls/entry_core.h
+++ b/include/radishrudder/calls/entry_core.h
@@ -30,6 +30,10 @@
   std::uint32_t capacity = 0;
 };
 
+// A POST to this target of a service asks for an idempotency key; the answer
+// is {"idempotency_key": "..."} with status 201.
+inline constexpr std::string_view kIssueKeyTarget = "/-/idempotency-keys";
+
 using EntryOutput = std::
     variant<wire::Send, AnswerHead, AnswerPart, AnswerComplete, CallFailed>;
 
--- a/source/radishrudder/calls/endpoint_set.cc
+++ b/source/radishrudder/calls/endpoint_set.cc
@@ -63,7 +63,7 @@
   bool any = false;
   for (const auto& [name, endpoint] : m_endpoints) {
     const EndpointView& view = endpoint.view;
-    if (view.leaving || view.suspected || endpoint.closed_until > now ||
+    if (!IsUsable(now, endpoint) ||
         excluded.contains({view.instance, view.incarnation})) {
       continue;
     }
@@ -87,6 +87,20 @@
           .agent = *Find(candidates[index].instance)};
 }
 
+Choice EndpointSet::ChooseAny(kernel::Time now, kernel::Random& random) const {
+  std::vector<wire::ProcessKey> usable;
+  for (const auto& [name, endpoint] : m_endpoints) {
+    if (IsUsable(now, endpoint) && endpoint.avoid_until <= now) {
+      usable.push_back({endpoint.view.instance, endpoint.view.incarnation});
+    }
+  }
+  if (usable.empty()) {
+    return {};
+  }
+  return {.result = ChoiceResult::kChosen,
+          .agent = usable[random.Below(usable.size())]};
+}
+
 std::optional<wire::ProcessKey> EndpointSet::Find(
     std::string_view instance) const {
   const auto found = m_endpoints.find(instance);
@@ -162,6 +176,11 @@
   return text;
 }
 
+bool EndpointSet::IsUsable(kernel::Time now, const Endpoint& endpoint) const {
+  return !endpoint.view.leaving && !endpoint.view.suspected &&
+         endpoint.closed_until <= now;
+}
+
 EndpointSet::Endpoint* EndpointSet::FindRun(const wire::ProcessKey& agent) {
   const auto found = m_endpoints.find(agent.instance);
   const bool same_run = found != m_endpoints.end() &&
--- a/source/radishrudder/calls/entry_attempts.cc
+++ b/source/radishrudder/calls/entry_attempts.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr kernel::Duration kAvoidAfterOverload = std::chrono::milliseconds(50);
-constexpr kernel::Duration kAvoidAfterFailure = std::chrono::seconds(1);
 
 // Refusals that an endpoint gives until its state changes, not because of the
 // load.
@@ -87,6 +86,8 @@
       attempt->second.answer.OnPart(message.attempt_part());
       Advance(now, attempt);
     }
+  } else if (message.has_issued_key()) {
+    OnIssuedKey(now, wire::FromMessage(message.from()), message.issued_key());
   } else if (message.has_attempt_end()) {
     const auto attempt = FindAttempt(message, message.attempt_end().id());
     if (attempt != m_attempts.end()) {
@@ -167,6 +168,9 @@
 }
 
 void EntryState::OnSendFailed(kernel::Time now, const wire::Envelope& message) {
+  if (message.has_issue_key()) {
+    OnKeyRequestUnsent(now, message.issue_key().request());
+  }
   if (!message.has_start_attempt()) {
     return;
   }
@@ -175,8 +179,9 @@
       wire::FromMessage(message.from()) != m_settings.self) {
     return;
   }
+  const bool bound = m_calls.at(attempt->second.call).bound_to.has_value();
   EndAttempt(now, attempt,
-             {.outcome = wire::OUTCOME_NOT_RUN,
+             {.outcome = bound ? wire::OUTCOME_UNKNOWN : wire::OUTCOME_NOT_RUN,
               .reason = wire::REFUSAL_ENDPOINT_UNREACHABLE,
               .retry_after = std::chrono::milliseconds(1000),
               .detail = "agent \"" + attempt->second.agent.instance +
@@ -258,7 +263,7 @@
   const bool harmless =
       call.idempotent ||
       (failure.outcome == wire::OUTCOME_NOT_RUN && !call.maybe_ran);
-  if (!harmless || call.deadline <= now) {
+  if (!harmless || call.bound_to || call.deadline <= now) {
     return false;
   }
   const bool once_an_endpoint =
--- a/source/radishrudder/calls/entry_state.cc
+++ b/source/radishrudder/calls/entry_state.cc
@@ -90,6 +90,9 @@
   call.idempotent =
       service.routes.IsIdempotent(call.request.method, call.request.target);
   m_deadlines.emplace(call.deadline, id);
+  if (AdmitByKey(now, id, service)) {
+    return;
+  }
   service.budget.Earn();
   call.waiting = true;
   const auto refused = service.queue.Push({.id = id,
@@ -208,6 +211,10 @@
 
 void EntryState::ExpireCall(kernel::Time now, CallId id) {
   EntryCall& call = m_calls.at(id);
+  if (call.key_request != 0) {
+    FailWithoutKey(now, id);
+    return;
+  }
   EntryService* const service = FindService(call.request.service);
   if (call.waiting && service != nullptr) {
     service->queue.Remove(id);
@@ -228,6 +235,7 @@
                                     .reason = failure.reason,
                                     .retry_after = failure.retry_after,
                                     .answer_begun = call.answer_begun,
+                                    .issued_key = std::move(failure.issued_key),
                                     .detail = std::move(failure.detail)});
   Forget(now, id);
 }
@@ -239,6 +247,7 @@
     CancelAttempt(now, m_attempts.find(sequence));
   }
   m_deadlines.erase({call->second.deadline, id});
+  m_key_requests.erase(call->second.key_request);
   m_calls.erase(call);
 }
 
--- a/source/radishrudder/calls/entry_state.h
+++ b/source/radishrudder/calls/entry_state.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -36,6 +37,14 @@
   bool waiting = false;    // In the queue of its service.
   bool maybe_ran = false;  // An earlier attempt ended as unknown.
   bool answer_begun = false;
+  // Set for a key that the system issued: its call goes to that run only, and
+  // only that run can say that it has not run.
+  std::optional<wire::ProcessKey> bound_to;
+  // Number of the request for a key that this call waits for; 0 for none.
+  std::uint64_t key_request = 0;
+  // Whether the call only asks for a key; otherwise it fails, and the key is
+  // offered with the failure.
+  bool asks_for_key = false;
   std::set<std::uint64_t> attempts;  // In progress.
   std::set<wire::ProcessKey> excluded;
 };
@@ -54,6 +63,13 @@
   wire::RefusalReason reason = wire::REFUSAL_UNSPECIFIED;
   std::chrono::milliseconds retry_after{0};
   std::string detail{};
+  std::string issued_key{};
+};
+
+// A request to an agent for a new key.
+struct KeyRequest {
+  CallId call = 0;
+  wire::ProcessKey agent{};
 };
 
 // The state of an entry core and its transitions.
@@ -87,6 +103,8 @@
  private:
   using Attempts = std::map<std::uint64_t, EntryAttempt>;
   using Calls = std::map<CallId, EntryCall>;
+  static constexpr kernel::Duration kAvoidAfterFailure =
+      std::chrono::seconds(1);
   // Calls that a dispatch may pass over when no endpoint with room fits them.
   static constexpr std::size_t kMaximumPassedOver = 4;
 
@@ -100,6 +118,19 @@
   void Fail(kernel::Time now, CallId id, Failure failure);
   void Forget(kernel::Time now, CallId id);
 
+  // entry_keys.cc: idempotency keys.
+  // Treats a call whose key decides what happens; returns whether it was one.
+  bool AdmitByKey(kernel::Time now, CallId id, EntryService& service);
+  void SendToBoundAgent(kernel::Time now, CallId id, EntryService& service);
+  void RequestKey(kernel::Time now, CallId id, EntryService& service);
+  void OnIssuedKey(kernel::Time now,
+                   const wire::ProcessKey& from,
+                   const wire::IssuedKey& issued);
+  void OnKeyRequestUnsent(kernel::Time now, std::uint64_t request);
+  void AnswerWithKey(kernel::Time now, CallId id, const std::string& key);
+  // Ends a call that waits for a key which does not come.
+  void FailWithoutKey(kernel::Time now, CallId id);
+
   // entry_attempts.cc: the life of an attempt.
   void StartAttempt(kernel::Time now,
                     CallId id,
@@ -132,6 +163,7 @@
   kernel::Time m_last_dispatch;
   Calls m_calls;
   Attempts m_attempts;
+  std::map<std::uint64_t, KeyRequest> m_key_requests;
   std::set<std::pair<kernel::Time, CallId>> m_deadlines;
   std::vector<EntryOutput> m_outputs;
 };
--- /dev/null
+++ b/source/radishrudder/calls/gate_keys.cc
@@ -0,0 +1,105 @@
+#include <utility>
+
+#include "gate_state.h"
+#include "radishrudder/calls/idempotency_key.h"
+
+namespace radishrudder::calls {
+
+namespace {
+
+constexpr kernel::Duration kKeyLifetimeSlack = std::chrono::seconds(1);
+constexpr std::chrono::milliseconds kRetryAfterInProgress{500};
+
+}  // namespace
+
+void GateState::OnIssueKey(kernel::Time now,
+                           const wire::Envelope& message,
+                           const wire::IssueKey& request) {
+  const AttemptKey reply_to{.entry = wire::FromMessage(message.from())};
+  wire::IssuedKey& issued = *AddReply(reply_to).mutable_issued_key();
+  issued.set_request(request.request());
+  const bool may =
+      m_open && !m_draining && request.service() == m_settings.service;
+  if (may) {
+    issued.set_key(
+        Format(IdempotencyKey{.agent = m_settings.self,
+                              .expires = now + m_settings.key_lifetime,
+                              .nonce = m_random.Next()}));
+  }
+}
+
+bool GateState::AnswerByKey(kernel::Time now, const wire::StartAttempt& start) {
+  const AttemptKey attempt = FromMessage(start.id());
+  const auto key = ParseIdempotencyKey(start.idempotency_key());
+  if (!key) {
+    Refuse(now, attempt, wire::REFUSAL_KEY_NOT_ACCEPTED);
+    return true;
+  }
+  if (key->agent != m_settings.self || key->expires <= now) {
+    // Its call may have run elsewhere, or here and be forgotten.
+    SendUnknown(attempt, wire::REFUSAL_KEY_NOT_ACCEPTED);
+    return true;
+  }
+  if (key->expires > now + m_settings.key_lifetime + kKeyLifetimeSlack) {
+    Refuse(now, attempt, wire::REFUSAL_KEY_NOT_ACCEPTED);
+    return true;
+  }
+  return AnswerByLedger(now, start);
+}
+
+bool GateState::AnswerByLedger(kernel::Time now,
+                               const wire::StartAttempt& start) {
+  const AttemptKey attempt = FromMessage(start.id());
+  switch (m_ledger.Find(start.idempotency_key(), CallDigest(start))) {
+    case KeyStanding::kNew:
+      return false;
+    case KeyStanding::kInUse:
+      SendEnd(attempt,
+              {.outcome = wire::OUTCOME_UNKNOWN,
+               .reason = wire::REFUSAL_KEY_IN_PROGRESS,
+               .retry_after = kRetryAfterInProgress},
+              0);
+      return true;
+    case KeyStanding::kRecorded:
+      Replay(now, start);
+      return true;
+    case KeyStanding::kRan:
+      SendUnknown(attempt, wire::REFUSAL_KEY_NOT_ACCEPTED);
+      return true;
+    case KeyStanding::kRefused:
+      Refuse(now, attempt, wire::REFUSAL_KEY_NOT_ACCEPTED);
+      return true;
+    case KeyStanding::kOtherCall:
+      Refuse(now, attempt, wire::REFUSAL_KEY_BODY_MISMATCH);
+      return true;
+    case KeyStanding::kFull:
+      // The key can't be remembered as refused, so nothing is promised.
+      SendUnknown(attempt, wire::REFUSAL_OVERLOADED);
+      return true;
+  }
+  return true;
+}
+
+void GateState::Replay(kernel::Time now, const wire::StartAttempt& start) {
+  const AttemptKey attempt = FromMessage(start.id());
+  const RecordedAnswer& answer = m_ledger.Answer(start.idempotency_key());
+  m_memory.Take(now, attempt, now + kMemoryOfReplay);
+  SendHead(attempt, answer.status, answer.headers, answer.manifest_digest);
+  const bool has_body = !answer.body.empty();
+  if (has_body) {
+    SendPart(attempt, 0, answer.body);
+  }
+  SendEnd(attempt, {.outcome = wire::OUTCOME_ANSWERED}, has_body ? 1 : 0);
+}
+
+void GateState::RefuseByKey(const wire::StartAttempt& start) {
+  const auto key = ParseIdempotencyKey(start.idempotency_key());
+  m_ledger.Refuse(start.idempotency_key(), CallDigest(start), key->expires);
+}
+
+void GateState::SendUnknown(const AttemptKey& attempt,
+                            wire::RefusalReason reason) {
+  SendEnd(attempt, {.outcome = wire::OUTCOME_UNKNOWN, .reason = reason}, 0);
+}
+
+}  // namespace radishrudder::calls
--- a/source/radishrudder/calls/gate_state.cc
+++ b/source/radishrudder/calls/gate_state.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "radishrudder/calls/idempotency_key.h"
+
 namespace radishrudder::calls {
 
 namespace {
@@ -9,6 +11,7 @@
 // How long attempts are remembered singly after their deadline.
 constexpr kernel::Duration kMemoryAfterDeadline = std::chrono::minutes(1);
 constexpr kernel::Duration kMemoryOfCancelled = std::chrono::minutes(10);
+constexpr kernel::Duration kExpiryInterval = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds kRetryAfterOverload{250};
 constexpr std::chrono::milliseconds kRetryAfterNotReady{2000};
 
@@ -33,6 +36,7 @@
   if (document.service != m_settings.service) {
     return;
   }
+  m_timeout = document.calls.timeout;
   m_concurrency = std::max(1U, document.calls.endpoint_concurrency);
   m_queue.SetShares(document.workspaces);
   StartWaiting(now);
@@ -54,6 +58,7 @@
 void GateState::EndCallsOfOtherDigests(std::string_view digest) {
   for (auto& [id, call] : m_calls) {
     if (call.running && call.digest != digest) {
+      call.mixed = true;
       EndCall(call, {.outcome = wire::OUTCOME_UNKNOWN,
                      .reason = wire::REFUSAL_WRONG_VERSION});
       CancelAtEndpoint(id);
@@ -66,6 +71,8 @@
     OnStart(now, message.start_attempt());
   } else if (message.has_cancel_attempt()) {
     OnCancel(now, message.cancel_attempt());
+  } else if (message.has_issue_key()) {
+    OnIssueKey(now, message, message.issue_key());
   }
 }
 
@@ -73,17 +80,21 @@
   const AttemptKey attempt = FromMessage(start.id());
   if (start.agent_incarnation() != m_settings.self.incarnation) {
     // A copy of it may have reached the run that it was meant for.
-    SendEnd(attempt,
-            {.outcome = wire::OUTCOME_UNKNOWN,
-             .reason = wire::REFUSAL_WRONG_INCARNATION},
-            0);
+    SendUnknown(attempt, wire::REFUSAL_WRONG_INCARNATION);
     return;
   }
   if (AnswerSeen(attempt)) {
     return;
   }
+  const bool keyed = !start.idempotent() && !start.idempotency_key().empty();
+  if (keyed && AnswerByKey(now, start)) {
+    return;
+  }
   const wire::RefusalReason reason = WhyNot(start);
   if (reason != wire::REFUSAL_UNSPECIFIED) {
+    if (keyed) {
+      RefuseByKey(start);
+    }
     Refuse(now, attempt, reason);
     return;
   }
@@ -138,6 +149,11 @@
   call.idempotent = start.idempotent();
   call.deadline =
       now + std::chrono::milliseconds(start.deadline_milliseconds());
+  if (!start.idempotent() && !start.idempotency_key().empty()) {
+    call.key = start.idempotency_key();
+    m_ledger.Begin(call.key, CallDigest(start),
+                   ParseIdempotencyKey(call.key)->expires);
+  }
   m_by_attempt[call.attempt] = id;
   m_deadlines.emplace(call.deadline, id);
   const auto refused = m_queue.Push({.id = id,
@@ -188,10 +204,7 @@
 void GateState::OnCancel(kernel::Time now, const wire::CancelAttempt& cancel) {
   const AttemptKey attempt = FromMessage(cancel.id());
   if (cancel.agent_incarnation() != m_settings.self.incarnation) {
-    SendEnd(attempt,
-            {.outcome = wire::OUTCOME_UNKNOWN,
-             .reason = wire::REFUSAL_WRONG_INCARNATION},
-            0);
+    SendUnknown(attempt, wire::REFUSAL_WRONG_INCARNATION);
     return;
   }
   const auto known = m_by_attempt.find(attempt);
@@ -210,73 +223,6 @@
   }
 }
 
-void GateState::OnEndpointHead(kernel::Time now,
-                               EndpointCallId id,
-                               std::uint32_t status,
-                               std::vector<Header> headers,
-                               std::string manifest_digest) {
-  const auto found = m_calls.find(id);
-  if (found == m_calls.end() || found->second.ended) {
-    return;
-  }
-  GateCall& call = found->second;
-  if (!manifest_digest.empty() && manifest_digest != call.digest) {
-    EndCall(call, {.outcome = wire::OUTCOME_UNKNOWN,
-                   .reason = wire::REFUSAL_WRONG_VERSION});
-    CancelAtEndpoint(id);
-    return;
-  }
-  call.head_sent = true;
-  wire::AttemptHead& head = *AddReply(call.attempt).mutable_attempt_head();
-  *head.mutable_id() = ToMessage(call.attempt);
-  head.set_status(status);
-  head.set_manifest_digest(
-      manifest_digest.empty() ? call.digest : std::move(manifest_digest));
-  for (Header& header : headers) {
-    auto* const added = head.add_headers();
-    added->set_name(std::move(header.name));
-    added->set_value(std::move(header.value));
-  }
-}
-
-void GateState::OnEndpointData(kernel::Time now,
-                               EndpointCallId id,
-                               std::string_view data) {
-  const auto found = m_calls.find(id);
-  if (found == m_calls.end() || found->second.ended ||
-      !found->second.head_sent) {
-    return;
-  }
-  GateCall& call = found->second;
-  wire::AttemptPart& part = *AddReply(call.attempt).mutable_attempt_part();
-  *part.mutable_id() = ToMessage(call.attempt);
-  part.set_sequence(call.parts++);
-  part.set_data(std::string(data));
-}
-
-void GateState::OnEndpointEnd(kernel::Time now,
-                              EndpointCallId id,
-                              EndpointEnd end) {
-  const auto found = m_calls.find(id);
-  if (found == m_calls.end() || !found->second.running) {
-    return;
-  }
-  GateCall& call = found->second;
-  --m_running;
-  call.running = false;
-  if (end == EndpointEnd::kComplete && call.head_sent) {
-    EndCall(call, {.outcome = wire::OUTCOME_ANSWERED});
-  } else if (end == EndpointEnd::kNotSent && !call.head_sent) {
-    EndCall(call, {.outcome = wire::OUTCOME_NOT_RUN,
-                   .reason = wire::REFUSAL_ENDPOINT_UNREACHABLE});
-  } else {
-    EndCall(call, {.outcome = wire::OUTCOME_UNKNOWN,
-                   .reason = wire::REFUSAL_ENDPOINT_UNREACHABLE});
-  }
-  Remove(id);
-  StartWaiting(now);
-}
-
 void GateState::OnPeerLost(kernel::Time now, const wire::ProcessKey& peer) {
   std::vector<EndpointCallId> waiting;
   for (const auto& [id, call] : m_calls) {
@@ -301,7 +247,11 @@
 }
 
 void GateState::OnTick(kernel::Time now) {
-  m_memory.Expire(now);
+  if (now >= m_expired + kExpiryInterval) {
+    m_expired = now;
+    m_memory.Expire(now);
+    m_ledger.Expire(now);
+  }
   while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
     const EndpointCallId id = m_deadlines.begin()->second;
     m_deadlines.erase(m_deadlines.begin());
@@ -336,6 +286,10 @@
                               EndpointCallId id,
                               wire::RefusalReason reason) {
   const AttemptKey attempt = m_calls.at(id).attempt;
+  const std::string key = m_calls.at(id).key;
+  if (!key.empty()) {
+    m_ledger.Refuse(key);
+  }
   Remove(id);
   Refuse(now, attempt, reason);
 }
@@ -347,28 +301,11 @@
 }
 
 void GateState::CancelAtEndpoint(EndpointCallId id) {
-  m_outputs.emplace_back(CancelEndpointCall{.call = id});
-}
-
-void GateState::EndCall(GateCall& call, GateEnd end) {
-  if (call.ended) {
+  // A call with a key goes on, so that its answer is there for a repeat.
+  if (!m_calls.at(id).key.empty()) {
     return;
   }
-  call.ended = true;
-  SendEnd(call.attempt, end, call.parts);
-}
-
-void GateState::SendEnd(const AttemptKey& attempt,
-                        GateEnd end,
-                        std::uint64_t parts) {
-  wire::AttemptEnd& message = *AddReply(attempt).mutable_attempt_end();
-  *message.mutable_id() = ToMessage(attempt);
-  message.set_outcome(end.outcome);
-  message.set_parts(parts);
-  message.set_reason(end.reason);
-  message.set_retry_after_milliseconds(
-      static_cast<std::uint32_t>(end.retry_after.count()));
-  *message.mutable_load() = Load();
+  m_outputs.emplace_back(CancelEndpointCall{.call = id});
 }
 
 void GateState::Remove(EndpointCallId id) {
@@ -378,18 +315,4 @@
   m_calls.erase(call);
 }
 
-wire::Envelope& GateState::AddReply(const AttemptKey& attempt) {
-  wire::Send send{.to = attempt.entry.instance, .message = {}};
-  *send.message.mutable_from() = ToMessage(m_settings.self);
-  return std::get<wire::Send>(m_outputs.emplace_back(std::move(send))).message;
-}
-
-wire::EndpointLoad GateState::Load() const {
-  wire::EndpointLoad load;
-  load.set_running(static_cast<std::uint32_t>(m_running));
-  load.set_waiting(static_cast<std::uint32_t>(m_queue.Size()));
-  load.set_capacity(m_concurrency);
-  return load;
-}
-
 }  // namespace radishrudder::calls
--- a/source/radishrudder/calls/gate_state.h
+++ b/source/radishrudder/calls/gate_state.h
@@ -13,6 +13,7 @@
 #include "radishrudder/calls/attempt_key.h"
 #include "radishrudder/calls/attempt_memory.h"
 #include "radishrudder/calls/fair_queue.h"
+#include "radishrudder/calls/key_ledger.h"
 
 namespace radishrudder::calls {
 
@@ -25,7 +26,9 @@
   bool running = false;
   bool ended = false;  // The entry has been told the end.
   bool head_sent = false;
+  bool mixed = false;  // The endpoint changed its weights meanwhile.
   std::uint64_t parts = 0;
+  std::string key;     // Set if the call runs once by its key.
   std::string digest;  // What the endpoint ran when the call was sent to it.
 };
 
@@ -42,7 +45,8 @@
   GateState(GateSettings settings, kernel::Random random)
       : m_settings(std::move(settings)),
         m_random(random),
-        m_queue(m_settings.maximum_waiting) {}
+        m_queue(m_settings.maximum_waiting),
+        m_ledger(m_settings.maximum_recorded_bytes) {}
 
   void OnDocument(kernel::Time now, const document::ServiceDocument& document);
   void OnEndpointState(kernel::Time now, std::string running_digest, bool open);
@@ -66,6 +70,21 @@
   std::size_t CallsWaiting() const { return m_queue.Size(); }
 
  private:
+  static constexpr kernel::Duration kMemoryOfReplay = std::chrono::minutes(10);
+
+  // gate_keys.cc: calls that run once by key.
+  void OnIssueKey(kernel::Time now,
+                  const wire::Envelope& message,
+                  const wire::IssueKey& request);
+  // Answers a call by what its key proves; returns false if it may run.
+  bool AnswerByKey(kernel::Time now, const wire::StartAttempt& start);
+  bool AnswerByLedger(kernel::Time now, const wire::StartAttempt& start);
+  void Replay(kernel::Time now, const wire::StartAttempt& start);
+  // Notes that the call of an accepted key will never run.
+  void RefuseByKey(const wire::StartAttempt& start);
+  void SendUnknown(const AttemptKey& attempt, wire::RefusalReason reason);
+
+  // gate_state.cc: admission and the life of an attempt.
   void OnStart(kernel::Time now, const wire::StartAttempt& start);
   void OnCancel(kernel::Time now, const wire::CancelAttempt& cancel);
   // Answers an attempt that was seen before; returns whether it was.
@@ -87,9 +106,18 @@
   // Ends answers that another version of the weights began.
   void EndCallsOfOtherDigests(std::string_view digest);
   void CancelAtEndpoint(EndpointCallId id);
+  void Remove(EndpointCallId id);
+
+  // gate_answers.cc: what goes back to the entry.
+  void SendHead(const AttemptKey& attempt,
+                std::uint32_t status,
+                const std::vector<Header>& headers,
+                std::string_view manifest_digest);
+  void SendPart(const AttemptKey& attempt,
+                std::uint64_t sequence,
+                std::string_view data);
   void SendEnd(const AttemptKey& attempt, GateEnd end, std::uint64_t parts);
   void EndCall(GateCall& call, GateEnd end);
-  void Remove(EndpointCallId id);
   wire::Envelope& AddReply(const AttemptKey& attempt);
   wire::EndpointLoad Load() const;
 
@@ -97,10 +125,13 @@
   kernel::Random m_random;
   std::uint32_t m_concurrency = 8;
   std::string m_running_digest;
+  std::chrono::milliseconds m_timeout{60'000};
   bool m_open = false;
   bool m_draining = false;
   AttemptMemory m_memory;
+  kernel::Time m_expired;  // When old attempts and keys were last forgotten.
   FairQueue m_queue;
+  KeyLedger m_ledger;
   std::size_t m_running = 0;
   EndpointCallId m_last_call = 0;
   std::map<EndpointCallId, GateCall> m_calls;
