--- a/include/radishrudder/wire/process_id.h
+++ b/include/radishrudder/wire/process_id.h
@@ -16,7 +16,8 @@
   std::string instance;
   std::uint64_t incarnation = 0;
 
-  auto operator<=>(const ProcessKey&) const = default;
+  std::strong_ordering operator<=>(const ProcessKey& other) const;
+  bool operator==(const ProcessKey& other) const = default;
 };
 
 ProcessKey FromMessage(const ProcessId& message);
--- a/source/radishrudder/wire/process_id.cc
+++ b/source/radishrudder/wire/process_id.cc
@@ -1,6 +1,7 @@
 #include "radishrudder/wire/process_id.h"
 
 #include <chrono>
+#include <tuple>
 
 namespace radishrudder::wire {
 namespace {
@@ -9,6 +10,11 @@
 
 }  // namespace
 
+std::strong_ordering ProcessKey::operator<=>(const ProcessKey& other) const {
+  return std::tie(instance, incarnation) <=>
+         std::tie(other.instance, other.incarnation);
+}
+
 ProcessKey FromMessage(const ProcessId& message) {
   return {message.instance(), message.incarnation()};
 }
