--- a/include/radishrudder/http/client.h
+++ b/include/radishrudder/http/client.h
@@ -16,10 +16,11 @@
 
 struct ClientRequest {
   std::string method = "GET";
-  std::string url;
-  std::vector<Header> headers;
-  std::string body;
+  std::string url = {};
+  std::vector<Header> headers = {};
+  std::string body = {};
   std::chrono::milliseconds timeout{0};  // 0: none.
+  std::chrono::milliseconds connect_timeout{2000};
   std::size_t maximum_body_bytes = 64U << 20U;
 };
 
@@ -33,18 +34,20 @@
 
 // Called on the client's own thread, in this order.
 struct ClientHandlers {
-  std::function<void(int status, std::vector<Header> headers)> on_head;
-  std::function<void(std::string_view data)> on_data;
-  std::function<void(const ClientResult& result)> on_done;
+  std::function<void(int status, std::vector<Header> headers)> on_head = {};
+  std::function<void(std::string_view data)> on_data = {};
+  std::function<void(const ClientResult& result)> on_done = {};
 };
 
 struct WholeAnswer {
   ClientResult result;
-  std::vector<Header> headers;
-  std::string body;
+  std::vector<Header> headers = {};
+  std::string body = {};
 };
 
-// HTTP client on libcurl: many requests, one thread.
+// HTTP client on libcurl: many requests, one thread. Only GET and HEAD use kept
+// connections, on which libcurl may send a request a second time; any other
+// request is sent at most once.
 class Client {
  public:
   Client();
@@ -53,7 +56,7 @@
   Client& operator=(const Client&) = delete;
 
   // Starts a request; returns a number for `Cancel`. `on_done` is called
-  // exactly once, also after a cancel.
+  // exactly once, also after a cancel and when the client is destroyed.
   std::uint64_t Start(ClientRequest request, ClientHandlers handlers);
   void Cancel(std::uint64_t request);
 
--- a/include/radishrudder/http/server.h
+++ b/include/radishrudder/http/server.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <system_error>
 #include <vector>
 
@@ -48,12 +49,15 @@
   virtual void OnGone(std::function<void()> handler) = 0;
 };
 
+// Called on one of the server's threads: must not block.
 using Handler = std::function<void(Request, std::shared_ptr<Responder>)>;
 
 struct ServerSettings {
   std::string address = "127.0.0.1";
   std::uint16_t port = 0;  // 0: any free port.
   std::size_t threads = 2;
+  // Longer bodies are refused with 413; from twice the size on, the connection
+  // is closed.
   std::size_t maximum_body_bytes = 8U << 20U;
 };
 
@@ -69,9 +73,11 @@
   std::error_code Start();
   // Returns the bound port.
   std::uint16_t Port() const;
-  // Refuses new connections; open answers go on.
+  // Refuses new connections; open answers go on. Kept connections are closed
+  // after their next answer.
   void StopAccepting();
-  // Closes every connection and joins the threads.
+  // Waits for finished answers to be written, tells the others that their
+  // callers have gone, closes every connection and joins the threads.
   void Stop();
 
  private:
--- /dev/null
+++ b/source/radishrudder/http/client_transfer.cc
@@ -0,0 +1,212 @@
+#include "source/radishrudder/http/client_transfer.h"
+
+#include <charconv>
+#include <new>
+#include <utility>
+
+#include "source/radishrudder/http/client_error.h"
+#include "source/radishrudder/http/headers.h"
+
+namespace radishrudder::http {
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+constexpr std::string_view kWhitespace = " \t\r\n";
+
+// Sets an option of the right type; only a lack of memory can make it fail.
+template <typename Value>
+void SetOption(CURL* handle, CURLoption option, Value value) {
+  if (curl_easy_setopt(handle, option, value) != CURLE_OK) {
+    throw std::bad_alloc();
+  }
+}
+
+std::string_view Trim(std::string_view text) {
+  const auto first = text.find_first_not_of(kWhitespace);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  const auto last = text.find_last_not_of(kWhitespace);
+  return text.substr(first, last - first + 1);
+}
+
+// Parses "HTTP/1.1 200 OK".
+int ParseStatusLine(std::string_view line) {
+  const auto space = line.find(' ');
+  if (space == std::string_view::npos) {
+    return 0;
+  }
+  const std::string_view rest = line.substr(space + 1);
+  int status = 0;
+  std::from_chars(rest.data(), rest.data() + rest.size(), status);
+  return status;
+}
+
+// libcurl sends a request again by itself if a kept connection breaks before
+// the answer begins. Only these methods allow that.
+bool MayBeSentAgain(std::string_view method) {
+  return method == "GET" || method == "HEAD";
+}
+
+}  // namespace
+
+ClientTransfer::ClientTransfer(ClientRequest request, ClientHandlers handlers)
+    : m_request(std::move(request)),
+      m_handlers(std::move(handlers)),
+      m_easy(curl_easy_init()) {
+  if (!m_easy) {
+    throw std::bad_alloc();
+  }
+  Configure();
+}
+
+ClientTransfer* ClientTransfer::Of(CURL* handle) {
+  char* transfer = nullptr;
+  curl_easy_getinfo(handle, CURLINFO_PRIVATE, &transfer);
+  return reinterpret_cast<ClientTransfer*>(transfer);
+}
+
+void ClientTransfer::Configure() {
+  CURL* handle = m_easy.get();
+  SetOption(handle, CURLOPT_PRIVATE, static_cast<void*>(this));
+  SetOption(handle, CURLOPT_URL, m_request.url.c_str());
+  SetOption(handle, CURLOPT_NOSIGNAL, 1L);
+  SetOption(handle, CURLOPT_PROXY, "");
+  SetOption(handle, CURLOPT_PROTOCOLS_STR, "http");
+  SetOption(handle, CURLOPT_HTTP_VERSION,
+            static_cast<long>(CURL_HTTP_VERSION_1_1));
+  SetOption(handle, CURLOPT_CONNECTTIMEOUT_MS,
+            static_cast<long>(m_request.connect_timeout.count()));
+  SetOption(handle, CURLOPT_TIMEOUT_MS,
+            static_cast<long>(m_request.timeout.count()));
+  SetOption(handle, CURLOPT_HEADERFUNCTION, &OnHeader);
+  SetOption(handle, CURLOPT_HEADERDATA, static_cast<void*>(this));
+  SetOption(handle, CURLOPT_WRITEFUNCTION, &OnData);
+  SetOption(handle, CURLOPT_WRITEDATA, static_cast<void*>(this));
+  SetOption(handle, CURLOPT_PREREQFUNCTION, &OnConnected);
+  SetOption(handle, CURLOPT_PREREQDATA, static_cast<void*>(this));
+  ConfigureMethod();
+  ConfigureHeaders();
+}
+
+void ClientTransfer::ConfigureMethod() {
+  CURL* handle = m_easy.get();
+  if (m_request.method == "HEAD") {
+    SetOption(handle, CURLOPT_NOBODY, 1L);
+  } else if (!m_request.body.empty() || m_request.method == "POST" ||
+             m_request.method == "PUT") {
+    SetOption(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+              static_cast<curl_off_t>(m_request.body.size()));
+    SetOption(handle, CURLOPT_POSTFIELDS, m_request.body.data());
+  }
+  SetOption(handle, CURLOPT_CUSTOMREQUEST, m_request.method.c_str());
+  if (!MayBeSentAgain(m_request.method)) {
+    SetOption(handle, CURLOPT_FRESH_CONNECT, 1L);
+    SetOption(handle, CURLOPT_FORBID_REUSE, 1L);
+  }
+}
+
+void ClientTransfer::ConfigureHeaders() {
+  for (const Header& header : m_request.headers) {
+    if (IsSendable(header)) {
+      AddHeaderLine(header.value.empty() ? header.name + ";"
+                                         : header.name + ": " + header.value);
+    }
+  }
+  // Without these, libcurl adds values of its own.
+  AddHeaderLine("Expect:");
+  if (FindHeader(m_request.headers, "content-type").empty()) {
+    AddHeaderLine("Content-Type:");
+  }
+  SetOption(m_easy.get(), CURLOPT_HTTPHEADER, m_header_lines.get());
+}
+
+void ClientTransfer::AddHeaderLine(const std::string& line) {
+  curl_slist* list = curl_slist_append(m_header_lines.get(), line.c_str());
+  if (list == nullptr) {
+    throw std::bad_alloc();
+  }
+  // The head changes with the first line only.
+  static_cast<void>(m_header_lines.release());
+  m_header_lines.reset(list);
+}
+
+void ClientTransfer::TakeHeaderLine(std::string_view line) {
+  if (line.starts_with("HTTP/")) {
+    m_status = ParseStatusLine(line);
+    m_headers.clear();
+    return;
+  }
+  if (const auto colon = line.find(':'); colon != std::string_view::npos) {
+    m_headers.push_back({std::string(Trim(line.substr(0, colon))),
+                         std::string(Trim(line.substr(colon + 1)))});
+    return;
+  }
+  const bool is_end_of_head = Trim(line).empty();
+  if (is_end_of_head && m_status >= kFirstFinalStatus && m_handlers.on_head) {
+    m_handlers.on_head(m_status, std::exchange(m_headers, {}));
+  }
+}
+
+bool ClientTransfer::TakeData(std::string_view data) {
+  m_body_bytes += data.size();
+  if (m_body_bytes > m_request.maximum_body_bytes) {
+    m_too_large = true;
+    return false;
+  }
+  if (m_handlers.on_data) {
+    m_handlers.on_data(data);
+  }
+  return true;
+}
+
+std::error_code ClientTransfer::ErrorOf(CURLcode code) const {
+  if (m_too_large) {
+    return std::make_error_code(std::errc::message_size);
+  }
+  long system_error = 0;
+  curl_easy_getinfo(m_easy.get(), CURLINFO_OS_ERRNO, &system_error);
+  return TranslateCurlError(code, system_error);
+}
+
+void ClientTransfer::Finish(CURLcode code) {
+  FinishWith(ErrorOf(code));
+}
+
+void ClientTransfer::FinishWith(std::error_code error) {
+  const auto on_done = std::exchange(m_handlers.on_done, nullptr);
+  m_handlers = {};
+  if (on_done) {
+    on_done({.error = error,
+             .status = m_status,
+             .may_have_been_sent = m_connected});
+  }
+}
+
+std::size_t ClientTransfer::OnHeader(char* data,
+                                     std::size_t size,
+                                     std::size_t count,
+                                     void* transfer) {
+  static_cast<ClientTransfer*>(transfer)->TakeHeaderLine({data, size * count});
+  return size * count;
+}
+
+std::size_t ClientTransfer::OnData(char* data,
+                                   std::size_t size,
+                                   std::size_t count,
+                                   void* transfer) {
+  const std::string_view view(data, size * count);
+  return static_cast<ClientTransfer*>(transfer)->TakeData(view) ? view.size()
+                                                                : 0;
+}
+
+int ClientTransfer::OnConnected(void* transfer,
+                                char* /*remote_address*/,
+                                char* /*local_address*/,
+                                int /*remote_port*/,
+                                int /*local_port*/) {
+  static_cast<ClientTransfer*>(transfer)->m_connected = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+}  // namespace radishrudder::http
--- /dev/null
+++ b/tests/http/broken_connection_test.cc
@@ -0,0 +1,99 @@
+#include <gtest/gtest.h>
+
+#include <asio.hpp>
+#include <atomic>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "radishrudder/http/client.h"
+
+namespace radishrudder::http {
+namespace {
+
+// Answers the first request of each connection and keeps it; closes the
+// connection without an answer at any further request, and at a first request
+// for /breaks.
+class BreakingServer {
+ public:
+  BreakingServer()
+      : m_acceptor(m_context, {asio::ip::address_v4::loopback(), 0}),
+        m_thread([this] { Run(); }) {}
+  ~BreakingServer() {
+    // Wakes the blocked accept.
+    m_ending = true;
+    asio::ip::tcp::socket socket(m_context);
+    socket.connect(m_acceptor.local_endpoint());
+    m_thread.join();
+  }
+
+  std::string Url(const std::string& path) const {
+    const auto port = m_acceptor.local_endpoint().port();
+    return "http://127.0.0.1:" + std::to_string(port) + path;
+  }
+  int Requests() const { return m_requests; }
+
+ private:
+  void Run() {
+    while (true) {
+      asio::ip::tcp::socket socket = m_acceptor.accept();
+      if (m_ending) {
+        return;
+      }
+      m_connections.emplace_back(
+          [this, socket = std::move(socket)]() mutable { Serve(socket); });
+    }
+  }
+
+  void Serve(asio::ip::tcp::socket& socket) {
+    static constexpr std::string_view kAnswer =
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nkept";
+    asio::error_code error;
+    const std::string first = ReadHead(socket);
+    if (first.empty() || first.find("/breaks") != std::string::npos) {
+      return;
+    }
+    asio::write(socket, asio::buffer(kAnswer), error);
+    ReadHead(socket);
+  }
+
+  // Returns an empty text if the peer closes the connection.
+  std::string ReadHead(asio::ip::tcp::socket& socket) {
+    std::string head;
+    asio::error_code error;
+    asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", error);
+    if (error) {
+      return {};
+    }
+    ++m_requests;
+    return head;
+  }
+
+  asio::io_context m_context;
+  asio::ip::tcp::acceptor m_acceptor;
+  std::atomic<int> m_requests = 0;
+  std::atomic<bool> m_ending = false;
+  std::vector<std::jthread> m_connections;  // End when the client does.
+  std::thread m_thread;
+};
+
+// libcurl repeats a request by itself if a kept connection breaks before the
+// answer begins; a call that must not run twice must not go that way.
+TEST(BrokenConnectionTest, APostIsNeverSentASecondTime) {
+  BreakingServer server;
+  Client client;
+  for (const char* method : {"GET", "POST"}) {
+    const WholeAnswer answer =
+        client.FetchNow({.method = method, .url = server.Url("/")});
+    EXPECT_EQ(answer.body, "kept");
+  }
+  const WholeAnswer broken =
+      client.FetchNow({.method = "POST", .url = server.Url("/breaks")});
+  EXPECT_TRUE(broken.result.error);
+  EXPECT_TRUE(broken.result.may_have_been_sent);
+  EXPECT_EQ(server.Requests(), 3);
+}
+
+}  // namespace
+}  // namespace radishrudder::http
