--- a/include/radishrudder/document/service_document.h
+++ b/include/radishrudder/document/service_document.h
@@ -20,17 +20,23 @@
   std::string version;                // A label for people.
   std::string manifest_digest;        // "sha256:" and 64 hex digits.
   std::vector<std::string> adapters;  // Manifest digests of adapters.
+
+  bool operator==(const ModelSection&) const = default;
 };
 
 struct WorkspaceSection {
   std::string name;
   double share = 1;  // Weight of its fair share.
+
+  bool operator==(const WorkspaceSection&) const = default;
 };
 
 struct RouteSection {
   std::string method;  // Upper case, or "*".
   std::string prefix;  // Path prefix below the service.
   bool idempotent = false;
+
+  bool operator==(const RouteSection&) const = default;
 };
 
 struct CallsSection {
@@ -38,19 +44,25 @@
   std::uint32_t maximum_queue = 64;        // Waiting calls for each entry.
   std::uint32_t endpoint_concurrency = 8;  // Calls in progress an endpoint.
   double retry_budget = 0.1;               // Retries over calls.
-  double hedge_budget = 0;                 // Part of the retry budget.
+  double hedge_budget = 0;                 // Hedges over calls, a part of it.
   std::string routing_policy = "least-loaded-of-two";
   std::vector<RouteSection> routes;
+
+  bool operator==(const CallsSection&) const = default;
 };
 
 struct RolloutSection {
   double ready_floor = 0.75;  // Share of instances that stays ready.
   std::uint32_t pace = 0;     // Instances that change at once; 0: by floor.
+
+  bool operator==(const RolloutSection&) const = default;
 };
 
 struct TransferSection {
   // 0 prefers few bytes from the origin, 1 prefers speed.
   double speed = 0.5;
+
+  bool operator==(const TransferSection&) const = default;
 };
 
 // What a team publishes for its service.
@@ -62,6 +74,8 @@
   CallsSection calls;
   RolloutSection rollout;
   TransferSection transfer;
+
+  bool operator==(const ServiceDocument&) const = default;
 };
 
 // Parses a document strictly and collects all findings with line, column and
