--- a/include/radishrudder/weights/transfer.h
+++ b/include/radishrudder/weights/transfer.h
@@ -72,6 +72,10 @@
   std::string selector = "rarest-first";
   double speed = 0.5;  // From the document: 0 origin bytes, 1 time.
   std::uint64_t maximum_staged_bytes = 2ULL << 30U;
+  // Time between two inventories to the same neighbours.
+  kernel::Duration inventory_interval = std::chrono::milliseconds(20);
+  // Requests in progress to one neighbour.
+  std::uint32_t requests_per_neighbour = 2;
 };
 
 // How far one version has come here.
@@ -80,6 +84,7 @@
   std::uint32_t chunks_total = 0;  // 0: manifest not yet known.
   std::uint64_t origin_bytes = 0;
   std::uint64_t peer_bytes = 0;
+  std::uint64_t duplicate_bytes = 0;  // Of chunks that were present already.
   bool complete = false;
 };
 
--- /dev/null
+++ b/source/radishrudder/weights/chunk_scheduler.cc
@@ -0,0 +1,268 @@
+#include "chunk_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "radishrudder/kernel/hash.h"
+
+namespace radishrudder::weights {
+namespace {
+
+constexpr std::uint32_t kMaximumRank = 8;
+constexpr std::size_t kMaximumFetches = 2;
+constexpr std::size_t kMaximumDutyRequests = 64;
+constexpr std::size_t kUpstreamsPerRegion = 2;
+constexpr std::chrono::milliseconds kInventoryGrace(500);
+constexpr std::chrono::milliseconds kSilentRest(1000);
+constexpr double kAllowedDebtChunks = 4;
+// Stands for the origin and the store in a list of upstreams.
+constexpr std::string_view kOutsideName = "";
+
+}  // namespace
+
+void ChunkScheduler::ComputeRanks() {
+  const Manifest& manifest = *m_version.manifest;
+  m_version.ranks.resize(manifest.chunks.size());
+  m_duties.clear();
+  for (std::uint32_t i = 0; i < manifest.chunks.size(); ++i) {
+    const std::uint64_t key = DutyTable::KeyOf(manifest.chunks[i].digest);
+    const std::size_t rank = m_context.duties.RankOfSelf(key);
+    m_version.ranks[i] = static_cast<std::uint32_t>(rank);
+    if (rank <= kMaximumRank) {
+      m_duties.push_back(i);
+    }
+  }
+  for (std::size_t i = m_duties.size(); i > 1; --i) {
+    std::swap(m_duties[i - 1], m_duties[m_context.random.Below(i)]);
+  }
+}
+
+bool ChunkScheduler::Settled(kernel::Time now) const {
+  if (now >= m_version.started + kInventoryGrace) {
+    return true;
+  }
+  return std::all_of(
+      m_context.neighbours.begin(), m_context.neighbours.end(),
+      [this](const std::string& name) { return m_version.offers.Heard(name); });
+}
+
+void ChunkScheduler::Run(kernel::Time now) {
+  if (!m_version.Active() || m_version.AllPresent()) {
+    return;
+  }
+  ExpireRequests(now);
+  RunDuties(now);
+  RunNeighbours(now);
+}
+
+void ChunkScheduler::ExpireRequests(kernel::Time now) {
+  for (Request& request : m_version.requests.TakeExpired(now)) {
+    const bool stalled =
+        now - m_version.last_progress >= m_version.timing.stall;
+    if (request.kind == RequestKind::kDuty && request.acknowledged &&
+        !stalled) {
+      request.acknowledged = false;
+      request.deadline = now + m_version.timing.silence;
+      SendRequest(request.sender, request.index);
+      m_version.requests.Add(std::move(request));
+    } else {
+      OnSilence(now, request);
+    }
+  }
+}
+
+void ChunkScheduler::OnSilence(kernel::Time now, const Request& request) {
+  switch (request.kind) {
+    case RequestKind::kNeighbour:
+      m_version.offers.Remove(request.sender);
+      break;
+    case RequestKind::kDuty:
+      ++m_version.attempts[request.index];
+      break;
+    case RequestKind::kOutside:
+      m_context.sources.OnFailure(now, request.source, m_context.random);
+      ++m_version.attempts[request.index];
+      break;
+  }
+}
+
+void ChunkScheduler::OnRefusal(kernel::Time now,
+                               const std::string& from,
+                               std::uint32_t index,
+                               std::chrono::milliseconds retry_after) {
+  Request* request = m_version.requests.Find(index);
+  if (request == nullptr || request->sender != from) {
+    return;
+  }
+  if (request->kind == RequestKind::kDuty && retry_after.count() > 0) {
+    request->acknowledged = true;
+    request->deadline = now + retry_after;
+    return;
+  }
+  if (request->kind == RequestKind::kDuty) {
+    ++m_version.attempts[index];
+  } else if (Offer* offer = m_version.offers.Find(from)) {
+    offer->rests_until =
+        now + std::max<kernel::Duration>(retry_after, kSilentRest / 10);
+  }
+  m_version.requests.Remove(index);
+}
+
+bool ChunkScheduler::IsOnDuty(kernel::Time now, std::uint32_t index) const {
+  const std::uint32_t rank = m_version.ranks[index];
+  const auto quiet = now - m_version.last_progress;
+  return rank <= 1 || quiet >= m_version.timing.stall * (rank - 1);
+}
+
+void ChunkScheduler::RunDuties(kernel::Time now) {
+  if (!Settled(now)) {
+    return;
+  }
+  for (const std::uint32_t index : m_duties) {
+    if (!m_version.present.Test(index) &&
+        !m_version.requests.Requested().Test(index) &&
+        m_version.offers.Copies(index) == 0 && IsOnDuty(now, index)) {
+      AskUpstream(now, index);
+    }
+  }
+}
+
+bool ChunkScheduler::FetchesDirectly(std::uint64_t key) const {
+  // Above the middle, time goes before bytes: up to half of the chunks enter
+  // each region straight from the origin.
+  constexpr double kMaximumShare = 0.5;
+  const double share =
+      kMaximumShare * std::clamp(2 * m_context.settings.speed - 1, 0.0, 1.0);
+  const std::uint64_t draw =
+      kernel::StableHash(std::to_string(key), m_context.settings.region);
+  constexpr std::uint64_t kSteps = 1024;
+  return static_cast<double>(draw % kSteps) < share * kSteps;
+}
+
+std::vector<std::string> ChunkScheduler::UpstreamsOf(
+    std::uint32_t index) const {
+  const std::uint64_t key =
+      DutyTable::KeyOf(m_version.manifest->chunks[index].digest);
+  const DutyTable& duties = m_context.duties;
+  const TransferSettings& settings = m_context.settings;
+  std::vector<std::string> upstreams;
+  if (m_version.ranks[index] > 0) {
+    upstreams = duties.Order(settings.region, key, 1);
+  }
+  if (!duties.InStoreRegion() && !FetchesDirectly(key)) {
+    const std::vector<std::string> chain = duties.RegionChain(key);
+    const auto own = std::find(chain.begin(), chain.end(), settings.region);
+    for (auto before = own; before != chain.begin();) {
+      --before;
+      for (std::string& name :
+           duties.Order(*before, key, kUpstreamsPerRegion)) {
+        upstreams.push_back(std::move(name));
+      }
+    }
+  }
+  upstreams.emplace_back(kOutsideName);
+  return upstreams;
+}
+
+void ChunkScheduler::AskUpstream(kernel::Time now, std::uint32_t index) {
+  if (m_context.duties.InStoreRegion() && m_version.ranks[index] == 0) {
+    FetchOutside(now, index);
+    return;
+  }
+  if (m_version.requests.CountOf(RequestKind::kDuty) >= kMaximumDutyRequests) {
+    return;
+  }
+  const std::vector<std::string> upstreams = UpstreamsOf(index);
+  const auto attempt = m_version.attempts.find(index);
+  const std::size_t position =
+      attempt == m_version.attempts.end() ? 0 : attempt->second;
+  const std::string& upstream = upstreams[position % upstreams.size()];
+  if (upstream == kOutsideName) {
+    FetchOutside(now, index);
+    return;
+  }
+  Request request;
+  request.index = index;
+  request.kind = RequestKind::kDuty;
+  request.sender = upstream;
+  request.deadline = now + m_version.timing.silence;
+  SendRequest(upstream, index);
+  m_version.requests.Add(std::move(request));
+}
+
+void ChunkScheduler::FetchOutside(kernel::Time now, std::uint32_t index) {
+  const std::optional<Source> source = m_context.sources.Choose(now);
+  if (!source || !m_context.budgets.MayFetch(now) ||
+      m_version.requests.CountOf(RequestKind::kOutside) >= kMaximumFetches) {
+    return;
+  }
+  const Chunk& chunk = m_version.manifest->chunks[index];
+  FetchChunk fetch;
+  fetch.manifest_digest = m_version.digest;
+  fetch.index = index;
+  fetch.file = m_version.manifest->file;
+  fetch.offset = chunk.offset;
+  fetch.size = chunk.size;
+  fetch.source = *source;
+  m_context.outputs.emplace_back(std::move(fetch));
+  m_context.budgets.ChargeFetch(now, chunk.size);
+  Request request;
+  request.index = index;
+  request.kind = RequestKind::kOutside;
+  request.source = *source;
+  request.deadline = now + m_version.timing.fetch_timeout;
+  m_version.requests.Add(std::move(request));
+}
+
+void ChunkScheduler::RunNeighbours(kernel::Time now) {
+  std::vector<std::string> names = m_version.offers.Instances();
+  const double allowed =
+      kAllowedDebtChunks * m_version.manifest->chunks.front().size;
+  // One request a neighbour and round, so that none takes all the chunks.
+  while (!names.empty() && m_context.budgets.MayRequest(now, allowed)) {
+    const std::size_t at = m_context.random.Below(names.size());
+    if (!AskNeighbour(now, names[at])) {
+      names[at] = std::move(names.back());
+      names.pop_back();
+    }
+  }
+}
+
+bool ChunkScheduler::AskNeighbour(kernel::Time now,
+                                  const std::string& neighbour) {
+  const Offer* offer = m_version.offers.Find(neighbour);
+  if (offer == nullptr || now < offer->rests_until ||
+      offer->present.Size() != m_version.present.Size() ||
+      !m_context.trust.IsTrusted(now, neighbour) ||
+      m_version.requests.CountOf(RequestKind::kNeighbour, neighbour) >=
+          m_context.settings.requests_per_neighbour) {
+    return false;
+  }
+  std::vector<ChunkCandidate> candidates;
+  offer->present.ForEachWithout(
+      m_version.present, m_version.requests.Requested(),
+      [&](std::size_t index) {
+        const auto number = static_cast<std::uint32_t>(index);
+        candidates.push_back({number, m_version.offers.Copies(number)});
+      });
+  if (candidates.empty()) {
+    return false;
+  }
+  const std::size_t at = m_context.selector(candidates, m_context.random);
+  Request request;
+  request.index = candidates[at].index;
+  request.sender = neighbour;
+  request.deadline = now + m_version.timing.request_timeout;
+  SendRequest(neighbour, request.index);
+  m_version.requests.Add(std::move(request));
+  return true;
+}
+
+void ChunkScheduler::SendRequest(const std::string& to, std::uint32_t index) {
+  wire::Envelope message;
+  message.mutable_chunk_request()->set_manifest_digest(m_version.digest);
+  message.mutable_chunk_request()->set_index(index);
+  m_context.Send(to, std::move(message));
+}
+
+}  // namespace radishrudder::weights
--- /dev/null
+++ b/source/radishrudder/weights/source_schedule.cc
@@ -0,0 +1,59 @@
+#include "radishrudder/weights/source_schedule.h"
+
+#include <algorithm>
+
+namespace radishrudder::weights {
+namespace {
+
+constexpr std::chrono::milliseconds kFirstRest(250);
+constexpr std::chrono::milliseconds kLongestRest(16'000);
+constexpr std::uint32_t kMaximumDoublings = 6;
+
+std::size_t IndexOf(Source source) {
+  return source == Source::kOrigin ? 0 : 1;
+}
+
+}  // namespace
+
+std::optional<Source> SourceSchedule::Choose(kernel::Time now) const {
+  for (const Source source : {Source::kOrigin, Source::kStore}) {
+    if (now >= m_states[IndexOf(source)].rests_until) {
+      return source;
+    }
+  }
+  return std::nullopt;
+}
+
+void SourceSchedule::OnSuccess(Source source) {
+  m_states[IndexOf(source)] = State();
+  m_failing_since.reset();
+}
+
+void SourceSchedule::OnFailure(kernel::Time now,
+                               Source source,
+                               kernel::Random& random) {
+  State& state = m_states[IndexOf(source)];
+  if (now < state.rests_until) {
+    return;  // Fails for the reason already known.
+  }
+  const std::uint32_t doublings = std::min(state.failures, kMaximumDoublings);
+  ++state.failures;
+  const auto rest = std::min<std::chrono::milliseconds>(
+      kFirstRest * (1U << doublings), kLongestRest);
+  const double factor = 0.5 + random.Uniform();
+  state.rests_until =
+      now + std::chrono::duration_cast<kernel::Duration>(rest * factor);
+  if (!m_failing_since) {
+    m_failing_since = now;
+  }
+}
+
+bool SourceSchedule::FailedFor(kernel::Time now, kernel::Duration limit) const {
+  return m_failing_since && now - *m_failing_since >= limit;
+}
+
+kernel::Time SourceSchedule::NextChoice() const {
+  return std::min(m_states[0].rests_until, m_states[1].rests_until);
+}
+
+}  // namespace radishrudder::weights
--- /dev/null
+++ b/source/radishrudder/weights/upload_queue.cc
@@ -0,0 +1,84 @@
+#include "radishrudder/weights/upload_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishrudder::weights {
+namespace {
+
+constexpr std::size_t kMaximumQueued = 512;
+constexpr std::ptrdiff_t kMaximumPerPeer = 64;
+
+}  // namespace
+
+bool UploadQueue::Add(Upload upload) {
+  const bool known = std::any_of(
+      m_queue.begin(), m_queue.end(), [&upload](const Upload& item) {
+        return item.index == upload.index && item.peer == upload.peer &&
+               item.manifest_digest == upload.manifest_digest;
+      });
+  if (known) {
+    return true;
+  }
+  const auto of_peer = std::count_if(
+      m_queue.begin(), m_queue.end(),
+      [&upload](const Upload& item) { return item.peer == upload.peer; });
+  if (m_queue.size() >= kMaximumQueued || of_peer >= kMaximumPerPeer) {
+    return false;
+  }
+  m_queue.push_back(std::move(upload));
+  return true;
+}
+
+std::uint32_t UploadQueue::SentOf(const Upload& upload) const {
+  const auto version = m_sent.find(upload.manifest_digest);
+  if (version == m_sent.end()) {
+    return 0;
+  }
+  const auto chunk = version->second.find(upload.index);
+  return chunk == version->second.end() ? 0 : chunk->second;
+}
+
+std::optional<Upload> UploadQueue::Take(kernel::Time now,
+                                        LinkBudgets& budgets) {
+  auto best = m_queue.end();
+  std::uint32_t best_sent = 0;
+  for (auto item = m_queue.begin(); item != m_queue.end(); ++item) {
+    const std::uint32_t sent = SentOf(*item);
+    if ((best == m_queue.end() || sent < best_sent) &&
+        budgets.MayUpload(now, item->region)) {
+      best = item;
+      best_sent = sent;
+    }
+  }
+  if (best == m_queue.end()) {
+    return std::nullopt;
+  }
+  Upload upload = std::move(*best);
+  m_queue.erase(best);
+  ++m_sent[upload.manifest_digest][upload.index];
+  return upload;
+}
+
+void UploadQueue::DropBefore(kernel::Time limit) {
+  std::erase_if(m_queue, [limit](const Upload& item) {
+    return item.region.empty() && item.queued < limit;
+  });
+}
+
+void UploadQueue::DropPeer(std::string_view peer) {
+  std::erase_if(m_queue,
+                [peer](const Upload& item) { return item.peer == peer; });
+}
+
+void UploadQueue::DropVersion(std::string_view manifest_digest) {
+  std::erase_if(m_queue, [manifest_digest](const Upload& item) {
+    return item.manifest_digest == manifest_digest;
+  });
+  const auto found = m_sent.find(manifest_digest);
+  if (found != m_sent.end()) {
+    m_sent.erase(found);
+  }
+}
+
+}  // namespace radishrudder::weights
