routing: load view, subset, ejection, prefix index and the router

An entry knows its endpoints late and in part. Adds what one entry needs to choose anyway: LoadView (report corrected for its lag by own calls and by the load that answers carry, fading to the mean), SelectSubset (bounded, stable, nearest first), Ejection (growing time, floor, one probe at a time), PrefixIndex (own calls and cache events; a gap halves what is known) and Router, which combines them for an entry and explains itself.

--- a/include/radishrudder/routing/policy.h
+++ b/include/radishrudder/routing/policy.h
@@ -27,9 +27,10 @@
 
 // What a policy may look at in a call.
 struct CallView {
-  std::string_view workspace;
+  std::string_view workspace{};
   std::uint32_t priority = 0;
-  std::uint64_t prefix_hash = 0;
+  std::uint64_t prefix_hash = 0;  // 0: none known.
+  double prefix_share = 1;        // Part of the prompt that the prefix is.
 };
 
 // Chooses among candidates.
--- /dev/null
+++ b/source/radishrudder/routing/router.cc
@@ -0,0 +1,302 @@
+#include "radishrudder/routing/router.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "radishrudder/routing/built_in_policies.h"
+
+namespace radishrudder::routing {
+namespace {
+
+constexpr double kLatencySmoothing = 0.2;  // Weight of the newest latency.
+constexpr kernel::Duration kShortestRefusal = std::chrono::milliseconds(50);
+constexpr kernel::Duration kLongestRefusal = std::chrono::seconds(2);
+// An endpoint that refused because it is leaving gets nothing for this long,
+// unless another run of it appears.
+constexpr kernel::Duration kLeavingRefusal = std::chrono::seconds(60);
+
+kernel::Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<kernel::Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+double Seconds(kernel::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+Router::Router(RouterSettings settings, kernel::Random random)
+    : m_settings(std::move(settings)),
+      m_random(random),
+      m_loads(m_settings.load),
+      m_ejection(m_settings.ejection),
+      m_prefixes(m_settings.prefixes) {
+  RegisterBuiltInPolicies();
+  if (!SetPolicy(m_settings.policy)) {
+    SetPolicy("least-loaded-of-two");
+  }
+}
+
+bool Router::SetPolicy(std::string_view name) {
+  const PolicyFactory factory = PolicyRegistry::Instance().Find(name);
+  if (!factory) {
+    return false;
+  }
+  m_policy = factory();
+  m_settings.policy = name;
+  return true;
+}
+
+void Router::OnEndpoints(kernel::Time now,
+                         std::span<const Endpoint> endpoints) {
+  m_endpoints_known = endpoints.size();
+  for (Tracked& tracked : m_tracked) {
+    tracked.in_subset = false;
+  }
+  m_subset.clear();
+  for (const std::size_t index :
+       SelectSubset(m_settings.entry, endpoints, m_settings.subset)) {
+    const Endpoint& endpoint = endpoints[index];
+    const std::optional<Slot> found = Find(endpoint.instance);
+    const Slot slot = found ? *found : Track(endpoint);
+    m_tracked[slot].in_subset = true;
+    m_subset.push_back(slot);
+    Update(now, slot, endpoint);
+  }
+  DropOutsideSubset();
+}
+
+void Router::OnEndpoint(kernel::Time now, const Endpoint& endpoint) {
+  const std::optional<Slot> slot = Find(endpoint.instance);
+  if (slot && m_tracked[*slot].in_subset) {
+    Update(now, *slot, endpoint);
+  }
+}
+
+void Router::OnCacheEvents(kernel::Time now,
+                           std::string_view instance,
+                           const CacheEvents& events) {
+  const std::optional<Slot> slot = Find(instance);
+  if (slot) {
+    m_prefixes.OnEvents(now, *slot, events);
+  }
+}
+
+Route Router::Choose(kernel::Time now, const RouteRequest& request) {
+  m_loads.Refresh(now);
+  CollectCandidates(now, request);
+  if (m_candidates.empty()) {
+    return WhyNone(now, request);
+  }
+  const std::span<const Candidate> candidates(m_candidates);
+  const std::size_t count =
+      CandidatesWithinReach(candidates, m_settings.spill, m_random);
+  const std::size_t chosen =
+      m_policy->Choose(request.call, candidates.first(count), m_random);
+  return {.instance = m_candidates[chosen].instance};
+}
+
+void Router::OnSent(kernel::Time now,
+                    std::string_view instance,
+                    const CallView& call) {
+  const std::optional<Slot> slot = Find(instance);
+  if (!slot) {
+    return;
+  }
+  m_loads.OnStarted(now, *slot);
+  m_ejection.OnSent(now, *slot);
+  if (call.prefix_hash != 0) {
+    m_prefixes.OnRouted(now, *slot, call.prefix_hash);
+  }
+}
+
+void Router::OnAnswered(kernel::Time now,
+                        std::string_view instance,
+                        const Answer& answer) {
+  const std::optional<Slot> slot = OnEnded(now, instance);
+  if (!slot) {
+    return;
+  }
+  Tracked& tracked = m_tracked[*slot];
+  const double latency = Seconds(answer.first_byte);
+  tracked.latency_seconds =
+      tracked.latency_seconds == 0
+          ? latency
+          : tracked.latency_seconds +
+                kLatencySmoothing * (latency - tracked.latency_seconds);
+  m_ejection.OnSucceeded(now, *slot);
+  if (answer.load) {
+    m_loads.OnAnswerLoad(now, *slot, *answer.load,
+                         FromSeconds(tracked.endpoint.distance_seconds));
+  }
+}
+
+void Router::OnRefused(kernel::Time now,
+                       std::string_view instance,
+                       Refusal refusal,
+                       kernel::Duration retry_after) {
+  const std::optional<Slot> slot = OnEnded(now, instance);
+  if (!slot) {
+    return;
+  }
+  if (refusal == Refusal::kEndpointUnreachable) {
+    m_ejection.OnFailed(now, *slot, m_random);
+    return;
+  }
+  m_ejection.OnUndecided(*slot);
+  if (refusal == Refusal::kOther) {
+    return;
+  }
+  const kernel::Duration time =
+      refusal == Refusal::kLeaving
+          ? kLeavingRefusal
+          : std::clamp(retry_after, kShortestRefusal, kLongestRefusal);
+  m_tracked[*slot].refusal = refusal;
+  m_tracked[*slot].refusing_until = now + time;
+}
+
+void Router::OnFailed(kernel::Time now, std::string_view instance) {
+  const std::optional<Slot> slot = OnEnded(now, instance);
+  if (slot) {
+    m_ejection.OnFailed(now, *slot, m_random);
+  }
+}
+
+void Router::OnAbandoned(kernel::Time now, std::string_view instance) {
+  const std::optional<Slot> slot = OnEnded(now, instance);
+  if (slot) {
+    m_ejection.OnUndecided(*slot);
+  }
+}
+
+Slot Router::Track(const Endpoint& endpoint) {
+  Slot slot = 0;
+  if (m_free_slots.empty()) {
+    slot = static_cast<Slot>(m_tracked.size());
+    m_tracked.emplace_back();
+  } else {
+    slot = m_free_slots.back();
+    m_free_slots.pop_back();
+  }
+  m_tracked[slot] = Tracked();
+  m_tracked[slot].endpoint = endpoint;
+  m_slots.emplace(endpoint.instance, slot);
+  m_loads.Add(slot);
+  m_ejection.Add(slot);
+  m_prefixes.Add(slot);
+  return slot;
+}
+
+void Router::Untrack(Slot slot) {
+  m_slots.erase(m_tracked[slot].endpoint.instance);
+  m_tracked[slot] = Tracked();
+  m_loads.Remove(slot);
+  m_ejection.Remove(slot);
+  m_prefixes.Remove(slot);
+  m_free_slots.push_back(slot);
+}
+
+void Router::Update(kernel::Time now, Slot slot, const Endpoint& endpoint) {
+  Tracked& tracked = m_tracked[slot];
+  if (tracked.endpoint.incarnation != endpoint.incarnation) {
+    m_loads.Restart(slot);
+    m_ejection.Add(slot);
+    m_prefixes.Add(slot);
+    tracked.latency_seconds = 0;
+    tracked.refusing_until = {};
+  }
+  tracked.endpoint = endpoint;
+  m_loads.OnReport(now, slot, endpoint.load);
+}
+
+void Router::DropOutsideSubset() {
+  std::vector<Slot> gone;
+  for (const auto& [instance, slot] : m_slots) {
+    if (!m_tracked[slot].in_subset && m_loads.OwnCalls(slot) == 0) {
+      gone.push_back(slot);
+    }
+  }
+  for (const Slot slot : gone) {
+    Untrack(slot);
+  }
+}
+
+std::optional<Slot> Router::Find(std::string_view instance) const {
+  const auto found = m_slots.find(instance);
+  if (found == m_slots.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::optional<Slot> Router::OnEnded(kernel::Time now,
+                                    std::string_view instance) {
+  const std::optional<Slot> slot = Find(instance);
+  if (!slot) {
+    return std::nullopt;
+  }
+  m_loads.OnEnded(now, *slot);
+  if (!m_tracked[*slot].in_subset && m_loads.OwnCalls(*slot) == 0) {
+    Untrack(*slot);
+    return std::nullopt;
+  }
+  return slot;
+}
+
+Router::Fitness Router::FitnessOf(kernel::Time now,
+                                  Slot slot,
+                                  const RouteRequest& request) const {
+  const Tracked& tracked = m_tracked[slot];
+  const Endpoint& endpoint = tracked.endpoint;
+  const bool fits_version = request.manifest_digest.empty() ||
+                            request.manifest_digest == endpoint.running_digest;
+  const bool tried = std::find(request.excluded.begin(), request.excluded.end(),
+                               endpoint.instance) != request.excluded.end();
+  if (endpoint.leaving || !fits_version || tried ||
+      now < tracked.refusing_until) {
+    return Fitness::kUnfit;
+  }
+  if (endpoint.suspected) {
+    return Fitness::kSuspected;
+  }
+  return m_ejection.Admits(now, slot) ? Fitness::kFit : Fitness::kEjected;
+}
+
+void Router::CollectCandidates(kernel::Time now, const RouteRequest& request) {
+  Fitness best = Fitness::kUnfit;
+  for (const Slot slot : m_subset) {
+    best = std::min(best, FitnessOf(now, slot, request));
+  }
+  m_candidates.clear();
+  if (best == Fitness::kUnfit) {
+    return;
+  }
+  for (const Slot slot : m_subset) {
+    if (FitnessOf(now, slot, request) == best) {
+      m_candidates.push_back(CandidateFor(now, slot, request.call));
+    }
+  }
+}
+
+Candidate Router::CandidateFor(kernel::Time now,
+                               Slot slot,
+                               const CallView& call) {
+  const Tracked& tracked = m_tracked[slot];
+  Candidate candidate;
+  candidate.instance = tracked.endpoint.instance;
+  candidate.capacity = m_loads.Capacity(slot);
+  // An endpoint that fails fast must not look idle.
+  candidate.estimated_calls =
+      m_loads.EstimatedCalls(now, slot) +
+      m_ejection.FailureShare(slot) * candidate.capacity;
+  candidate.latency_seconds = tracked.latency_seconds;
+  candidate.distance_seconds = tracked.endpoint.distance_seconds;
+  if (call.prefix_hash != 0) {
+    candidate.cached_prefix_share =
+        call.prefix_share * m_prefixes.Likelihood(now, slot, call.prefix_hash);
+  }
+  return candidate;
+}
+
+}  // namespace radishrudder::routing
--- /dev/null
+++ b/tests/routing/load_view_test.cc
@@ -0,0 +1,103 @@
+#include "radishrudder/routing/load_view.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/routing/routing_fixtures.h"
+
+namespace radishrudder::routing {
+namespace {
+
+LoadReport Report(std::uint32_t calls, std::int64_t measured_ms) {
+  return {.running = calls, .capacity = 8, .measured = At(measured_ms)};
+}
+
+class LoadViewTest : public testing::Test {
+ protected:
+  LoadViewTest() : m_view(Settings()) {
+    m_view.Add(0);
+    m_view.Add(1);
+  }
+
+  // Reports do not fade in these tests unless they say so.
+  static LoadSettings Settings() {
+    return {.report_half_life = std::chrono::hours(1'000)};
+  }
+
+  double Estimate(std::int64_t now_ms, Slot slot = 0) {
+    m_view.Refresh(At(now_ms));
+    return m_view.EstimatedCalls(At(now_ms), slot);
+  }
+
+  LoadView m_view;
+};
+
+TEST_F(LoadViewTest, AddsOwnCallsSentAfterTheReport) {
+  m_view.OnReport(At(100), 0, Report(3, 0));
+  m_view.OnStarted(At(50), 0);
+  m_view.OnStarted(At(110), 0);
+  EXPECT_NEAR(Estimate(120), 5, 0.01);
+}
+
+TEST_F(LoadViewTest, CountsOwnCallsOfBeforeALateReportOnce) {
+  m_view.OnStarted(At(10), 0);
+  m_view.OnStarted(At(60), 0);
+  // Measured at 50: holds the first call, not the second.
+  m_view.OnReport(At(100), 0, Report(3, 50));
+  EXPECT_NEAR(Estimate(100), 4, 0.01);
+}
+
+TEST_F(LoadViewTest, SubtractsOwnCallsThatEndedAfterTheReport) {
+  m_view.OnStarted(At(10), 0);
+  m_view.OnEnded(At(60), 0);
+  m_view.OnReport(At(100), 0, Report(3, 50));
+  EXPECT_NEAR(Estimate(100), 2, 0.01);
+}
+
+TEST_F(LoadViewTest, KeepsTheNewerOfAnAnswerAndAReport) {
+  m_view.OnAnswerLoad(At(100), 0, Report(6, 0), std::chrono::milliseconds(2));
+  m_view.OnReport(At(110), 0, Report(1, 20));
+  EXPECT_NEAR(Estimate(110), 6, 0.01);
+}
+
+TEST_F(LoadViewTest, TakesAnEqualReportWithoutTimeAsTheSameOne) {
+  const LoadReport report{.running = 3, .capacity = 8};
+  m_view.OnReport(At(300), 0, report);
+  m_view.OnStarted(At(310), 0);
+  m_view.OnReport(At(900), 0, report);
+  EXPECT_NEAR(Estimate(900), 4, 0.01);
+}
+
+TEST_F(LoadViewTest, AnEndedCallThatNeverStartedCountsNothing) {
+  m_view.OnEnded(At(10), 0);
+  EXPECT_EQ(m_view.OwnCalls(0), 0U);
+}
+
+TEST_F(LoadViewTest, ARestartKeepsOwnCallsOnly) {
+  m_view.OnStarted(At(10), 0);
+  m_view.OnReport(At(30), 0, Report(7, 20));
+  m_view.Restart(0);
+  EXPECT_NEAR(Estimate(40), 1, 0.01);
+}
+
+TEST(LoadViewFadingTest, AnOldReportFadesToTheMeanOfTheOthers) {
+  LoadView view({.report_half_life = std::chrono::seconds(1)});
+  view.Add(0);
+  view.Add(1);
+  view.OnReport(At(0), 0, Report(0, 0));
+  view.OnReport(At(20'000), 1, Report(6, 20'000));
+  view.Refresh(At(20'000));
+  EXPECT_NEAR(view.EstimatedCalls(At(20'000), 0), 6, 0.1);
+}
+
+TEST(LoadViewFadingTest, AnEndpointWithoutReportCountsAsTheMean) {
+  LoadView view({});
+  view.Add(0);
+  view.Add(1);
+  view.OnReport(At(0), 1, Report(4, 0));
+  view.Refresh(At(0));
+  // Capacity 1 until a report says otherwise.
+  EXPECT_NEAR(view.EstimatedCalls(At(0), 0), 0.5, 0.01);
+}
+
+}  // namespace
+}  // namespace radishrudder::routing
--- /dev/null
+++ b/tests/routing/prefix_index_test.cc
@@ -0,0 +1,114 @@
+#include "radishrudder/routing/prefix_index.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/routing/routing_fixtures.h"
+
+namespace radishrudder::routing {
+namespace {
+
+constexpr std::uint64_t kPrefix = 77;
+
+class PrefixIndexTest : public testing::Test {
+ protected:
+  PrefixIndexTest() : m_index({.maximum_prefixes = 4, .maximum_holders = 2}) {
+    for (Slot slot = 0; slot < 4; ++slot) {
+      m_index.Add(slot);
+    }
+  }
+
+  void Event(std::int64_t now_ms,
+             std::uint64_t sequence,
+             CacheChange change,
+             std::uint64_t prefix = kPrefix) {
+    const CacheEvent event{change, prefix};
+    m_index.OnEvents(At(now_ms), 0,
+                     {.first_sequence = sequence, .events = {&event, 1}});
+  }
+
+  double Likelihood(std::int64_t now_ms, Slot slot = 0) {
+    return m_index.Likelihood(At(now_ms), slot, kPrefix);
+  }
+
+  PrefixIndex m_index;
+};
+
+TEST_F(PrefixIndexTest, KnowsWhatOwnCallsAndEventsStored) {
+  EXPECT_EQ(Likelihood(0), 0);
+  m_index.OnRouted(At(0), 1, kPrefix);
+  EXPECT_NEAR(Likelihood(0, 1), 0.9, 0.01);
+  Event(0, 1, CacheChange::kStored);
+  EXPECT_NEAR(Likelihood(0), 1, 0.01);
+}
+
+TEST_F(PrefixIndexTest, ForgetsWhatAnEventRemoved) {
+  Event(0, 1, CacheChange::kStored);
+  Event(5'000, 2, CacheChange::kRemoved);
+  EXPECT_EQ(Likelihood(5'000), 0);
+}
+
+TEST_F(PrefixIndexTest, DoubtsARemovalThatMayBeOlderThanTheLastCall) {
+  m_index.OnRouted(At(0), 0, kPrefix);
+  Event(100, 1, CacheChange::kRemoved);
+  EXPECT_NEAR(Likelihood(100), 0.5, 0.01);
+}
+
+TEST_F(PrefixIndexTest, AGapHalvesWhatIsKnownOfThatEndpoint) {
+  m_index.OnRouted(At(0), 1, kPrefix);
+  Event(0, 1, CacheChange::kStored);
+  Event(0, 5, CacheChange::kStored, kPrefix + 1);
+  EXPECT_NEAR(Likelihood(0), 0.5, 0.01);
+  EXPECT_NEAR(Likelihood(0, 1), 0.9, 0.01);
+  EXPECT_EQ(m_index.Gaps(0), 1U);
+}
+
+TEST_F(PrefixIndexTest, SkipsEventsThatCameBefore) {
+  Event(0, 1, CacheChange::kStored);
+  Event(2'000, 2, CacheChange::kRemoved);
+  Event(3'000, 1, CacheChange::kStored);
+  EXPECT_EQ(Likelihood(3'000), 0);
+  EXPECT_EQ(m_index.Gaps(0), 0U);
+}
+
+TEST_F(PrefixIndexTest, ACompleteListReplacesWhatWasKnown) {
+  Event(0, 1, CacheChange::kStored);
+  Event(0, 9, CacheChange::kStored);
+  const CacheEvent other{CacheChange::kStored, kPrefix + 1};
+  m_index.OnEvents(
+      At(0), 0, {.first_sequence = 3, .complete = true, .events = {&other, 1}});
+  EXPECT_EQ(Likelihood(0), 0);
+  EXPECT_NEAR(m_index.Likelihood(At(0), 0, kPrefix + 1), 1, 0.01);
+}
+
+TEST_F(PrefixIndexTest, FadesWithoutNews) {
+  Event(0, 1, CacheChange::kStored);
+  EXPECT_NEAR(Likelihood(120'000), 0.5, 0.01);
+}
+
+TEST_F(PrefixIndexTest, ForgetsAnEndpointThatIsGone) {
+  Event(0, 1, CacheChange::kStored);
+  m_index.Remove(0);
+  m_index.Add(0);
+  EXPECT_EQ(Likelihood(0), 0);
+}
+
+TEST_F(PrefixIndexTest, KeepsTheMostRecentPrefixesOnly) {
+  m_index.OnRouted(At(0), 0, kPrefix);
+  for (std::uint64_t prefix = 1; prefix <= 4; ++prefix) {
+    m_index.OnRouted(At(0), 0, prefix);
+  }
+  EXPECT_EQ(m_index.Prefixes(), 4U);
+  EXPECT_EQ(Likelihood(0), 0);
+}
+
+TEST_F(PrefixIndexTest, KeepsTheLikeliestHoldersOnly) {
+  m_index.OnRouted(At(0), 1, kPrefix);
+  m_index.OnRouted(At(60'000), 2, kPrefix);
+  m_index.OnRouted(At(120'000), 3, kPrefix);
+  EXPECT_EQ(Likelihood(120'000, 1), 0);
+  EXPECT_GT(Likelihood(120'000, 2), 0);
+  EXPECT_GT(Likelihood(120'000, 3), 0);
+}
+
+}  // namespace
+}  // namespace radishrudder::routing
--- /dev/null
+++ b/tests/routing/router_test.cc
@@ -0,0 +1,201 @@
+#include "radishrudder/routing/router.h"
+
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "tests/routing/routing_fixtures.h"
+
+namespace radishrudder::routing {
+namespace {
+
+constexpr int kCalls = 400;
+
+class RouterTest : public testing::Test {
+ protected:
+  RouterTest() : m_router({.entry = "entry"}, kernel::Random(3)) {}
+
+  Route Choose(std::int64_t now_ms, const RouteRequest& request = {}) {
+    return m_router.Choose(At(now_ms), request);
+  }
+
+  // Endpoints chosen by `kCalls` choices without any call in flight.
+  std::set<std::string> Chosen(std::int64_t now_ms,
+                               const RouteRequest& request = {}) {
+    std::set<std::string> chosen;
+    for (int i = 0; i < kCalls; ++i) {
+      chosen.insert(Choose(now_ms, request).instance);
+    }
+    return chosen;
+  }
+
+  void Fail(std::int64_t now_ms, std::string_view instance, int times) {
+    for (int i = 0; i < times; ++i) {
+      m_router.OnSent(At(now_ms), instance, {});
+      m_router.OnFailed(At(now_ms), instance);
+    }
+  }
+
+  void Refuse(std::int64_t now_ms, std::string_view instance, Refusal why) {
+    m_router.OnSent(At(now_ms), instance, {});
+    m_router.OnRefused(At(now_ms), instance, why,
+                       std::chrono::milliseconds(500));
+  }
+
+  Router m_router;
+};
+
+using Names = std::set<std::string>;
+
+TEST_F(RouterTest, SaysThatThereAreNoEndpoints) {
+  EXPECT_EQ(Choose(0).reason, NoRoute::kNoEndpoints);
+}
+
+TEST_F(RouterTest, SendsNothingToALeavingEndpoint) {
+  std::vector<Endpoint> endpoints = Endpoints(3);
+  endpoints[1].leaving = true;
+  m_router.OnEndpoints(At(0), endpoints);
+  EXPECT_EQ(Chosen(0), (Names{"runner-0", "runner-2"}));
+}
+
+TEST_F(RouterTest, SendsOnlyWhereTheDigestRuns) {
+  std::vector<Endpoint> endpoints = Endpoints(3);
+  endpoints[2].running_digest = "sha256:new";
+  m_router.OnEndpoints(At(0), endpoints);
+  EXPECT_EQ(Chosen(0, {.manifest_digest = "sha256:new"}), Names{"runner-2"});
+  EXPECT_EQ(Choose(0, {.manifest_digest = "sha256:none"}).reason,
+            NoRoute::kWrongVersion);
+}
+
+TEST_F(RouterTest, UsesSuspectedEndpointsOnlyIfNoOtherIsLeft) {
+  std::vector<Endpoint> endpoints = Endpoints(2);
+  endpoints[0].suspected = true;
+  m_router.OnEndpoints(At(0), endpoints);
+  EXPECT_EQ(Chosen(0), Names{"runner-1"});
+  const std::vector<std::string> tried = {"runner-1"};
+  EXPECT_EQ(Chosen(0, {.excluded = tried}), Names{"runner-0"});
+}
+
+TEST_F(RouterTest, SaysThatAllWereTried) {
+  m_router.OnEndpoints(At(0), Endpoints(1));
+  const std::vector<std::string> tried = {"runner-0"};
+  EXPECT_EQ(Choose(0, {.excluded = tried}).reason, NoRoute::kAllTried);
+}
+
+TEST_F(RouterTest, EjectsAFailingEndpointAndUsesItIfNoOtherIsLeft) {
+  m_router.OnEndpoints(At(0), Endpoints(2));
+  Fail(0, "runner-0", 3);
+  EXPECT_EQ(Chosen(1), Names{"runner-1"});
+  const std::vector<std::string> tried = {"runner-1"};
+  EXPECT_EQ(Chosen(1, {.excluded = tried}), Names{"runner-0"});
+}
+
+TEST_F(RouterTest, AnEndpointThatFailsFastDoesNotLookIdle) {
+  std::vector<Endpoint> endpoints = Endpoints(2);
+  endpoints[0].load.running = 1;
+  endpoints[1].load.running = 2;
+  m_router.OnEndpoints(At(0), endpoints);
+  Fail(0, "runner-0", 2);
+  EXPECT_EQ(Chosen(0), Names{"runner-1"});
+}
+
+TEST_F(RouterTest, WaitsWhereACallWasRefusedAsOverloaded) {
+  m_router.OnEndpoints(At(0), Endpoints(2));
+  Refuse(0, "runner-0", Refusal::kOverloaded);
+  EXPECT_EQ(Chosen(400), Names{"runner-1"});
+  EXPECT_EQ(Chosen(600), (Names{"runner-0", "runner-1"}));
+}
+
+TEST_F(RouterTest, SaysWhenToRetryIfAllRefuse) {
+  m_router.OnEndpoints(At(0), Endpoints(2));
+  Refuse(0, "runner-0", Refusal::kOverloaded);
+  Refuse(100, "runner-1", Refusal::kOverloaded);
+  const Route route = Choose(200);
+  EXPECT_EQ(route.reason, NoRoute::kRefusing);
+  EXPECT_EQ(route.retry_after, std::chrono::milliseconds(300));
+}
+
+TEST_F(RouterTest, AnEndpointThatRefusedAsLeavingGetsNothing) {
+  m_router.OnEndpoints(At(0), Endpoints(1));
+  Refuse(0, "runner-0", Refusal::kLeaving);
+  m_router.OnEndpoints(At(1'000), Endpoints(1));
+  EXPECT_EQ(Choose(2'000).reason, NoRoute::kNoEndpoints);
+}
+
+TEST_F(RouterTest, AnotherRunOfAnEndpointStartsAfresh) {
+  std::vector<Endpoint> endpoints = Endpoints(1);
+  m_router.OnEndpoints(At(0), endpoints);
+  Refuse(0, "runner-0", Refusal::kLeaving);
+  endpoints[0].incarnation = 2;
+  m_router.OnEndpoints(At(10), endpoints);
+  EXPECT_EQ(Choose(10).instance, "runner-0");
+}
+
+TEST_F(RouterTest, OwnCallsInFlightCountBeforeAnyReport) {
+  m_router.OnEndpoints(At(0), Endpoints(2));
+  m_router.OnSent(At(0), "runner-0", {});
+  EXPECT_EQ(Chosen(0), Names{"runner-1"});
+  m_router.OnAbandoned(At(0), "runner-0");
+  EXPECT_EQ(Chosen(0), (Names{"runner-0", "runner-1"}));
+}
+
+TEST_F(RouterTest, StaysNearUntilTheNearestIsLoaded) {
+  std::vector<Endpoint> endpoints = Endpoints(2);
+  const std::vector<Endpoint> far = Endpoints(2, "far", 0.005);
+  endpoints.insert(endpoints.end(), far.begin(), far.end());
+  m_router.OnEndpoints(At(0), endpoints);
+  EXPECT_EQ(Chosen(0), (Names{"runner-0", "runner-1"}));
+  for (int i = 0; i < 16; ++i) {
+    m_router.OnSent(At(0), endpoints[i % 2].instance, {});
+  }
+  EXPECT_EQ(Chosen(0),
+            (Names{"far-runner-0", "far-runner-1", "runner-0", "runner-1"}));
+}
+
+TEST_F(RouterTest, FollowsAnEndpointOutsideTheSubsetUntilItsCallsEnd) {
+  std::vector<Endpoint> endpoints = Endpoints(2);
+  m_router.OnEndpoints(At(0), endpoints);
+  m_router.OnSent(At(0), "runner-1", {});
+  endpoints.pop_back();
+  m_router.OnEndpoints(At(1), endpoints);
+  EXPECT_EQ(m_router.EndpointsFollowed(), 2U);
+  EXPECT_EQ(Chosen(1), Names{"runner-0"});
+  m_router.OnAnswered(At(2), "runner-1", {});
+  EXPECT_EQ(m_router.EndpointsFollowed(), 1U);
+}
+
+TEST_F(RouterTest, RoutesToAPrefixThatACacheEventNamed) {
+  ASSERT_TRUE(m_router.SetPolicy("prefix-affinity"));
+  m_router.OnEndpoints(At(0), Endpoints(8));
+  const CacheEvent event{CacheChange::kStored, 7};
+  m_router.OnCacheEvents(At(0), "runner-5",
+                         {.first_sequence = 1, .events = {&event, 1}});
+  EXPECT_EQ(Chosen(0, {.call = {.prefix_hash = 7}}), Names{"runner-5"});
+}
+
+TEST_F(RouterTest, KeepsItsPolicyWhenAnotherIsUnknown) {
+  EXPECT_FALSE(m_router.SetPolicy("fastest"));
+  EXPECT_NE(m_router.Explain(At(0)).find("policy least-loaded-of-two"),
+            std::string::npos);
+}
+
+TEST_F(RouterTest, ExplainsEachEndpoint) {
+  std::vector<Endpoint> endpoints = Endpoints(4);
+  endpoints[0].running_digest = "sha256:one";
+  endpoints[1].suspected = true;
+  m_router.OnEndpoints(At(0), endpoints);
+  Fail(0, "runner-2", 3);
+  Refuse(0, "runner-3", Refusal::kOverloaded);
+  const std::string text = m_router.Explain(At(0));
+  for (const char* expected :
+       {"4 of 4 endpoints", "runner-0 in near: used, runs sha256:one",
+        "runner-1 in near: used only if no other is left, suspected",
+        "runner-2 in near: ejected for",
+        "runner-3 in near: not used for 0.5 s, refused as overloaded"}) {
+    EXPECT_NE(text.find(expected), std::string::npos) << expected << "\n"
+                                                      << text;
+  }
+}
+
+}  // namespace
+}  // namespace radishrudder::routing
