calls: histories of concurrent runs under random delivery, and what they found

Cause: the promises of calls were only tested on single paths. Change: tests/histories records invocations, executions and answers of three entries and four agents under loss, repeats, reordering, very late messages, pauses, restarts, partitions, departures and reloads, and checks at most once, true not-run, whole and own answers, one digest, no new work after leaving and planned stops.

--- a/source/radishrudder/calls/entry_state.cc
+++ b/source/radishrudder/calls/entry_state.cc
@@ -1,6 +1,11 @@
 #include "entry_state.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "radishrudder/calls/idempotency_key.h"
+
+#include "radishrudder/calls/idempotency_key.h"
 
 namespace radishrudder::calls {
 
@@ -63,22 +68,26 @@
   call.request = std::move(request);
   call.deadline = now;
   if (m_draining) {
-    Fail(now, id,
-         {.outcome = wire::OUTCOME_NOT_RUN,
-          .reason = wire::REFUSAL_DRAINING,
-          .retry_after = kRetryAfterDrain,
-          .detail = "this entry is stopping"});
-    return;
+    Refuse(now, id,
+           {.reason = wire::REFUSAL_DRAINING,
+            .retry_after = kRetryAfterDrain,
+            .detail = "this entry is stopping"});
+  } else if (service == nullptr) {
+    Refuse(now, id,
+           {.reason = wire::REFUSAL_UNKNOWN_SERVICE,
+            .retry_after = kRetryAfterNotReady,
+            .detail = "no service \"" + call.request.service + "\""});
+  } else {
+    Admit(now, id, *service);
   }
-  if (service == nullptr) {
-    Fail(now, id,
-         {.outcome = wire::OUTCOME_NOT_RUN,
-          .reason = wire::REFUSAL_UNKNOWN_SERVICE,
-          .retry_after = kRetryAfterNotReady,
-          .detail = "no service \"" + call.request.service + "\""});
-    return;
-  }
-  Admit(now, id, *service);
+}
+
+void EntryState::Refuse(kernel::Time now, CallId id, Failure failure) {
+  // An earlier call with an issued key may have run; the entry can't know.
+  const std::string& key = m_calls.at(id).request.idempotency_key;
+  failure.outcome =
+      ParseIdempotencyKey(key) ? wire::OUTCOME_UNKNOWN : wire::OUTCOME_NOT_RUN;
+  Fail(now, id, std::move(failure));
 }
 
 void EntryState::Admit(kernel::Time now, CallId id, EntryService& service) {
--- a/source/radishrudder/calls/entry_state.h
+++ b/source/radishrudder/calls/entry_state.h
@@ -110,6 +110,8 @@
 
   // entry_state.cc: admission and the life of a call.
   EntryService* FindService(std::string_view name);
+  // Refuses a call that was not admitted.
+  void Refuse(kernel::Time now, CallId id, Failure failure);
   void Admit(kernel::Time now, CallId id, EntryService& service);
   void Dispatch(kernel::Time now, EntryService& service);
   // Places or fails a call taken from the queue; returns false if it must wait.
--- a/source/radishrudder/calls/gate_answers.cc
+++ b/source/radishrudder/calls/gate_answers.cc
@@ -9,6 +9,7 @@
                                std::uint32_t status,
                                std::vector<Header> headers,
                                std::string manifest_digest) {
+  OnInput(now);
   const auto found = m_calls.find(id);
   if (found == m_calls.end() || found->second.head_sent) {
     return;
@@ -37,6 +38,7 @@
 void GateState::OnEndpointData(kernel::Time now,
                                EndpointCallId id,
                                std::string_view data) {
+  OnInput(now);
   const auto found = m_calls.find(id);
   if (found == m_calls.end() || !found->second.head_sent) {
     return;
@@ -53,6 +55,7 @@
 void GateState::OnEndpointEnd(kernel::Time now,
                               EndpointCallId id,
                               EndpointEnd end) {
+  OnInput(now);
   const auto found = m_calls.find(id);
   if (found == m_calls.end() || !found->second.running) {
     return;
--- a/source/radishrudder/calls/gate_state.cc
+++ b/source/radishrudder/calls/gate_state.cc
@@ -11,6 +11,10 @@
 // How long attempts are remembered singly after their deadline.
 constexpr kernel::Duration kMemoryAfterDeadline = std::chrono::minutes(1);
 constexpr kernel::Duration kMemoryOfCancelled = std::chrono::minutes(10);
+// A longer silence between inputs means that the process was paused.
+constexpr kernel::Duration kPauseGap = std::chrono::seconds(1);
+constexpr kernel::Duration kTickInterval = std::chrono::milliseconds(500);
+constexpr kernel::Duration kHoldAfterPause = std::chrono::milliseconds(250);
 constexpr kernel::Duration kExpiryInterval = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds kRetryAfterOverload{250};
 constexpr std::chrono::milliseconds kRetryAfterNotReady{2000};
@@ -66,7 +70,15 @@
   }
 }
 
+void GateState::OnInput(kernel::Time now) {
+  if (m_last_input != kernel::Time{} && now - m_last_input > kPauseGap) {
+    m_hold_until = now + kHoldAfterPause;
+  }
+  m_last_input = now;
+}
+
 void GateState::OnMessage(kernel::Time now, const wire::Envelope& message) {
+  OnInput(now);
   if (message.has_start_attempt()) {
     OnStart(now, message.start_attempt());
   } else if (message.has_cancel_attempt()) {
@@ -167,7 +179,8 @@
 }
 
 void GateState::StartWaiting(kernel::Time now) {
-  while (m_open && !m_draining && m_running < m_concurrency) {
+  while (m_open && !m_draining && now >= m_hold_until &&
+         m_running < m_concurrency) {
     const auto next = m_queue.Pop();
     if (!next) {
       return;
@@ -247,6 +260,7 @@
 }
 
 void GateState::OnTick(kernel::Time now) {
+  OnInput(now);
   if (now >= m_expired + kExpiryInterval) {
     m_expired = now;
     m_memory.Expire(now);
@@ -265,10 +279,17 @@
       RefuseWaiting(now, id, wire::REFUSAL_EXPIRED);
     }
   }
+  StartWaiting(now);
 }
 
 kernel::Time GateState::NextTick() const {
-  return m_deadlines.empty() ? kernel::Time::max() : m_deadlines.begin()->first;
+  kernel::Time next = m_last_input + kTickInterval;
+  if (!m_deadlines.empty()) {
+    next = std::min(next, m_deadlines.begin()->first);
+  }
+  return m_queue.Empty() || m_hold_until <= m_last_input
+             ? next
+             : std::min(next, m_hold_until);
 }
 
 void GateState::Refuse(kernel::Time now,
--- a/source/radishrudder/calls/gate_state.h
+++ b/source/radishrudder/calls/gate_state.h
@@ -85,6 +85,9 @@
   void SendUnknown(const AttemptKey& attempt, wire::RefusalReason reason);
 
   // gate_state.cc: admission and the life of an attempt.
+  // Notices that the process was paused: it may have missed that it leaves, so
+  // nothing new starts until the inputs of the meantime have come in.
+  void OnInput(kernel::Time now);
   void OnStart(kernel::Time now, const wire::StartAttempt& start);
   void OnCancel(kernel::Time now, const wire::CancelAttempt& cancel);
   // Answers an attempt that was seen before; returns whether it was.
@@ -128,6 +131,8 @@
   std::chrono::milliseconds m_timeout{60'000};
   bool m_open = false;
   bool m_draining = false;
+  kernel::Time m_last_input;
+  kernel::Time m_hold_until;
   AttemptMemory m_memory;
   kernel::Time m_expired;  // When old attempts and keys were last forgotten.
   FairQueue m_queue;
--- /dev/null
+++ b/tests/histories/history.cc
@@ -0,0 +1,128 @@
+#include "history.h"
+
+#include <algorithm>
+#include <map>
+
+namespace radishrudder::histories {
+
+namespace {
+
+constexpr kernel::Duration kLeavingGrace = std::chrono::seconds(2);
+
+class Checker {
+ public:
+  explicit Checker(const History& history) : m_history(history) {}
+
+  std::vector<Violation> Run() {
+    CheckAtMostOnce();
+    for (std::size_t i = 0; i < m_history.invocations.size(); ++i) {
+      CheckInvocation(static_cast<int>(i));
+    }
+    CheckDepartures();
+    return std::move(m_violations);
+  }
+
+ private:
+  void Add(Rule rule, int operation, std::string detail) {
+    m_violations.push_back(
+        {.rule = rule,
+         .detail = "operation " + std::to_string(operation) + ": " + detail});
+  }
+
+  void CheckAtMostOnce() {
+    std::map<int, int> runs;
+    for (const Execution& execution : m_history.executions) {
+      const Invocation& by = m_history.invocations.at(execution.invocation);
+      if (by.kind != OperationKind::kIdempotent &&
+          ++runs[execution.operation] == 2) {
+        Add(Rule::kAtMostOnce, execution.operation, "ran twice");
+      }
+    }
+  }
+
+  void CheckInvocation(int index) {
+    const Invocation& call = m_history.invocations.at(index);
+    if (call.outputs_after_end > 0 || call.ends != (call.lost ? 0 : 1)) {
+      Add(Rule::kOneEnd, call.operation,
+          std::to_string(call.ends) + " ends, then " +
+              std::to_string(call.outputs_after_end) + " outputs");
+    }
+    if (call.failed == wire::OUTCOME_NOT_RUN && Ran(index)) {
+      Add(Rule::kTrueNotRun, call.operation, "ran though reported as not run");
+    }
+    if (call.whole) {
+      CheckAnswer(call);
+    }
+    if (m_history.only_planned_stops &&
+        call.failed != wire::OUTCOME_UNSPECIFIED && Ran(index)) {
+      Add(Rule::kPlannedStopInterruptsNothing, call.operation,
+          "was interrupted");
+    }
+  }
+
+  bool Ran(int invocation) const {
+    return std::any_of(
+        m_history.executions.begin(), m_history.executions.end(),
+        [&](const Execution& e) { return e.invocation == invocation; });
+  }
+
+  void CheckAnswer(const Invocation& call) {
+    const auto source =
+        std::find_if(m_history.executions.begin(), m_history.executions.end(),
+                     [&](const Execution& e) {
+                       return e.operation == call.operation && e.complete &&
+                              e.body == call.body;
+                     });
+    if (source == m_history.executions.end()) {
+      Add(Rule::kWholeAndOwn, call.operation,
+          "no execution of it gave \"" + call.body + "\"");
+      return;
+    }
+    if (source->mixed || source->digest != call.digest) {
+      Add(Rule::kOneDigest, call.operation, "answer from more than one digest");
+    }
+  }
+
+  void CheckDepartures() {
+    for (const Departure& departure : m_history.departures) {
+      for (const Execution& execution : m_history.executions) {
+        if (execution.agent.instance == departure.instance &&
+            execution.started > departure.at + kLeavingGrace) {
+          Add(Rule::kNoNewWorkAfterLeaving, execution.operation,
+              "started at " + departure.instance + " after it left");
+        }
+      }
+    }
+  }
+
+  const History& m_history;
+  std::vector<Violation> m_violations;
+};
+
+}  // namespace
+
+std::vector<Violation> Check(const History& history) {
+  return Checker(history).Run();
+}
+
+std::string_view Name(Rule rule) {
+  switch (rule) {
+    case Rule::kAtMostOnce:
+      return "at most once";
+    case Rule::kTrueNotRun:
+      return "true not-run";
+    case Rule::kWholeAndOwn:
+      return "whole and own answer";
+    case Rule::kOneDigest:
+      return "one digest";
+    case Rule::kNoNewWorkAfterLeaving:
+      return "no new work after leaving";
+    case Rule::kPlannedStopInterruptsNothing:
+      return "planned stop interrupts nothing";
+    case Rule::kOneEnd:
+      return "one end";
+  }
+  return "";
+}
+
+}  // namespace radishrudder::histories
