http: mend the end of stopped connections

Stop kept the connections of a server until its destruction; the address sanitizer reported a test that waited for less.

--- a/include/radishrudder/http/server.h
+++ b/include/radishrudder/http/server.h
@@ -77,7 +77,8 @@
   // after their next answer.
   void StopAccepting();
   // Waits for finished answers to be written, tells the others that their
-  // callers have gone, closes every connection and joins the threads.
+  // callers have gone, joins the threads and closes every connection, at the
+  // latest when its responders are released.
   void Stop();
 
  private:
--- a/source/radishrudder/http/server.cc
+++ b/source/radishrudder/http/server.cc
@@ -393,6 +393,8 @@
   state.shared->context.restart();
   state.shared->context.poll();
   state.server.reset();
+  // Its connections go with the context.
+  state.shared.reset();
 }
 
 }  // namespace radishrudder::http
--- a/tests/http/client_server_test.cc
+++ b/tests/http/client_server_test.cc
@@ -248,6 +248,7 @@
   gone.get_future().wait();
   responder->Reply(200, {}, "too late");
   responder.reset();
+  EXPECT_TRUE(done.get_future().get().result.error);
 }
 
 TEST(ClientServerTest, ADestroyedClientEndsItsRequests) {
