--- a/apps/radishrudder/command.h
+++ b/apps/radishrudder/command.h
@@ -24,10 +24,14 @@
 Command CheckCommand();
 Command DiffCommand();
 Command EventsCommand();
+Command ManifestCommand();
 
 // Returns all commands in order of name.
 std::vector<Command> AllCommands();
 
+// Runs the program; returns its exit code.
+int RunProgram(int argc, const char* const* argv);
+
 }  // namespace radishrudder::command_line
 
 #endif  // RADISHRUDDER_APPS_RADISHRUDDER_COMMAND_H_
