--- a/source/radishrudder/weights/neighbour_rings.cc
+++ b/source/radishrudder/weights/neighbour_rings.cc
@@ -11,8 +11,6 @@
 struct RingPlace {
   std::uint64_t hash = 0;
   std::string_view name;
-
-  auto operator<=>(const RingPlace&) const = default;
 };
 
 std::vector<RingPlace> BuildRing(std::span<const TransferPeer* const> members,
@@ -24,7 +22,10 @@
     ring.push_back(
         {kernel::StableHash(salt, member->instance), member->instance});
   }
-  std::sort(ring.begin(), ring.end());
+  std::sort(ring.begin(), ring.end(),
+            [](const RingPlace& a, const RingPlace& b) {
+              return a.hash != b.hash ? a.hash < b.hash : a.name < b.name;
+            });
   return ring;
 }
 
--- a/source/radishrudder/weights/transfer.cc
+++ b/source/radishrudder/weights/transfer.cc
@@ -19,7 +19,7 @@
 }  // namespace
 
 struct Transfer::State {
-  State(TransferSettings settings, kernel::Random random, kernel::Time now);
+  State(TransferSettings given, kernel::Random random, kernel::Time now);
 
   VersionTransfer* Find(std::string_view digest);
   void Want(std::vector<std::string> digests);
@@ -38,19 +38,20 @@
   std::vector<TransferPeer> peers;
 };
 
-Transfer::State::State(TransferSettings settings,
+Transfer::State::State(TransferSettings given,
                        kernel::Random random,
                        kernel::Time now)
     : context{
-          .settings = settings,
+          .settings = std::move(given),
           .random = random,
-          .selector = FindSelector(settings.selector),
-          .duties = DutyTable(settings.self.instance,
-                              settings.region,
-                              settings.store_region),
-          .budgets = LinkBudgets(settings.instance_link_bytes_per_second,
-                                 kBurstBytes,
-                                 now),
+          .selector = FindSelector(context.settings.selector),
+          .duties = DutyTable(context.settings.self.instance,
+                              context.settings.region,
+                              context.settings.store_region),
+          .budgets =
+              LinkBudgets(context.settings.instance_link_bytes_per_second,
+                          kBurstBytes,
+                          now),
       },
       now(now) {
   if (!context.selector) {
@@ -282,7 +283,8 @@
                                  std::string text) {
   m_state->now = now;
   if (VersionTransfer* version = m_state->Find(manifest_digest)) {
-    version->OnManifestFetched(now, source, std::move(text));
+    const std::string content = std::move(text);
+    version->OnManifestFetched(now, source, content);
   }
   m_state->Run();
 }
--- a/source/radishrudder/weights/version_transfer.cc
+++ b/source/radishrudder/weights/version_transfer.cc
@@ -76,7 +76,7 @@
 
 void VersionTransfer::OnManifestFetched(kernel::Time now,
                                         Source source,
-                                        std::string text) {
+                                        std::string_view text) {
   OnManifestText(now, text);
   if (!m_version.manifest) {
     m_search.OnFetchFailed(now, source);
--- a/source/radishrudder/weights/version_transfer.h
+++ b/source/radishrudder/weights/version_transfer.h
@@ -31,7 +31,9 @@
   void Admit(kernel::Time now);
   void OnPeersChanged(kernel::Time now);
   void OnManifestText(kernel::Time now, std::string_view text);
-  void OnManifestFetched(kernel::Time now, Source source, std::string text);
+  void OnManifestFetched(kernel::Time now,
+                         Source source,
+                         std::string_view text);
   void OnManifestRequest(const std::string& from);
   void OnInventory(kernel::Time now,
                    const std::string& from,
--- a/tests/weights/transfer_test.cc
+++ b/tests/weights/transfer_test.cc
@@ -13,7 +13,6 @@
 constexpr std::uint32_t kChunkBytes = 1024;
 constexpr std::size_t kChunks = 60;
 constexpr double kMaximumCopies = 1.1;
-constexpr double kMaximumCopiesWithFaults = 2;
 
 std::string MakeBytes(std::uint64_t seed) {
   kernel::Random random(seed);
