measure: compare routing policies in virtual time

Policies were chosen without a figure. Adds measure_routing: entries with the real Router before engines with continuous batching, prefix caches of limited memory, load reports with a lag and cache events with gaps.

--- /dev/null
+++ b/measure/routing/figures.h
@@ -0,0 +1,37 @@
+#ifndef RADISHRUDDER_MEASURE_ROUTING_FIGURES_H_
+#define RADISHRUDDER_MEASURE_ROUTING_FIGURES_H_
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace radishrudder::measure {
+
+// What one run of one policy gave.
+struct Figures {
+  double ttft_p50_ms = 0;
+  double ttft_p95_ms = 0;
+  double prefix_hit_ratio = 0;
+  // Calls at the busiest endpoint over the mean of all, averaged over time.
+  double imbalance = 0;
+  std::uint64_t calls = 0;
+};
+
+// Collects what happens to calls during a run.
+class FigureCollector {
+ public:
+  void OnFirstToken(double ttft_seconds, bool hit);
+  // Calls at each endpoint at one moment.
+  void OnSample(std::span<const std::size_t> calls);
+  Figures Take();
+
+ private:
+  std::vector<double> m_ttft_seconds;
+  std::uint64_t m_hits = 0;
+  double m_imbalance_sum = 0;
+  std::uint64_t m_samples = 0;
+};
+
+}  // namespace radishrudder::measure
+
+#endif  // RADISHRUDDER_MEASURE_ROUTING_FIGURES_H_
--- /dev/null
+++ b/measure/routing/options.cc
@@ -0,0 +1,107 @@
+#include "measure/routing/options.h"
+
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "radishrudder/kernel/findings.h"
+#include "radishrudder/routing/built_in_policies.h"
+#include "radishrudder/routing/policy.h"
+
+namespace radishrudder::measure {
+namespace {
+
+cxxopts::Options Declare() {
+  cxxopts::Options options("measure_routing",
+                           "Compares the routing policies in virtual time.");
+  const Options defaults;
+  const auto number = [](auto value) {
+    return cxxopts::value<decltype(value)>()->default_value(
+        std::to_string(value));
+  };
+  options.add_options()("seed", "seed of all random numbers",
+                        number(defaults.seed))(
+      "endpoints", "engines in three data centres", number(defaults.endpoints))(
+      "entries", "entries, each with a router", number(defaults.entries))(
+      "lag-ms", "mean age of a load report", number(defaults.lag_ms))(
+      "workspaces", "workspaces of skewed sizes", number(defaults.workspaces))(
+      "gap-percent", "cache event messages that are lost",
+      number(defaults.gap_percent))(
+      "load-factor", "rate over that of the engines with half cached",
+      number(defaults.load_factor))("seconds", "virtual time measured",
+                                    number(defaults.seconds))(
+      "policy", "policies to compare instead of all",
+      cxxopts::value<std::vector<std::string>>())("help", "print this");
+  return options;
+}
+
+void CheckPositive(const std::string& flag,
+                   double value,
+                   kernel::Findings& findings) {
+  if (!(value > 0)) {
+    findings.Error({flag, 0, 0, {}}, "not above 0", "a number above 0");
+  }
+}
+
+void Check(const Options& options, kernel::Findings& findings) {
+  CheckPositive("--endpoints", options.endpoints, findings);
+  CheckPositive("--entries", options.entries, findings);
+  CheckPositive("--lag-ms", options.lag_ms, findings);
+  CheckPositive("--workspaces", options.workspaces, findings);
+  CheckPositive("--load-factor", options.load_factor, findings);
+  CheckPositive("--seconds", options.seconds, findings);
+  if (options.gap_percent < 0 || options.gap_percent > 100) {
+    findings.Error({"--gap-percent", 0, 0, {}}, "out of range", "0 to 100");
+  }
+  std::string names;
+  for (const std::string& name : routing::PolicyRegistry::Instance().Names()) {
+    names += (names.empty() ? "" : ", ") + name;
+  }
+  for (const std::string& name : options.policies) {
+    if (!routing::PolicyRegistry::Instance().Find(name)) {
+      findings.Error({"--policy", 0, 0, {}}, "no policy \"" + name + "\"",
+                     names);
+    }
+  }
+}
+
+Options Read(const cxxopts::ParseResult& result) {
+  Options options;
+  options.seed = result["seed"].as<std::uint64_t>();
+  options.endpoints = result["endpoints"].as<std::uint32_t>();
+  options.entries = result["entries"].as<std::uint32_t>();
+  options.lag_ms = result["lag-ms"].as<std::uint32_t>();
+  options.workspaces = result["workspaces"].as<std::uint32_t>();
+  options.gap_percent = result["gap-percent"].as<double>();
+  options.load_factor = result["load-factor"].as<double>();
+  options.seconds = result["seconds"].as<double>();
+  if (result.count("policy") > 0) {
+    options.policies = result["policy"].as<std::vector<std::string>>();
+  }
+  return options;
+}
+
+}  // namespace
+
+std::optional<Options> ParseOptions(int argc, char** argv) {
+  routing::RegisterBuiltInPolicies();
+  cxxopts::Options declared = Declare();
+  try {
+    const cxxopts::ParseResult result = declared.parse(argc, argv);
+    if (result.count("help") > 0) {
+      std::cerr << declared.help();
+      return std::nullopt;
+    }
+    Options options = Read(result);
+    kernel::Findings findings;
+    Check(options, findings);
+    if (!findings.HasErrors()) {
+      return options;
+    }
+    std::cerr << kernel::Format(findings);
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n" << declared.help();
+  }
+  return std::nullopt;
+}
+
+}  // namespace radishrudder::measure
