routing: a cached prompt is worth a full batch of load

Cause: prefix-affinity left the endpoint with the prefix for one that had half a batch less, though a prefill of the prompt costs more than the slower steps.

--- a/source/radishrudder/routing/prefix_affinity_policy.cc
+++ b/source/radishrudder/routing/prefix_affinity_policy.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // A whole cached prompt is worth this much relative load.
-constexpr double kCachedPromptWorth = 0.5;
+constexpr double kCachedPromptWorth = 1;
 // A candidate above this multiple of the mean load, plus one call, is not
 // chosen for its cache.
 constexpr double kLoadBound = 1.25;
