routing: bound the load of prefix holders at twice the mean

Cause: at a bound of 1.25 of the mean, bursts on a prefix moved calls to endpoints that had to prefill it, and pushed other prefixes out there.

--- a/source/radishrudder/routing/prefix_affinity_policy.cc
+++ b/source/radishrudder/routing/prefix_affinity_policy.cc
@@ -11,7 +11,7 @@
 constexpr double kCachedPromptWorth = 1;
 // A candidate above this multiple of the mean load, plus one call, is not
 // chosen for its cache.
-constexpr double kLoadBound = 1.25;
+constexpr double kLoadBound = 2;
 
 // Chooses among two random candidates and the one with the largest cached
 // part of the prompt, by load less the worth of the cache. The cached one
