documents, membership, rollout: first cores with tests

Cause: the three parts were headers only, so the daemons had nothing to drive documents, membership and version changes. Change: DocumentReplica (readers by rendezvous, pushed and pulled updates, digests, own reads with full jitter and a budget), Membership (list and direct heartbeats over a symmetric graph of at most 8 neighbours, news flooded once, followed agents, suspicion) and Rollout (order of ranks with accepted revisions, drain, verify, order, read back). Heartbeats carry accepted_revision, so that the allowance also holds when a second revision arrives half way.

--- a/include/radishrudder/membership/membership.h
+++ b/include/radishrudder/membership/membership.h
@@ -42,6 +42,8 @@
   State state = State::kLive;
   std::string running_digest;
   std::uint64_t ready_revision = 0;
+  // Highest document revision that it had in force while serving.
+  std::uint64_t accepted_revision = 0;
   Load load;
   kernel::Time heard{};  // Time of the last news of it.
 };
@@ -77,6 +79,13 @@
   kernel::Duration dead_after = std::chrono::seconds(10);
   kernel::Duration list_wait = std::chrono::seconds(20);
   std::uint32_t fanout = 3;
+  // Agents whose heartbeats an entry asks for directly, unless `Follow` names
+  // others.
+  std::uint32_t followed = 64;
+  std::uint32_t list_readers_per_data_centre = 2;
+  // The first read of the list is spread over this time, for a whole fleet
+  // may start at once.
+  kernel::Duration first_read_spread = std::chrono::seconds(2);
 };
 
 // Who may exist (the platform's list) and who answers (heartbeats). State
@@ -95,11 +104,26 @@
   // Updates what this process says of itself; spread with the next heartbeat,
   // at once when it starts to leave.
   void SetLeaving(kernel::Time now);
-  void SetReady(std::string running_digest, std::uint64_t revision);
+  void SetReady(std::string running_digest,
+                std::uint64_t revision,
+                std::uint64_t accepted_revision = 0);
   void SetLoad(Load load);
 
+  // Names the agents whose heartbeats this process wants directly, because it
+  // sends calls to them. Replaces the default choice.
+  void Follow(std::vector<std::string> instances);
+
+  // Finds another process, or this one: its state is then what the list and
+  // the peers say of it.
   const Member* Find(std::string_view instance) const;
+  // Returns all others, in order of name, without those that the list has
+  // dropped.
   std::vector<const Member*> All() const;
+  // True once the platform's list was read.
+  bool HasList() const;
+  // True if a later run of this instance was heard, so that this one must
+  // stop acting for it.
+  bool IsSuperseded() const;
   // Returns the agents of a service, in order of name.
   std::vector<const Member*> AgentsOf(std::string_view service) const;
 
--- a/include/radishrudder/rollout/rollout.h
+++ b/include/radishrudder/rollout/rollout.h
@@ -23,6 +23,8 @@
   bool dead = false;
   std::string running_digest;
   std::uint64_t ready_revision = 0;
+  // Highest document revision that it had in force while serving.
+  std::uint64_t accepted_revision = 0;
 };
 
 // Grows with the document's revision, then with the agent's incarnation, then
@@ -43,13 +45,20 @@
 struct OrderLoad {
   std::string manifest_digest;
   Fence fence;
+  // The order must not be sent after this time: a process that was paused in
+  // between would act on what it knew before.
+  kernel::Time not_after{};
 };
 // Ask the endpoint what it runs.
 struct ReadBack {};
-// This instance is ready for a revision; tell the peers.
+// What the peers must be told of this instance. The digest is empty while it
+// takes no calls.
 struct Ready {
   std::string running_digest;
+  // The document revision that it is ready for; 0: none.
   std::uint64_t revision = 0;
+  // The highest document revision in force here while serving.
+  std::uint64_t accepted = 0;
 };
 
 using RolloutOutput =
@@ -82,6 +91,8 @@
   void OnDocument(kernel::Time now,
                   std::uint64_t revision,
                   const document::ServiceDocument& document);
+  // All other instances of the service on the platform's list. Call it only
+  // once the list is known: without it no running version is left.
   void OnPeers(kernel::Time now, std::vector<RolloutPeer> peers);
   // All of a version's weights are here and verified.
   void OnVersionComplete(kernel::Time now, std::string_view manifest_digest);
@@ -91,6 +102,8 @@
   void OnEndpointStatus(kernel::Time now, const EndpointStatus& status);
   // This instance is leaving: gives no more orders.
   void OnDrain(kernel::Time now);
+  // A later run of this instance's agent exists: gives no more orders.
+  void OnSuperseded(kernel::Time now);
   void OnTick(kernel::Time now);
   kernel::Time NextTick() const;
   std::vector<RolloutOutput> TakeOutputs();
--- /dev/null
+++ b/source/radishrudder/membership/member_table.cc
@@ -0,0 +1,247 @@
+#include "member_table.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace radishrudder::membership {
+namespace {
+
+State FromWire(wire::InstanceState state) {
+  switch (state) {
+    case wire::INSTANCE_STATE_LEAVING:
+      return State::kLeaving;
+    case wire::INSTANCE_STATE_SUSPECTED:
+      return State::kSuspected;
+    case wire::INSTANCE_STATE_DEAD:
+      return State::kDead;
+    default:
+      return State::kLive;
+  }
+}
+
+// Of two states told with the same sequence, the more severe one holds.
+int SeverityOf(State state) {
+  switch (state) {
+    case State::kLive:
+      return 0;
+    case State::kSuspected:
+      return 1;
+    case State::kLeaving:
+      return 2;
+    case State::kDead:
+      return 3;
+  }
+  return 0;
+}
+
+Role RoleFrom(std::string_view role) {
+  return role == "entry" ? Role::kEntry : Role::kAgent;
+}
+
+// What others have to know at once when it changes.
+auto FactsOf(const Member& member) {
+  return std::tie(member.incarnation, member.state, member.running_digest,
+                  member.ready_revision, member.accepted_revision);
+}
+
+void TakePlace(const wire::Heartbeat& heartbeat, Record& record) {
+  if (record.listed || heartbeat.address().empty()) {
+    return;
+  }
+  ListedInstance& listed = record.member.listed;
+  listed.role = RoleFrom(heartbeat.role());
+  listed.service = heartbeat.service();
+  listed.address = heartbeat.address();
+  listed.data_centre = heartbeat.data_centre();
+}
+
+// A heartbeat names the role only when it carries all facts.
+void TakeFacts(const wire::Heartbeat& heartbeat, Member& member) {
+  if (heartbeat.role().empty()) {
+    return;
+  }
+  member.running_digest = heartbeat.running_digest();
+  member.ready_revision = heartbeat.ready_revision();
+  member.accepted_revision = heartbeat.accepted_revision();
+}
+
+void TakeLoad(const wire::Heartbeat& heartbeat, Member& member) {
+  if (heartbeat.has_load()) {
+    member.load = {heartbeat.load().running(), heartbeat.load().waiting(),
+                   heartbeat.load().capacity()};
+  }
+}
+
+void TakeState(kernel::Time now, State state, Record& record) {
+  Member& member = record.member;
+  if (member.state != State::kSuspected && state == State::kSuspected) {
+    record.suspected_at = now;
+  }
+  member.state = state;
+}
+
+// A run that said it leaves does not come back.
+State StateAfter(const Record& record, bool same_run, State told) {
+  const bool leaving = record.member.listed.leaving ||
+                       (same_run && record.member.state == State::kLeaving);
+  return leaving && told != State::kDead ? State::kLeaving : told;
+}
+
+enum class Age { kNewer, kSame, kOlder };
+
+Age AgeOf(const wire::Heartbeat& heartbeat, const Record& record) {
+  const std::uint64_t incarnation = heartbeat.process().incarnation();
+  const std::uint64_t known = record.member.incarnation;
+  if (incarnation != known) {
+    // A run with a lower number may follow a dead one whose clock was ahead.
+    const bool replaces = incarnation > known || known == 0 ||
+                          record.member.state == State::kDead;
+    return replaces ? Age::kNewer : Age::kOlder;
+  }
+  if (heartbeat.sequence() != record.sequence) {
+    return heartbeat.sequence() > record.sequence ? Age::kNewer : Age::kOlder;
+  }
+  return Age::kSame;
+}
+
+}  // namespace
+
+wire::InstanceState ToWire(State state) {
+  switch (state) {
+    case State::kLive:
+      return wire::INSTANCE_STATE_LIVE;
+    case State::kLeaving:
+      return wire::INSTANCE_STATE_LEAVING;
+    case State::kSuspected:
+      return wire::INSTANCE_STATE_SUSPECTED;
+    case State::kDead:
+      return wire::INSTANCE_STATE_DEAD;
+  }
+  return wire::INSTANCE_STATE_UNSPECIFIED;
+}
+
+wire::Heartbeat Describe(const Record& record, bool with_place) {
+  const Member& member = record.member;
+  wire::Heartbeat heartbeat;
+  heartbeat.mutable_process()->set_instance(member.listed.instance);
+  heartbeat.mutable_process()->set_incarnation(member.incarnation);
+  heartbeat.set_sequence(record.sequence);
+  heartbeat.set_state(ToWire(member.state));
+  heartbeat.set_role(member.listed.role == Role::kEntry ? "entry" : "agent");
+  heartbeat.set_running_digest(member.running_digest);
+  heartbeat.set_ready_revision(member.ready_revision);
+  heartbeat.set_accepted_revision(member.accepted_revision);
+  if (with_place) {
+    heartbeat.set_service(member.listed.service);
+    heartbeat.set_address(member.listed.address);
+    heartbeat.set_data_centre(member.listed.data_centre);
+  }
+  return heartbeat;
+}
+
+std::vector<std::string> MemberTable::ApplyList(
+    kernel::Time now,
+    std::vector<ListedInstance> instances,
+    std::string_view self) {
+  std::vector<std::string> changed;
+  std::set<std::string> named;
+  for (ListedInstance& listed : instances) {
+    named.insert(listed.instance);
+    ApplyListed(std::move(listed), changed);
+  }
+  for (auto& [name, record] : m_records) {
+    if (record.listed && name != self && !named.contains(name)) {
+      record.listed = false;
+      record.delisted_at = now;
+      record.member.state = State::kDead;
+      changed.push_back(name);
+    }
+  }
+  return changed;
+}
+
+void MemberTable::ApplyListed(ListedInstance listed,
+                              std::vector<std::string>& changed) {
+  Record& record = m_records[listed.instance];
+  const ListedInstance& before = record.member.listed;
+  const bool is_new = !record.listed || before.address != listed.address ||
+                      before.leaving != listed.leaving ||
+                      before.service != listed.service;
+  const bool came_back = !record.listed && record.was_listed;
+  record.listed = true;
+  record.was_listed = true;
+  if (came_back && record.member.state == State::kDead) {
+    record.member.state = State::kLive;
+  }
+  if (listed.leaving && record.member.state != State::kDead) {
+    record.member.state = State::kLeaving;
+  }
+  if (is_new) {
+    changed.push_back(listed.instance);
+  }
+  record.member.listed = std::move(listed);
+}
+
+Change MemberTable::Apply(kernel::Time now,
+                          const wire::Heartbeat& heartbeat,
+                          bool is_direct) {
+  Record& record = m_records[heartbeat.process().instance()];
+  Member& member = record.member;
+  member.listed.instance = heartbeat.process().instance();
+  const auto before = FactsOf(member);
+  const std::tuple<std::uint64_t, State, std::string, std::uint64_t,
+                   std::uint64_t>
+      facts_before = before;
+  const State told = FromWire(heartbeat.state());
+  const Age age = AgeOf(heartbeat, record);
+  if (age == Age::kOlder) {
+    return Change::kStale;
+  }
+  const bool same_run = member.incarnation == heartbeat.process().incarnation();
+  if (age == Age::kSame && SeverityOf(told) <= SeverityOf(member.state)) {
+    return Change::kNone;
+  }
+  TakeState(now, StateAfter(record, same_run, told), record);
+  if (age == Age::kNewer) {
+    member.incarnation = heartbeat.process().incarnation();
+    record.sequence = heartbeat.sequence();
+    TakePlace(heartbeat, record);
+    TakeFacts(heartbeat, member);
+    TakeLoad(heartbeat, member);
+    member.heard = now;
+  }
+  if (is_direct) {
+    record.heard_directly = now;
+  }
+  return FactsOf(member) == facts_before ? Change::kHeard : Change::kFacts;
+}
+
+std::vector<std::string> MemberTable::Forget(kernel::Time now,
+                                             kernel::Duration after) {
+  std::vector<std::string> forgotten;
+  for (const auto& [name, record] : m_records) {
+    const kernel::Time since =
+        std::max(record.member.heard, record.delisted_at);
+    if (!record.listed && now - since > after) {
+      forgotten.push_back(name);
+    }
+  }
+  for (const std::string& name : forgotten) {
+    m_records.erase(name);
+  }
+  return forgotten;
+}
+
+Record* MemberTable::Find(std::string_view instance) {
+  const auto found = m_records.find(instance);
+  return found == m_records.end() ? nullptr : &found->second;
+}
+
+const Record* MemberTable::Find(std::string_view instance) const {
+  const auto found = m_records.find(instance);
+  return found == m_records.end() ? nullptr : &found->second;
+}
+
+}  // namespace radishrudder::membership
--- /dev/null
+++ b/source/radishrudder/membership/roster.cc
@@ -0,0 +1,83 @@
+#include "roster.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "radishrudder/dissemination/neighbours.h"
+#include "radishrudder/kernel/hash.h"
+
+namespace radishrudder::membership {
+namespace {
+
+// A follower that is silent for this long gets no more heartbeats.
+constexpr kernel::Duration kFollowerTime = std::chrono::seconds(8);
+
+}  // namespace
+
+void Roster::Update() {
+  std::vector<dissemination::GossipNode> nodes;
+  nodes.reserve(m_table.Records().size());
+  const std::string& self = m_settings.self.key.instance;
+  for (const auto& [name, record] : m_table.Records()) {
+    const bool reachable = record.listed || record.member.incarnation != 0;
+    if (name != self && reachable) {
+      nodes.push_back({name, record.member.listed.data_centre});
+    }
+  }
+  const dissemination::GossipNode own{self, m_settings.self.listed.data_centre};
+  const std::vector<std::string> chosen =
+      dissemination::ChooseNeighbours(own, nodes, m_settings.fanout);
+  m_neighbours = {chosen.begin(), chosen.end()};
+  m_is_list_watcher = dissemination::IsChosen(
+      "list-reader", own, nodes, m_settings.list_readers_per_data_centre);
+  if (!m_chosen_by_caller) {
+    m_followed = DefaultFollowed();
+  }
+}
+
+void Roster::Follow(std::vector<std::string> instances) {
+  m_chosen_by_caller = true;
+  m_followed = {instances.begin(), instances.end()};
+}
+
+void Roster::OnFollower(kernel::Time now, std::string_view instance) {
+  if (!m_neighbours.contains(std::string(instance))) {
+    m_followers.insert_or_assign(std::string(instance), now);
+  }
+}
+
+std::vector<std::string> Roster::Followers(kernel::Time now) {
+  std::erase_if(m_followers, [&](const auto& follower) {
+    return now - follower.second > kFollowerTime;
+  });
+  std::vector<std::string> names;
+  for (const auto& follower : m_followers) {
+    names.push_back(follower.first);
+  }
+  return names;
+}
+
+std::set<std::string> Roster::DefaultFollowed() const {
+  if (m_settings.self.listed.role != Role::kEntry) {
+    return {};
+  }
+  std::vector<std::string> agents;
+  for (const auto& [name, record] : m_table.Records()) {
+    if (record.member.listed.role == Role::kAgent &&
+        record.member.state != State::kDead) {
+      agents.push_back(name);
+    }
+  }
+  const std::vector<std::size_t> order =
+      kernel::RendezvousOrder(m_settings.self.key.instance, agents);
+  std::set<std::string> followed;
+  for (const std::size_t index : order) {
+    if (followed.size() == m_settings.followed) {
+      break;
+    }
+    followed.insert(agents[index]);
+  }
+  return followed;
+}
+
+}  // namespace radishrudder::membership
--- /dev/null
+++ b/source/radishrudder/membership/self_report.cc
@@ -0,0 +1,82 @@
+#include "self_report.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishrudder::membership {
+namespace {
+
+// Full heartbeats after a change, so that a lost one does no harm.
+constexpr std::uint32_t kFullAfterChange = 3;
+constexpr std::uint64_t kHeartbeatsPerFull = 10;
+
+}  // namespace
+
+SelfReport::SelfReport(Self self)
+    : m_self(std::move(self)), m_full_left(kFullAfterChange) {}
+
+void SelfReport::SetLeaving() {
+  m_leaving = true;
+  m_has_news = true;
+}
+
+void SelfReport::SetReady(std::string running_digest,
+                          std::uint64_t revision,
+                          std::uint64_t accepted_revision) {
+  if (running_digest == m_running_digest && revision == m_ready_revision &&
+      accepted_revision == m_accepted_revision) {
+    return;
+  }
+  m_running_digest = std::move(running_digest);
+  m_ready_revision = revision;
+  m_accepted_revision = accepted_revision;
+  m_has_news = true;
+}
+
+void SelfReport::Refute(std::uint64_t sequence) {
+  m_sequence = std::max(m_sequence, sequence);
+  m_has_news = true;
+}
+
+void SelfReport::Advance() {
+  ++m_sequence;
+  if (m_has_news) {
+    m_full_left = kFullAfterChange;
+    m_has_news = false;
+  } else if (m_full_left != 0) {
+    --m_full_left;
+  }
+}
+
+wire::Heartbeat SelfReport::Full() const {
+  const ListedInstance& listed = m_self.listed;
+  wire::Heartbeat heartbeat = Short();
+  heartbeat.set_service(listed.service);
+  heartbeat.set_address(listed.address);
+  heartbeat.set_data_centre(listed.data_centre);
+  heartbeat.set_role(listed.role == Role::kEntry ? "entry" : "agent");
+  heartbeat.set_running_digest(m_running_digest);
+  heartbeat.set_ready_revision(m_ready_revision);
+  heartbeat.set_accepted_revision(m_accepted_revision);
+  return heartbeat;
+}
+
+wire::Heartbeat SelfReport::Periodic() const {
+  const bool is_full = m_full_left != 0 || m_sequence % kHeartbeatsPerFull == 0;
+  return is_full ? Full() : Short();
+}
+
+wire::Heartbeat SelfReport::Short() const {
+  wire::Heartbeat heartbeat;
+  *heartbeat.mutable_process() = wire::ToMessage(m_self.key);
+  heartbeat.set_sequence(m_sequence);
+  heartbeat.set_state(m_leaving ? wire::INSTANCE_STATE_LEAVING
+                                : wire::INSTANCE_STATE_LIVE);
+  wire::EndpointLoad* load = heartbeat.mutable_load();
+  load->set_running(m_load.running);
+  load->set_waiting(m_load.waiting);
+  load->set_capacity(m_load.capacity);
+  return heartbeat;
+}
+
+}  // namespace radishrudder::membership
--- /dev/null
+++ b/source/radishrudder/membership/self_report.h
@@ -0,0 +1,51 @@
+#ifndef RADISHRUDDER_SOURCE_MEMBERSHIP_SELF_REPORT_H_
+#define RADISHRUDDER_SOURCE_MEMBERSHIP_SELF_REPORT_H_
+
+#include <string>
+
+#include "radishrudder/membership/membership.h"
+#include "radishrudder/wire/peer.pb.h"
+
+namespace radishrudder::membership {
+
+// What this process says of itself. Facts go out in full when they change and
+// now and then after; in between a heartbeat carries the load alone.
+class SelfReport {
+ public:
+  explicit SelfReport(Self self);
+
+  void SetLeaving();
+  void SetReady(std::string running_digest,
+                std::uint64_t revision,
+                std::uint64_t accepted_revision);
+  void SetLoad(Load load) { m_load = load; }
+  // Somebody suspects this process as of `sequence`: the next heartbeat must
+  // be newer.
+  void Refute(std::uint64_t sequence);
+
+  // Begins a new heartbeat.
+  void Advance();
+  bool IsLeaving() const { return m_leaving; }
+  // True when facts changed that no heartbeat has carried yet.
+  bool HasNews() const { return m_has_news; }
+  wire::Heartbeat Full() const;
+  // Returns the heartbeat for those who had the facts lately.
+  wire::Heartbeat Periodic() const;
+
+ private:
+  wire::Heartbeat Short() const;
+
+  Self m_self;
+  std::string m_running_digest;
+  std::uint64_t m_ready_revision = 0;
+  std::uint64_t m_accepted_revision = 0;
+  std::uint64_t m_sequence = 0;
+  std::uint32_t m_full_left;
+  Load m_load;
+  bool m_leaving = false;
+  bool m_has_news = true;
+};
+
+}  // namespace radishrudder::membership
+
+#endif  // RADISHRUDDER_SOURCE_MEMBERSHIP_SELF_REPORT_H_
--- /dev/null
+++ b/tests/dissemination/replica_network.cc
@@ -0,0 +1,193 @@
+#include "replica_network.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishrudder::dissemination {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr kernel::Duration kStep = milliseconds(10);
+constexpr std::uint64_t kDelayMilliseconds = 20;
+// A watch of the fake service ends at this interval, changed or not.
+constexpr kernel::Duration kWatchPoll = milliseconds(100);
+
+}  // namespace
+
+void FakeService::Publish(std::string service, std::string content) {
+  ++m_revision;
+  PublishedDocument document{service, m_revision, false, std::move(content)};
+  m_history[std::move(service)].push_back(std::move(document));
+}
+
+void FakeService::Delete(const std::string& service) {
+  ++m_revision;
+  m_history[service].push_back({service, m_revision, true, ""});
+}
+
+ReadResult FakeService::Read(std::uint64_t after) const {
+  if (down) {
+    return {};
+  }
+  ReadResult result;
+  result.succeeded = true;
+  result.revision = stale_at == 0 ? m_revision : stale_at;
+  for (const auto& [service, versions] : m_history) {
+    const auto newest = std::find_if(
+        versions.rbegin(), versions.rend(), [&](const auto& version) {
+          return version.revision <= result.revision;
+        });
+    if (newest != versions.rend() && newest->revision > after) {
+      result.documents.push_back(*newest);
+    }
+  }
+  return result;
+}
+
+ReplicaNetwork::ReplicaNetwork(std::uint64_t seed,
+                               int processes,
+                               int data_centres)
+    : m_random(seed) {
+  for (int i = 0; i < processes; ++i) {
+    Process process;
+    process.instance = "p" + std::to_string(i);
+    process.data_centre = "dc" + std::to_string(i % data_centres);
+    m_index[process.instance] = m_processes.size();
+    m_processes.push_back(std::move(process));
+  }
+}
+
+std::vector<ReplicaPeer> ReplicaNetwork::PeersOf(std::size_t index) const {
+  std::vector<ReplicaPeer> peers;
+  for (std::size_t i = 0; i < m_processes.size(); ++i) {
+    if (i != index) {
+      peers.push_back({m_processes[i].instance, m_processes[i].data_centre});
+    }
+  }
+  return peers;
+}
+
+void ReplicaNetwork::StartOne(std::size_t index) {
+  Process& process = m_processes[index];
+  ReplicaSettings settings;
+  settings.self = {process.instance, m_random.Next()};
+  settings.data_centre = process.data_centre;
+  process.replica = std::make_unique<DocumentReplica>(
+      settings, kernel::Random(m_random.Next()));
+  process.in_force.clear();
+  process.reading = false;
+  process.replica->OnPeers(m_now, PeersOf(index));
+  Collect(index);
+}
+
+void ReplicaNetwork::Start() {
+  for (std::size_t i = 0; i < m_processes.size(); ++i) {
+    StartOne(i);
+  }
+}
+
+void ReplicaNetwork::RunFor(kernel::Duration duration) {
+  const kernel::Time end = m_now + duration;
+  while (m_now < end) {
+    m_now += kStep;
+    Step();
+  }
+}
+
+void ReplicaNetwork::Step() {
+  while (!m_queue.empty() && m_queue.top().at <= m_now) {
+    Delivery delivery = m_queue.top();
+    m_queue.pop();
+    Deliver(std::move(delivery));
+  }
+  for (std::size_t i = 0; i < m_processes.size(); ++i) {
+    Process& process = m_processes[i];
+    const bool runs =
+        process.replica != nullptr && process.paused_until <= m_now;
+    if (runs && process.replica->NextTick() <= m_now) {
+      process.replica->OnTick(m_now);
+      Collect(i);
+    }
+  }
+}
+
+void ReplicaNetwork::Deliver(Delivery delivery) {
+  Process& process = m_processes[delivery.to];
+  if (process.replica == nullptr) {
+    return;
+  }
+  if (process.paused_until > m_now) {
+    delivery.at = process.paused_until;
+    m_queue.push(std::move(delivery));
+    return;
+  }
+  if (delivery.message.has_hello()) {  // Stands for the end of a read.
+    process.reading = false;
+    process.replica->OnRead(
+        m_now, m_service.Read(std::stoull(delivery.message.hello().address())));
+  } else {
+    process.replica->OnMessage(m_now, delivery.message);
+  }
+  Collect(delivery.to);
+}
+
+void ReplicaNetwork::Collect(std::size_t index) {
+  Process& process = m_processes[index];
+  for (ReplicaOutput& output : process.replica->TakeOutputs()) {
+    if (const auto* send = std::get_if<wire::Send>(&output)) {
+      HandleSend(index, *send);
+    } else if (const auto* read = std::get_if<StartRead>(&output)) {
+      ++process.reads;
+      process.reading = true;
+      wire::Envelope message;
+      message.mutable_hello()->set_address(std::to_string(read->after));
+      const kernel::Duration wait =
+          read->wait.count() == 0 ? milliseconds(5) : kWatchPoll;
+      m_queue.push({m_now + wait, ++m_order, index, std::move(message)});
+    } else {
+      HandleAccepted(process, std::get<DocumentAccepted>(output).document);
+    }
+  }
+}
+
+void ReplicaNetwork::HandleSend(std::size_t from, const wire::Send& send) {
+  const std::size_t to = m_index.at(send.to);
+  all_bytes += send.message.ByteSizeLong();
+  if (send.message.has_document_update()) {
+    update_bytes += send.message.ByteSizeLong();
+  }
+  if ((is_cut && is_cut(from, to)) || m_random.Chance(loss)) {
+    return;
+  }
+  const milliseconds delay(1 + m_random.Below(kDelayMilliseconds));
+  m_queue.push({m_now + delay, ++m_order, to, send.message});
+}
+
+void ReplicaNetwork::HandleAccepted(Process& process,
+                                    const PublishedDocument& document) {
+  std::uint64_t& in_force = process.in_force[document.service];
+  if (document.revision <= in_force) {
+    ++m_reverts;
+  }
+  in_force = document.revision;
+}
+
+int ReplicaNetwork::InForce(const std::string& service,
+                            std::uint64_t revision) const {
+  return static_cast<int>(std::count_if(
+      m_processes.begin(), m_processes.end(), [&](const Process& process) {
+        const auto found = process.in_force.find(service);
+        return found != process.in_force.end() && found->second == revision;
+      }));
+}
+
+int ReplicaNetwork::Reads() const {
+  int reads = 0;
+  for (const Process& process : m_processes) {
+    reads += process.reads;
+  }
+  return reads;
+}
+
+}  // namespace radishrudder::dissemination
--- /dev/null
+++ b/tests/rollout/rollout_test.cc
@@ -0,0 +1,143 @@
+#include "radishrudder/rollout/rollout.h"
+
+#include <gtest/gtest.h>
+
+namespace radishrudder::rollout {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+document::ServiceDocument DocumentOf(const std::string& digest) {
+  document::ServiceDocument document;
+  document.service = "draft";
+  document.model = document::ModelSection{.name = "m",
+                                          .version = digest,
+                                          .manifest_digest = digest,
+                                          .adapters = {}};
+  return document;
+}
+
+class RolloutTest : public testing::Test {
+ protected:
+  RolloutTest()
+      : m_rollout({.self = {"self", 9}, .service = "draft"},
+                  kernel::Random(1)) {}
+
+  template <typename T>
+  std::optional<T> Take() {
+    std::optional<T> found;
+    for (RolloutOutput& output : m_rollout.TakeOutputs()) {
+      if (auto* wanted = std::get_if<T>(&output)) {
+        found = *wanted;
+      }
+    }
+    return found;
+  }
+
+  // Lets the endpoint be read back and answer.
+  void Status(const std::string& digest, const std::string& start = "s1") {
+    m_now += seconds(1);
+    m_rollout.OnTick(m_now);
+    m_rollout.OnEndpointStatus(m_now, {true, digest, start});
+  }
+
+  // Serves "v1" by revision 1, alone on the list.
+  void ServeFirst() {
+    m_rollout.OnPeers(m_now, {});
+    m_rollout.OnDocument(m_now, 1, DocumentOf("v1"));
+    m_rollout.OnVersionComplete(m_now, "v1");
+    Status("v1");
+    m_rollout.TakeOutputs();
+  }
+
+  kernel::Time m_now{std::chrono::hours(1)};
+  Rollout m_rollout;
+};
+
+TEST_F(RolloutTest, FirstLoadNeedsNoTurn) {
+  RolloutPeer silent;
+  silent.instance = "other";
+  m_rollout.OnPeers(m_now, {silent, silent, silent});
+  m_rollout.OnDocument(m_now, 4, DocumentOf("v1"));
+  Status("");
+  EXPECT_FALSE(Take<OrderLoad>().has_value());
+  m_rollout.OnVersionComplete(m_now, "v1");
+  Status("");
+  const auto order = Take<OrderLoad>();
+  ASSERT_TRUE(order.has_value());
+  EXPECT_EQ(order->manifest_digest, "v1");
+  EXPECT_EQ(order->fence, (Fence{4, 9, 1}));
+  m_rollout.OnOrderResult(m_now, order->fence, OrderResult::kDone);
+  EXPECT_TRUE(Take<ReadBack>().has_value());
+  m_rollout.OnEndpointStatus(m_now, {true, "v1", "s1"});
+  const auto outputs = m_rollout.TakeOutputs();
+  ASSERT_EQ(outputs.size(), 2U);
+  EXPECT_EQ(std::get<Ready>(outputs[0]).revision, 4U);
+  EXPECT_TRUE(std::holds_alternative<OpenGate>(outputs[1]));
+}
+
+TEST_F(RolloutTest, ChangesVersionWithTheGateClosedAndEmpty) {
+  ServeFirst();
+  m_rollout.OnDocument(m_now, 2, DocumentOf("v2"));
+  m_rollout.OnVersionComplete(m_now, "v2");
+  EXPECT_TRUE(Take<CloseGate>().has_value());
+  Status("v1");
+  EXPECT_FALSE(Take<OrderLoad>().has_value());
+  m_rollout.OnGateEmpty(m_now);
+  EXPECT_FALSE(Take<OrderLoad>().has_value());
+  m_rollout.OnEndpointStatus(m_now, {true, "v1", "s1"});
+  const auto order = Take<OrderLoad>();
+  ASSERT_TRUE(order.has_value());
+  m_rollout.OnOrderResult(m_now, order->fence, OrderResult::kDone);
+  EXPECT_FALSE(Take<OpenGate>().has_value());
+  m_rollout.OnEndpointStatus(m_now, {true, "v2", "s1"});
+  EXPECT_TRUE(Take<OpenGate>().has_value());
+}
+
+TEST_F(RolloutTest, WithoutTheListNoRunningVersionIsLeft) {
+  m_rollout.OnDocument(m_now, 2, DocumentOf("v2"));
+  m_rollout.OnVersionComplete(m_now, "v2");
+  Status("v1");
+  Status("v1");
+  EXPECT_FALSE(Take<CloseGate>().has_value());
+}
+
+TEST_F(RolloutTest, OneContentUnderTwoRevisionsNeedsNoOrder) {
+  ServeFirst();
+  m_rollout.OnDocument(m_now, 2, DocumentOf("v1"));
+  const auto outputs = m_rollout.TakeOutputs();
+  ASSERT_EQ(outputs.size(), 1U);
+  EXPECT_EQ(std::get<Ready>(outputs[0]).revision, 2U);
+}
+
+TEST_F(RolloutTest, LowerRevisionChangesNothing) {
+  ServeFirst();
+  m_rollout.OnDocument(m_now, 1, DocumentOf("v0"));
+  m_rollout.OnVersionComplete(m_now, "v0");
+  EXPECT_TRUE(m_rollout.TakeOutputs().empty());
+}
+
+TEST_F(RolloutTest, RollbackWhileDrainingOpensAgain) {
+  ServeFirst();
+  m_rollout.OnDocument(m_now, 2, DocumentOf("v2"));
+  m_rollout.OnVersionComplete(m_now, "v2");
+  EXPECT_TRUE(Take<CloseGate>().has_value());
+  m_rollout.OnDocument(m_now, 3, DocumentOf("v1"));
+  EXPECT_TRUE(Take<OpenGate>().has_value());
+}
+
+TEST(PlainRolloutTest, IsOpenAndReadyWithoutAnyOrder) {
+  Rollout rollout({.self = {"self", 9}, .service = "shop", .plain = true},
+                  kernel::Random(1));
+  const kernel::Time now{std::chrono::hours(1)};
+  rollout.OnDocument(now, 3, {});
+  rollout.OnTick(now);
+  const auto outputs = rollout.TakeOutputs();
+  ASSERT_EQ(outputs.size(), 2U);
+  EXPECT_TRUE(std::holds_alternative<OpenGate>(outputs[0]));
+  EXPECT_EQ(std::get<Ready>(outputs[1]).revision, 3U);
+}
+
+}  // namespace
+}  // namespace radishrudder::rollout
--- /dev/null
+++ b/tests/rollout/turn_test.cc
@@ -0,0 +1,93 @@
+#include "source/radishrudder/rollout/turn.h"
+
+#include <gtest/gtest.h>
+
+namespace radishrudder::rollout {
+namespace {
+
+struct AllowedCase {
+  const char* name;
+  std::size_t instances;
+  double floor;
+  std::uint32_t pace;
+  std::size_t allowed;
+};
+
+class AllowedOutTest : public testing::TestWithParam<AllowedCase> {};
+
+TEST_P(AllowedOutTest, KeepsTheFloor) {
+  const AllowedCase& test = GetParam();
+  EXPECT_EQ(AllowedOut(test.instances, {test.floor, test.pace}), test.allowed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    AllowedOutTest,
+    testing::Values(AllowedCase{"Quarter", 16, 0.75, 0, 4},
+                    AllowedCase{"RoundsTheFloorUp", 11, 0.75, 0, 2},
+                    AllowedCase{"ExactFloor", 4, 0.75, 0, 1},
+                    AllowedCase{"NoFloor", 5, 0, 0, 5},
+                    AllowedCase{"PaceBelowFloor", 16, 0.5, 2, 2},
+                    AllowedCase{"OneInstance", 1, 0.75, 0, 1},
+                    AllowedCase{"FullFloorStillMoves", 3, 1, 0, 1}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+std::vector<RolloutPeer> Peers(int count,
+                               std::uint64_t ready,
+                               std::uint64_t accepted) {
+  std::vector<RolloutPeer> peers;
+  for (int i = 0; i < count; ++i) {
+    RolloutPeer peer;
+    peer.instance = "a" + std::to_string(i);
+    peer.ready_revision = ready;
+    peer.accepted_revision = accepted;
+    peers.push_back(peer);
+  }
+  return peers;
+}
+
+TEST(DecideTurnTest, WaitsWhileNobodyHasAccepted) {
+  EXPECT_FALSE(DecideTurn("self", 5, {0.75, 0}, Peers(7, 4, 4)).may_leave);
+}
+
+TEST(DecideTurnTest, OnlyTheFirstInOrderMayLeaveOnceAllHaveAccepted) {
+  const std::vector<RolloutPeer> all = Peers(8, 4, 5);
+  int leaving = 0;
+  for (const RolloutPeer& self : all) {
+    std::vector<RolloutPeer> others = all;
+    std::erase_if(others,
+                  [&](const auto& o) { return o.instance == self.instance; });
+    leaving += DecideTurn(self.instance, 5, {0.75, 0}, others).may_leave;
+  }
+  EXPECT_EQ(leaving, 2);
+}
+
+TEST(DecideTurnTest, DeadPeersUseUpTheAllowance) {
+  std::vector<RolloutPeer> peers = Peers(7, 5, 5);
+  EXPECT_TRUE(DecideTurn("self", 5, {0.75, 0}, peers).may_leave);
+  peers[0].dead = true;
+  EXPECT_TRUE(DecideTurn("self", 5, {0.75, 0}, peers).may_leave);
+  peers[1].suspected = true;
+  EXPECT_FALSE(DecideTurn("self", 5, {0.75, 0}, peers).may_leave);
+}
+
+TEST(DecideTurnTest, LeavingPeersDoNotCount) {
+  std::vector<RolloutPeer> peers = Peers(4, 0, 0);
+  for (RolloutPeer& peer : peers) {
+    peer.leaving = true;
+  }
+  const Turn turn = DecideTurn("self", 5, {0.75, 0}, peers);
+  EXPECT_TRUE(turn.may_leave);
+  EXPECT_EQ(turn.instances, 1U);
+}
+
+TEST(DecideTurnTest, ARevisionKnownToBeOldIsNotActedOn) {
+  std::vector<RolloutPeer> peers = Peers(7, 5, 5);
+  peers[0].accepted_revision = 6;
+  const Turn turn = DecideTurn("self", 5, {0.75, 0}, peers);
+  EXPECT_FALSE(turn.may_leave);
+  EXPECT_EQ(turn.newer_revision, 6U);
+}
+
+}  // namespace
+}  // namespace radishrudder::rollout
