--- /dev/null
+++ b/tests/rollout/rollout_orders_test.cc
@@ -0,0 +1,270 @@
+#include <optional>
+
+#include <gtest/gtest.h>
+
+#include "radishrudder/rollout/rollout.h"
+
+namespace radishrudder::rollout {
+namespace {
+
+using std::chrono::seconds;
+
+document::ServiceDocument DocumentOf(const std::string& digest) {
+  document::ServiceDocument document;
+  document.service = "draft";
+  document.model = document::ModelSection{.name = "m",
+                                          .version = digest,
+                                          .manifest_digest = digest,
+                                          .adapters = {}};
+  return document;
+}
+
+// An engine that remembers the highest fence, or one that does not care.
+class Engine {
+ public:
+  explicit Engine(bool checks_fence) : m_checks_fence(checks_fence) {}
+
+  OrderResult Load(const OrderLoad& order) {
+    if (m_checks_fence && order.fence <= m_highest) {
+      return OrderResult::kRefusedOldFence;
+    }
+    m_highest = order.fence;
+    running = order.manifest_digest;
+    return OrderResult::kDone;
+  }
+  void Restart() {
+    running.clear();
+    m_highest = {};
+    ++m_start;
+  }
+  EndpointStatus Status() const {
+    return {true, running, std::to_string(m_start)};
+  }
+
+  std::string running;
+
+ private:
+  bool m_checks_fence;
+  Fence m_highest;
+  int m_start = 1;
+};
+
+// One run of an agent beside an engine, alone on the list.
+class AgentRun {
+ public:
+  AgentRun(Engine& engine, std::uint64_t incarnation)
+      : m_engine(engine),
+        rollout({.self = {"self", incarnation}, .service = "draft"},
+                kernel::Random(incarnation)) {}
+
+  void Want(kernel::Time now,
+            std::uint64_t revision,
+            const std::string& digest) {
+    rollout.OnPeers(now, {});
+    rollout.OnVersionComplete(now, digest);
+    rollout.OnDocument(now, revision, DocumentOf(digest));
+    Obey(now);
+  }
+
+  // Ticks once a second, doing what the core asks for.
+  void Run(kernel::Time& now, int ticks) {
+    for (int i = 0; i < ticks; ++i) {
+      now += seconds(1);
+      rollout.OnTick(now);
+      Obey(now);
+    }
+  }
+
+  void Obey(kernel::Time now) {
+    for (bool any = true; any;) {
+      any = false;
+      for (const RolloutOutput& output : rollout.TakeOutputs()) {
+        any = true;
+        ObeyOne(now, output);
+      }
+    }
+  }
+
+ private:
+  void ObeyOne(kernel::Time now, const RolloutOutput& output) {
+    if (std::holds_alternative<CloseGate>(output)) {
+      gate_open = false;
+      rollout.OnGateEmpty(now);
+    } else if (std::holds_alternative<OpenGate>(output)) {
+      gate_open = true;
+    } else if (std::holds_alternative<ReadBack>(output) && !silent) {
+      rollout.OnEndpointStatus(now, m_engine.Status());
+    } else if (const auto* order = std::get_if<OrderLoad>(&output)) {
+      ++orders;
+      last = *order;
+      if (!hold_orders && now <= order->not_after) {
+        rollout.OnOrderResult(now, order->fence, m_engine.Load(*order));
+      }
+    } else if (const auto* ready = std::get_if<Ready>(&output)) {
+      announced = *ready;
+    }
+  }
+
+  Engine& m_engine;
+
+ public:
+  Rollout rollout;
+  Ready announced;
+  std::optional<OrderLoad> last;
+  int orders = 0;
+  bool gate_open = false;
+  bool silent = false;
+  bool hold_orders = false;
+};
+
+class EngineKindTest : public testing::TestWithParam<bool> {
+ protected:
+  Engine m_engine{GetParam()};
+  kernel::Time m_now{std::chrono::hours(1)};
+};
+
+TEST_P(EngineKindTest, LoadsAndChangesVersions) {
+  AgentRun agent(m_engine, 10);
+  agent.Want(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  EXPECT_EQ(m_engine.running, "v1");
+  agent.Want(m_now, 2, "v2");
+  agent.Run(m_now, 3);
+  EXPECT_EQ(m_engine.running, "v2");
+  EXPECT_TRUE(agent.gate_open);
+  EXPECT_EQ(agent.announced.revision, 2U);
+}
+
+TEST_P(EngineKindTest, RestartedEngineIsLoadedAgain) {
+  AgentRun agent(m_engine, 10);
+  agent.Want(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  m_engine.Restart();
+  agent.Run(m_now, 3);
+  EXPECT_EQ(m_engine.running, "v1");
+  EXPECT_TRUE(agent.gate_open);
+  EXPECT_EQ(agent.orders, 2);
+}
+
+TEST_P(EngineKindTest, RestartedAgentKeepsTheRunningVersionServing) {
+  AgentRun old_run(m_engine, 10);
+  old_run.Want(m_now, 1, "v1");
+  old_run.Run(m_now, 3);
+  AgentRun new_run(m_engine, 11);
+  new_run.Want(m_now, 1, "v1");
+  new_run.Run(m_now, 2);
+  EXPECT_TRUE(new_run.gate_open);
+  EXPECT_EQ(new_run.orders, 0);
+}
+
+TEST_P(EngineKindTest, PausedAgentLearnsBeforeItOrders) {
+  AgentRun agent(m_engine, 10);
+  agent.Want(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  // It is paused with a document that was replaced meanwhile.
+  m_now += seconds(300);
+  agent.rollout.OnVersionComplete(m_now, "v2");
+  agent.rollout.OnDocument(m_now, 2, DocumentOf("v2"));
+  agent.Obey(m_now);
+  EXPECT_EQ(agent.orders, 1);
+  agent.Want(m_now, 3, "v1");
+  agent.Run(m_now, 6);
+  EXPECT_EQ(agent.orders, 1);
+  EXPECT_EQ(agent.announced.revision, 3U);
+}
+
+TEST_P(EngineKindTest, OrderHeldBackByAPauseIsNotSent) {
+  AgentRun agent(m_engine, 10);
+  agent.hold_orders = true;
+  agent.Want(m_now, 1, "v1");
+  agent.Run(m_now, 2);
+  ASSERT_EQ(agent.orders, 1);
+  EXPECT_LE(agent.last->not_after, m_now + seconds(2));
+  EXPECT_GT(agent.last->not_after, m_now - seconds(2));
+}
+
+TEST_P(EngineKindTest, SupersededRunGivesNoMoreOrders) {
+  AgentRun old_run(m_engine, 10);
+  old_run.Want(m_now, 1, "v1");
+  old_run.Run(m_now, 3);
+  old_run.rollout.OnSuperseded(m_now);
+  old_run.Want(m_now, 2, "v2");
+  old_run.Run(m_now, 10);
+  EXPECT_EQ(old_run.orders, 1);
+  EXPECT_EQ(m_engine.running, "v1");
+}
+
+TEST_P(EngineKindTest, UnansweredOrderKeepsTheGateClosed) {
+  AgentRun agent(m_engine, 10);
+  agent.Want(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  agent.hold_orders = true;
+  agent.Want(m_now, 2, "v2");
+  agent.Run(m_now, 100);
+  // The engine still runs "v1" but may change at any moment.
+  EXPECT_FALSE(agent.gate_open);
+  EXPECT_GT(agent.orders, 2);
+  agent.hold_orders = false;
+  agent.Run(m_now, 200);
+  EXPECT_EQ(m_engine.running, "v2");
+  EXPECT_TRUE(agent.gate_open);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         EngineKindTest,
+                         testing::Bool(),
+                         [](const auto& info) {
+                           return info.param ? "RefusesOldFences"
+                                             : "IgnoresFences";
+                         });
+
+TEST(FencingTest, OldRunThatStillSleepsIsRefusedByTheEngine) {
+  Engine engine(true);
+  kernel::Time now{std::chrono::hours(1)};
+  AgentRun old_run(engine, 10);
+  old_run.hold_orders = true;
+  old_run.Want(now, 1, "v1");
+  old_run.Run(now, 2);
+  ASSERT_TRUE(old_run.last.has_value());
+  AgentRun new_run(engine, 11);
+  new_run.Want(now, 1, "v1");
+  new_run.Run(now, 3);
+  new_run.Want(now, 2, "v2");
+  new_run.Run(now, 3);
+  EXPECT_EQ(engine.Load(*old_run.last), OrderResult::kRefusedOldFence);
+  EXPECT_EQ(engine.running, "v2");
+}
+
+TEST(FencingTest, VersionThatAnotherPartyOrderedIsReplaced) {
+  Engine engine(false);
+  kernel::Time now{std::chrono::hours(1)};
+  AgentRun agent(engine, 10);
+  agent.Want(now, 1, "v1");
+  agent.Run(now, 3);
+  engine.running = "foreign";
+  agent.Run(now, 1);
+  EXPECT_NE(agent.announced.running_digest, "foreign");
+  agent.Run(now, 3);
+  EXPECT_EQ(engine.running, "v1");
+  EXPECT_TRUE(agent.gate_open);
+}
+
+TEST(FencingTest, RefusedRunWaitsForANewRevision) {
+  Engine engine(true);
+  kernel::Time now{std::chrono::hours(1)};
+  AgentRun later(engine, 20);
+  later.Want(now, 1, "v1");
+  later.Run(now, 3);
+  engine.running.clear();
+  AgentRun earlier(engine, 10);
+  earlier.Want(now, 1, "v1");
+  earlier.Run(now, 30);
+  EXPECT_EQ(earlier.orders, 1);
+  EXPECT_NE(earlier.rollout.Explain().find("refused"), std::string::npos);
+  earlier.Want(now, 2, "v1");
+  earlier.Run(now, 10);
+  EXPECT_EQ(engine.running, "v1");
+}
+
+}  // namespace
+}  // namespace radishrudder::rollout
