daemon: entry and agent assembled from the parts

The shards of an entry draw their attempt sequences from one source: with sources of their own, an idle shard's sequences would fall below the floor under which an agent refuses, and be refused for ever.

--- a/include/radishrudder/calls/entry_core.h
+++ b/include/radishrudder/calls/entry_core.h
@@ -1,6 +1,7 @@
 #ifndef RADISHRUDDER_CALLS_ENTRY_CORE_H_
 #define RADISHRUDDER_CALLS_ENTRY_CORE_H_
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -41,6 +42,12 @@
   wire::ProcessKey self{};
   std::string data_centre{};
   std::uint32_t endpoint_subset = 32;
+  // Source of attempt sequences, shared by the shards of one entry; null: a
+  // source of its own. Shard i of n sends the sequences that leave remainder i
+  // when divided by n.
+  std::shared_ptr<std::atomic<std::uint64_t>> sequences{};
+  std::uint64_t shard = 0;
+  std::uint64_t shard_count = 1;
 };
 
 // Admits, routes, retries and answers the calls of some services. State
--- /dev/null
+++ b/include/radishrudder/daemon/platform_reader.h
@@ -0,0 +1,45 @@
+#ifndef RADISHRUDDER_DAEMON_PLATFORM_READER_H_
+#define RADISHRUDDER_DAEMON_PLATFORM_READER_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "radishrudder/dissemination/document_replica.h"
+#include "radishrudder/http/client.h"
+#include "radishrudder/membership/membership.h"
+
+namespace radishrudder::daemon {
+
+// Parses the configuration service's answer. Returns nothing, and says why in
+// `problem`, if it is not of the published form.
+std::optional<dissemination::ReadResult> ParseDocuments(std::string_view text,
+                                                        std::string& problem);
+
+// Parses the platform's list of instances in the same way.
+std::optional<membership::InstancesRead> ParseInstances(std::string_view text,
+                                                        std::string& problem);
+
+// Reads and watches the platform's services over HTTP.
+class PlatformReader {
+ public:
+  PlatformReader(http::Client& client,
+                 std::string configuration_url,
+                 std::string instances_url);
+
+  // Calls `done` once, on the client's thread.
+  void ReadDocuments(const dissemination::StartRead& read,
+                     std::function<void(dissemination::ReadResult)> done);
+  void ReadInstances(const membership::ReadInstances& read,
+                     std::function<void(membership::InstancesRead)> done);
+
+ private:
+  http::Client& m_client;
+  std::string m_configuration_url;
+  std::string m_instances_url;
+};
+
+}  // namespace radishrudder::daemon
+
+#endif  // RADISHRUDDER_DAEMON_PLATFORM_READER_H_
--- a/source/radishrudder/calls/entry_attempts.cc
+++ b/source/radishrudder/calls/entry_attempts.cc
@@ -52,7 +52,7 @@
                               EntryCall& call,
                               EntryService& service,
                               const wire::ProcessKey& agent) {
-  const std::uint64_t sequence = ++m_last_sequence;
+  const std::uint64_t sequence = NextSequence();
   m_attempts[sequence] = {.call = id,
                           .service = call.request.service,
                           .agent = agent,
--- a/source/radishrudder/calls/entry_keys.cc
+++ b/source/radishrudder/calls/entry_keys.cc
@@ -66,7 +66,7 @@
   m_deadlines.erase({call.deadline, id});
   call.deadline = std::min(call.deadline, now + kKeyRequestTimeout);
   m_deadlines.emplace(call.deadline, id);
-  call.key_request = ++m_last_sequence;
+  call.key_request = NextSequence();
   m_key_requests[call.key_request] = {.call = id, .agent = choice.agent};
   wire::Send send{.to = choice.agent.instance, .message = {}};
   *send.message.mutable_from() = ToMessage(m_settings.self);
--- a/source/radishrudder/calls/entry_state.cc
+++ b/source/radishrudder/calls/entry_state.cc
@@ -163,6 +163,11 @@
          found->second.endpoints.Explain();
 }
 
+std::uint64_t EntryState::NextSequence() {
+  const std::uint64_t round = m_settings.sequences->fetch_add(1) + 1;
+  return round * m_settings.shard_count + m_settings.shard;
+}
+
 EntryService* EntryState::FindService(std::string_view name) {
   const auto found = m_services.find(name);
   return found == m_services.end() ? nullptr : &found->second;
--- a/source/radishrudder/calls/entry_state.h
+++ b/source/radishrudder/calls/entry_state.h
@@ -76,7 +76,11 @@
 class EntryState {
  public:
   EntryState(EntrySettings settings, kernel::Random random)
-      : m_settings(std::move(settings)), m_random(random) {}
+      : m_settings(std::move(settings)), m_random(random) {
+    if (m_settings.sequences == nullptr) {
+      m_settings.sequences = std::make_shared<std::atomic<std::uint64_t>>(0);
+    }
+  }
 
   void OnDocument(kernel::Time now, const document::ServiceDocument& document);
   void OnDocumentDeleted(kernel::Time now, std::string_view service);
@@ -109,6 +113,8 @@
   static constexpr std::size_t kMaximumPassedOver = 4;
 
   // entry_state.cc: admission and the life of a call.
+  // Returns the next sequence of this shard, above those of every shard so far.
+  std::uint64_t NextSequence();
   EntryService* FindService(std::string_view name);
   void Admit(kernel::Time now, CallId id, EntryService& service);
   void Dispatch(kernel::Time now, EntryService& service);
@@ -158,7 +164,6 @@
   EntrySettings m_settings;
   kernel::Random m_random;
   bool m_draining = false;
-  std::uint64_t m_last_sequence = 0;
   std::map<std::string, EntryService, std::less<>> m_services;
   kernel::Time m_last_dispatch;
   Calls m_calls;
--- /dev/null
+++ b/source/radishrudder/daemon/endpoint_client.h
@@ -0,0 +1,81 @@
+#ifndef RADISHRUDDER_DAEMON_ENDPOINT_CLIENT_H_
+#define RADISHRUDDER_DAEMON_ENDPOINT_CLIENT_H_
+
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "radishrudder/calls/agent_gate.h"
+#include "radishrudder/http/client.h"
+#include "radishrudder/rollout/rollout.h"
+#include "radishrudder/weights/manifest.h"
+
+namespace radishrudder::daemon {
+
+// What the endpoint says of itself.
+struct EndpointReport {
+  rollout::EndpointStatus status;
+  std::uint32_t capacity = 0;  // Calls that it runs at once; 0: not said.
+};
+
+// Parses the endpoint's status; nothing if it is not of the published form.
+std::optional<EndpointReport> ParseEndpointReport(std::string_view text);
+
+// Events of a call at the endpoint, on the client's thread.
+struct EndpointCallHandlers {
+  std::function<void(calls::EndpointCallId,
+                     std::uint32_t status,
+                     std::vector<calls::Header>,
+                     std::string digest)>
+      on_head;
+  std::function<void(calls::EndpointCallId, std::string_view data)> on_data;
+  std::function<void(calls::EndpointCallId, calls::EndpointEnd)> on_end;
+};
+
+// A version to load, with the bytes at hand.
+struct LoadOrder {
+  rollout::OrderLoad order;
+  weights::Manifest manifest;
+  // Returns a copy of a verified chunk, or nothing if it is gone.
+  std::function<std::optional<std::string>(std::uint32_t index)> chunk;
+  // Asked right before the order is given: is it still the latest wish?
+  std::function<bool()> still_wanted;
+};
+
+// The agent's only way to its endpoint: calls, orders and status over HTTP.
+class EndpointClient {
+ public:
+  EndpointClient(http::Client& client,
+                 std::string url,
+                 EndpointCallHandlers handlers);
+  ~EndpointClient();
+
+  void Start(calls::StartEndpointCall call);
+  void Cancel(calls::EndpointCallId call);
+  // Hands the weights over and gives the order; `done` is called once.
+  void Load(LoadOrder order, std::function<void(rollout::OrderResult)> done);
+  // Asks what the endpoint runs; `done` is called once.
+  void ReadStatus(std::function<void(EndpointReport)> done);
+  // Waits for orders in progress and gives no more.
+  void Stop();
+
+ private:
+  rollout::OrderResult LoadNow(const LoadOrder& order);
+  bool Put(const std::string& path, std::string body);
+  void HandleEnd(calls::EndpointCallId call, const http::ClientResult& result);
+
+  http::Client& m_client;
+  const std::string m_url;
+  const EndpointCallHandlers m_handlers;
+  std::mutex m_mutex;
+  std::map<calls::EndpointCallId, std::uint64_t> m_requests;
+  // Orders are given one after the other, off the other threads.
+  asio::thread_pool m_orders;
+};
+
+}  // namespace radishrudder::daemon
+
+#endif  // RADISHRUDDER_DAEMON_ENDPOINT_CLIENT_H_
