--- a/source/radishrudder/routing/prefix_affinity_policy.cc
+++ b/source/radishrudder/routing/prefix_affinity_policy.cc
@@ -8,10 +8,10 @@
 namespace {
 
 // A whole cached prompt is worth this much relative load.
-constexpr double kCachedPromptWorth = 0.5;
+constexpr double kCachedPromptWorth = 1;
 // A candidate above this multiple of the mean load, plus one call, is not
 // chosen for its cache.
-constexpr double kLoadBound = 1.25;
+constexpr double kLoadBound = 2;
 
 // Chooses among two random candidates and the one with the largest cached
 // part of the prompt, by load less the worth of the cache. The cached one
