--- a/tests/histories/history.cc
+++ b/tests/histories/history.cc
@@ -23,7 +23,7 @@
   }
 
  private:
-  void Add(Rule rule, int operation, std::string detail) {
+  void Add(Rule rule, int operation, const std::string& detail) {
     m_violations.push_back(
         {.rule = rule,
          .detail = "operation " + std::to_string(operation) + ": " + detail});
--- a/tests/histories/world.h
+++ b/tests/histories/world.h
@@ -54,7 +54,10 @@
     for (kernel::Duration t{0}; t < kActive; t += milliseconds(50)) {
       At(t, [this] { Tick(); });
     }
-    for (kernel::Duration t = kActive; t < kHorizon; t += seconds(20)) {
+    for (kernel::Duration t = kActive; t < kHorizon; t += milliseconds(450)) {
+      At(t, [this] { TickGates(); });
+    }
+    for (kernel::Duration t = kActive; t < kHorizon; t += seconds(9)) {
       At(t, [this] { Tick(); });
     }
     m_scheduler.RunAll();
@@ -188,6 +191,10 @@
         entry.core->OnTick(Now());
       }
     }
+    TickGates();
+  }
+
+  void TickGates() {
     for (AgentNode& agent : m_agents) {
       if (agent.paused_until <= Now()) {
         agent.gate->OnTick(Now());
@@ -268,7 +275,9 @@
         delay = Between(milliseconds(1), milliseconds(700));
       }
       if (m_random.Chance(m_faults.very_late)) {
-        delay = Between(seconds(1), std::chrono::minutes(15));
+        delay = m_random.Chance(0.5)
+                    ? Between(seconds(1), seconds(20))
+                    : Between(seconds(1), std::chrono::minutes(15));
       }
       if (!cut && !m_random.Chance(m_faults.loss)) {
         At(delay, deliver);
@@ -359,7 +368,7 @@
 
   void ToGate(AgentNode& agent,
               std::uint64_t run,
-              std::function<void(kernel::Time)> action) {
+              const std::function<void(kernel::Time)>& action) {
     Input(agent, [this, &agent, run, action] {
       if (agent.incarnation == run) {
         action(Now());
