--- a/apps/radishrudder-standin/engine.cc
+++ b/apps/radishrudder-standin/engine.cc
@@ -21,6 +21,7 @@
 Engine::Engine(Scheduler& scheduler, const EngineSettings& settings)
     : StandIn(scheduler),
       m_settings(settings),
+      m_log(settings.executions_file),
       m_start_id(std::to_string(kernel::SystemEntropy())) {}
 
 void Engine::Answer(const http::Request& request,
@@ -115,9 +116,7 @@
 }
 
 void Engine::ReplyOldFence(http::Responder& responder) const {
-  ReplyJson(
-      responder, 409,
-      {{"fence", {m_fence.revision, m_fence.incarnation, m_fence.order}}});
+  ReplyJson(responder, 409, {{"fence", m_fence}});
 }
 
 void Engine::ReplyStatus(http::Responder& responder) const {
--- a/apps/radishrudder-standin/engine.h
+++ b/apps/radishrudder-standin/engine.h
@@ -1,8 +1,8 @@
 #ifndef RADISHRUDDER_STANDIN_ENGINE_H_
 #define RADISHRUDDER_STANDIN_ENGINE_H_
 
+#include <array>
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -20,6 +20,7 @@
   double tokens_per_second = 50;  // Of each running answer.
   bool checks_fence = true;       // Refuses orders with an old fence.
   std::chrono::milliseconds load_time{100};
+  std::string executions_file = {};  // For `ExecutionLog`.
 };
 
 // Model engine: loads whole, verified weights on order and generates numbered
@@ -34,12 +35,8 @@
               const ResponderPointer& responder) override;
 
  private:
-  struct Fence {
-    std::uint64_t revision = 0;
-    std::uint64_t incarnation = 0;
-    std::uint64_t order = 0;
-    auto operator<=>(const Fence&) const = default;
-  };
+  // Revision, incarnation and number of an order; compared in this order.
+  using Fence = std::array<std::uint64_t, 3>;
   struct Call {
     Generation generation;
     std::size_t execution = 0;
@@ -70,7 +67,7 @@
   ExecutionLog m_log;
   std::string m_start_id;
   std::string m_running_digest;
-  Fence m_fence;
+  Fence m_fence{};
   std::deque<CallPointer> m_waiting;
   std::size_t m_running = 0;
 };
--- a/apps/radishrudder-standin/execution_log.h
+++ b/apps/radishrudder-standin/execution_log.h
@@ -2,6 +2,7 @@
 #define RADISHRUDDER_STANDIN_EXECUTION_LOG_H_
 
 #include <cstdint>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -23,6 +24,10 @@
 // Every execution since the start, in order.
 class ExecutionLog {
  public:
+  // Also appends each execution, when it begins, as a line of JSON to the file
+  // `path`, which outlives a killed stand-in. Empty: no file.
+  explicit ExecutionLog(const std::string& path);
+
   // Returns the index of a new one, with its start set to now.
   std::size_t Add(Execution execution);
   void SetState(std::size_t index, std::string state);
@@ -30,6 +35,9 @@
   nlohmann::json ToJson() const;
 
  private:
+  nlohmann::json ToJson(std::size_t index) const;
+
+  std::ofstream m_file;
   std::vector<Execution> m_executions;
 };
 
--- a/apps/radishrudder-standin/plain.h
+++ b/apps/radishrudder-standin/plain.h
@@ -14,8 +14,11 @@
 // Plain service: answers any call with what it was, and records it.
 class Plain : public StandIn {
  public:
-  Plain(Scheduler& scheduler, std::uint64_t seed)
-      : StandIn(scheduler), m_random(seed) {}
+  // `executions_file` is for `ExecutionLog`.
+  Plain(Scheduler& scheduler,
+        std::uint64_t seed,
+        const std::string& executions_file = "")
+      : StandIn(scheduler), m_random(seed), m_log(executions_file) {}
 
  protected:
   void Answer(const http::Request& request,
--- a/apps/radishrudder-standin/subcommands.cc
+++ b/apps/radishrudder-standin/subcommands.cc
@@ -65,6 +65,11 @@
   return std::make_unique<FileSource>(scheduler, settings);
 }
 
+Option ExecutionsFile() {
+  return {.name = "executions-file",
+          .help = "File to which each execution is appended when it begins."};
+}
+
 std::vector<Option> EngineOptions() {
   constexpr std::int64_t kMaximumSlots = 4096;
   constexpr std::int64_t kMaximumTokenRate = 100'000;
@@ -114,10 +119,12 @@
       {"engine", "Stand-in for a model engine.", EngineOptions(), MakeEngine},
       {"plain",
        "Stand-in for a plain service.",
-       {Integer("seed", "Seed of the failing answers.", "1", 0, INT64_MAX)},
+       {Integer("seed", "Seed of the failing answers.", "1", 0, INT64_MAX),
+        ExecutionsFile()},
        [](const Values& values, Scheduler& scheduler) {
          return std::make_unique<Plain>(
-             scheduler, static_cast<std::uint64_t>(values.Integer("seed")));
+             scheduler, static_cast<std::uint64_t>(values.Integer("seed")),
+             values.Text("executions-file"));
        }},
   };
 }
--- a/tests/standins/engine_test.cc
+++ b/tests/standins/engine_test.cc
@@ -28,7 +28,7 @@
   // Hands over the first `chunks` chunks and returns the manifest's digest.
   std::string Give(const std::string& bytes, std::size_t chunks) {
     const auto manifest = weights::Describe("w.bin", bytes, kChunkBytes);
-    const std::string digest = weights::IdentityOf(manifest);
+    std::string digest = weights::IdentityOf(manifest);
     const std::string base = "/v1/weights/" + digest;
     Call("PUT", base + "/manifest", weights::ToText(manifest));
     for (std::size_t i = 0; i < chunks; ++i) {
