radishrudder: status and explain, from the admin ports of many processes

Operators ask how far a rollout is, why an instance is not on the new version and where a call would go.

--- a/apps/radishrudder/command.h
+++ b/apps/radishrudder/command.h
@@ -24,7 +24,9 @@
 Command CheckCommand();
 Command DiffCommand();
 Command EventsCommand();
+Command ExplainCommand();
 Command ManifestCommand();
+Command StatusCommand();
 
 // Returns all commands in order of name.
 std::vector<Command> AllCommands();
--- a/tests/programs/command_test.cc
+++ b/tests/programs/command_test.cc
@@ -3,31 +3,12 @@
 
 #include <gtest/gtest.h>
 
-#include "apps/radishrudder/command.h"
+#include "radishrudder/settings/settings.h"
+#include "tests/programs/run_program.h"
 
 namespace radishrudder::command_line {
 namespace {
 
-struct Result {
-  int exit_code = 0;
-  std::string output;
-  std::string errors;
-};
-
-Result RunWith(const std::vector<std::string>& arguments) {
-  std::vector<const char*> argv{"radishrudder"};
-  for (const std::string& argument : arguments) {
-    argv.push_back(argument.c_str());
-  }
-  testing::internal::CaptureStdout();
-  testing::internal::CaptureStderr();
-  Result result;
-  result.exit_code = RunProgram(static_cast<int>(argv.size()), argv.data());
-  result.output = testing::internal::GetCapturedStdout();
-  result.errors = testing::internal::GetCapturedStderr();
-  return result;
-}
-
 struct UsageCase {
   const char* name;
   std::vector<std::string> arguments;
