radishrudder: report, a recorded run as a page with plots

Runs of measurements and rehearsals are easier to judge in a plot than in a last line: `report` reads one JSON object a line and writes one HTML page with inline SVG: replicas over time against the fluid bound, bytes of each link, and latency histograms for each workspace. It loads nothing from elsewhere.

--- a/apps/radishrudder/command.cc
+++ b/apps/radishrudder/command.cc
@@ -53,8 +53,8 @@
 }  // namespace
 
 std::vector<Command> AllCommands() {
-  return {CheckCommand(),   DiffCommand(),     EventsCommand(),
-          ExplainCommand(), ManifestCommand(), StatusCommand()};
+  return {CheckCommand(),    DiffCommand(),   EventsCommand(), ExplainCommand(),
+          ManifestCommand(), ReportCommand(), StatusCommand()};
 }
 
 int RunProgram(int argc, const char* const* argv) {
--- a/apps/radishrudder/command.h
+++ b/apps/radishrudder/command.h
@@ -26,6 +26,7 @@
 Command EventsCommand();
 Command ExplainCommand();
 Command ManifestCommand();
+Command ReportCommand();
 Command StatusCommand();
 
 // Returns all commands in order of name.
