routing: least-expected-latency draws two and forgets old latencies

Cause: it took the smallest cost over all candidates, and a latency that was no longer sampled stayed for ever, so that all entries crowded on the few endpoints that had been fast, until those stopped answering.

--- a/include/radishrudder/routing/router.h
+++ b/include/radishrudder/routing/router.h
@@ -15,6 +15,7 @@
 #include "radishrudder/routing/ejection.h"
 #include "radishrudder/routing/endpoint.h"
 #include "radishrudder/routing/endpoint_subset.h"
+#include "radishrudder/routing/latency_estimate.h"
 #include "radishrudder/routing/load_view.h"
 #include "radishrudder/routing/policy.h"
 #include "radishrudder/routing/prefix_index.h"
@@ -116,7 +117,7 @@
   struct Tracked {
     Endpoint endpoint;
     bool in_subset = false;
-    double latency_seconds = 0;
+    LatencyEstimate latency;
     kernel::Time refusing_until{};
     Refusal refusal = Refusal::kOther;
   };
@@ -134,6 +135,8 @@
   Fitness FitnessOf(kernel::Time now,
                     Slot slot,
                     const RouteRequest& request) const;
+  // Sets the mean latency of the subset.
+  void RefreshTypicalLatency();
   void CollectCandidates(kernel::Time now, const RouteRequest& request);
   Candidate CandidateFor(kernel::Time now, Slot slot, const CallView& call);
   Route WhyNone(kernel::Time now, const RouteRequest& request) const;
@@ -150,6 +153,7 @@
   std::vector<Slot> m_free_slots;
   std::vector<Slot> m_subset;  // Nearest first.
   std::size_t m_endpoints_known = 0;
+  double m_typical_latency_seconds = 0;
   std::vector<Candidate> m_candidates;  // Of the call being routed.
 };
 
--- a/source/radishrudder/routing/least_expected_latency_policy.cc
+++ b/source/radishrudder/routing/least_expected_latency_policy.cc
@@ -19,29 +19,20 @@
   return smallest;
 }
 
-// Chooses the candidate whose smoothed latency, grown by the calls it has per
-// slot, is smallest over all candidates. One with unknown latency counts as
-// the fastest, so that it is tried. Equal ones are chosen at random.
+// Draws two candidates and chooses the one whose smoothed latency, grown by
+// the calls it has per slot, is smaller. One with unknown latency counts as
+// the fastest, so that it is tried. The draw is in random order, which breaks
+// ties.
 class LeastExpectedLatencyPolicy : public Policy {
  public:
   std::size_t Choose(const CallView& call,
                      std::span<const Candidate> candidates,
                      kernel::Random& random) override {
     const double unknown = SmallestKnownLatency(candidates);
-    std::size_t best = 0;
-    std::size_t ties = 1;
-    double best_cost = Cost(candidates[0], unknown);
-    for (std::size_t i = 1; i < candidates.size(); ++i) {
-      const double cost = Cost(candidates[i], unknown);
-      if (cost < best_cost) {
-        best = i;
-        best_cost = cost;
-        ties = 1;
-      } else if (cost == best_cost && random.Below(++ties) == 0) {
-        best = i;
-      }
-    }
-    return best;
+    const CandidatePair pair = DrawTwo(candidates.size(), random);
+    const double first = Cost(candidates[pair.first], unknown);
+    const double second = Cost(candidates[pair.second], unknown);
+    return second < first ? pair.second : pair.first;
   }
 
  private:
--- a/source/radishrudder/routing/router.cc
+++ b/source/radishrudder/routing/router.cc
@@ -8,7 +8,6 @@
 namespace radishrudder::routing {
 namespace {
 
-constexpr double kLatencySmoothing = 0.2;  // Weight of the newest latency.
 constexpr kernel::Duration kShortestRefusal = std::chrono::milliseconds(50);
 constexpr kernel::Duration kLongestRefusal = std::chrono::seconds(2);
 // An endpoint that refused because it is leaving gets nothing for this long,
@@ -20,10 +19,6 @@
       std::chrono::duration<double>(seconds));
 }
 
-double Seconds(kernel::Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 Router::Router(RouterSettings settings, kernel::Random random)
@@ -85,6 +80,7 @@
 
 Route Router::Choose(kernel::Time now, const RouteRequest& request) {
   m_loads.Refresh(now);
+  RefreshTypicalLatency();
   CollectCandidates(now, request);
   if (m_candidates.empty()) {
     return WhyNone(now, request);
@@ -119,12 +115,7 @@
     return;
   }
   Tracked& tracked = m_tracked[*slot];
-  const double latency = Seconds(answer.first_byte);
-  tracked.latency_seconds =
-      tracked.latency_seconds == 0
-          ? latency
-          : tracked.latency_seconds +
-                kLatencySmoothing * (latency - tracked.latency_seconds);
+  tracked.latency.OnSample(now, answer.first_byte);
   m_ejection.OnSucceeded(now, *slot);
   if (answer.load) {
     m_loads.OnAnswerLoad(now, *slot, *answer.load,
@@ -203,7 +194,7 @@
     m_loads.Restart(slot);
     m_ejection.Add(slot);
     m_prefixes.Add(slot);
-    tracked.latency_seconds = 0;
+    tracked.latency = {};
     tracked.refusing_until = {};
   }
   tracked.endpoint = endpoint;
@@ -244,6 +235,20 @@
   return slot;
 }
 
+void Router::RefreshTypicalLatency() {
+  double sum = 0;
+  std::size_t sampled = 0;
+  for (const Slot slot : m_subset) {
+    const LatencyEstimate& latency = m_tracked[slot].latency;
+    if (latency.HasSample()) {
+      sum += latency.AtLastSample();
+      ++sampled;
+    }
+  }
+  m_typical_latency_seconds =
+      sampled == 0 ? 0 : sum / static_cast<double>(sampled);
+}
+
 Router::Fitness Router::FitnessOf(kernel::Time now,
                                   Slot slot,
                                   const RouteRequest& request) const {
@@ -290,7 +295,8 @@
   candidate.estimated_calls =
       m_loads.EstimatedCalls(now, slot) +
       m_ejection.FailureShare(slot) * candidate.capacity;
-  candidate.latency_seconds = tracked.latency_seconds;
+  candidate.latency_seconds =
+      tracked.latency.Seconds(now, m_typical_latency_seconds);
   candidate.distance_seconds = tracked.endpoint.distance_seconds;
   if (call.prefix_hash != 0) {
     candidate.cached_prefix_share =
