routing: a gap in cache events fades only what it may have hidden

Cause: every gap halved all that was known of an endpoint. With messages each lag and 5% of them lost, prefixes used less often than the gaps came were forgotten. Now a gap counts by the share of the prefixes that its events may have removed.

--- a/include/radishrudder/routing/prefix_index.h
+++ b/include/radishrudder/routing/prefix_index.h
@@ -58,7 +58,8 @@
   // A call with that prefix was sent there.
   void OnRouted(kernel::Time now, Slot slot, std::uint64_t prefix);
   // Events already seen are skipped. After a gap, found by the sequence, what
-  // is known of the endpoint counts half.
+  // is known of the endpoint counts less, by the share of its prefixes that
+  // the lost events may have removed.
   void OnEvents(kernel::Time now, Slot slot, const CacheEvents& events);
 
   // Likelihood in [0, 1] that the endpoint has the prefix cached.
@@ -71,8 +72,8 @@
   struct Holder {
     Slot slot = 0;
     std::uint32_t epoch = 0;  // Of the source when this was learnt.
-    std::uint32_t gaps = 0;   // Of the source when this was learnt.
     float likelihood = 0;
+    double lost = 0;  // Of the source when this was learnt.
     kernel::Time learnt{};
     // Last call of one's own with the prefix.
     std::optional<kernel::Time> routed{};
@@ -85,10 +86,14 @@
   struct Source {
     std::uint32_t epoch = 0;  // Holders of earlier epochs are void.
     std::uint32_t gaps = 0;
+    std::uint32_t stored = 0;  // Prefixes cached according to the events.
+    double lost =
+        0;  // Share of its prefixes that gaps may have removed, summed.
     std::uint64_t next_sequence = 0;
     bool has_sequence = false;
   };
 
+  static void OnGap(Source& source, std::uint64_t lost_events);
   void Apply(kernel::Time now, Slot slot, const CacheEvent& event);
   void OnStored(kernel::Time now, Slot slot, std::uint64_t prefix);
   void OnRemoved(kernel::Time now, Slot slot, std::uint64_t prefix);
--- a/source/radishrudder/routing/prefix_index.cc
+++ b/source/radishrudder/routing/prefix_index.cc
@@ -9,8 +9,8 @@
 constexpr double kLikelihoodAfterEvent = 1;
 // What a removal leaves that may be older than one's own last call.
 constexpr double kLikelihoodAfterDoubtfulRemoval = 0.5;
-// What one gap in the events leaves of a likelihood.
-constexpr double kLeftAfterGap = 0.5;
+// Share of cache events that are removals.
+constexpr double kRemovalShare = 0.5;
 
 }  // namespace
 
@@ -41,9 +41,10 @@
   if (events.complete) {
     ++source.epoch;
     source.gaps = 0;
+    source.stored = 0;
   } else if (source.has_sequence) {
     if (events.first_sequence > source.next_sequence) {
-      ++source.gaps;
+      OnGap(source, events.first_sequence - source.next_sequence);
     }
     if (events.first_sequence < source.next_sequence) {
       first_new = source.next_sequence - events.first_sequence;
@@ -73,10 +74,19 @@
   return 0;
 }
 
+void PrefixIndex::OnGap(Source& source, std::uint64_t lost_events) {
+  ++source.gaps;
+  const double removed = kRemovalShare * static_cast<double>(lost_events);
+  source.lost += removed / std::max(source.stored, std::uint32_t{1});
+}
+
 void PrefixIndex::Apply(kernel::Time now, Slot slot, const CacheEvent& event) {
+  std::uint32_t& stored = m_sources[slot].stored;
   if (event.change == CacheChange::kStored) {
+    ++stored;
     OnStored(now, slot, event.prefix);
   } else {
+    stored -= stored > 0 ? 1 : 0;
     OnRemoved(now, slot, event.prefix);
   }
 }
@@ -110,7 +120,7 @@
   const double faded =
       holder.likelihood *
       std::exp2(-std::max(0.0, age.count()) / half_life.count());
-  return faded * std::pow(kLeftAfterGap, source.gaps - holder.gaps);
+  return faded * std::exp(holder.lost - source.lost);
 }
 
 PrefixIndex::Prefix& PrefixIndex::Touch(std::uint64_t prefix) {
@@ -152,7 +162,7 @@
 void PrefixIndex::Renew(kernel::Time now, Holder& holder, double likelihood) {
   const Source& source = m_sources[holder.slot];
   holder.epoch = source.epoch;
-  holder.gaps = source.gaps;
+  holder.lost = source.lost;
   holder.likelihood = static_cast<float>(likelihood);
   holder.learnt = now;
 }
