routing: the worth of a cached prompt grows with the mean load

Cause: behind queues, loads differ by more than one batch, so that the policy stopped looking at caches just when saved prefills would shorten the queues.

--- a/source/radishrudder/routing/prefix_affinity_policy.cc
+++ b/source/radishrudder/routing/prefix_affinity_policy.cc
@@ -7,7 +7,9 @@
 namespace radishrudder::routing {
 namespace {
 
-// A whole cached prompt is worth this much relative load.
+// A whole cached prompt is worth this much relative load, and as many times
+// more as the mean relative load is above 1: behind queues, differences of
+// load grow, while prefills that are saved shorten the queues.
 constexpr double kCachedPromptWorth = 1;
 // A candidate above this multiple of the mean load, plus one call, is not
 // chosen for its cache.
@@ -21,9 +23,11 @@
   std::size_t Choose(const CallView& call,
                      std::span<const Candidate> candidates,
                      kernel::Random& random) override {
+    const double mean = MeanRelativeLoad(candidates);
+    m_worth = kCachedPromptWorth * std::max(1.0, mean);
     const CandidatePair pair = DrawTwo(candidates.size(), random);
     std::size_t best = Better(candidates, pair.first, pair.second);
-    const std::size_t cached = BestCached(candidates, random);
+    const std::size_t cached = BestCached(candidates, mean, random);
     if (cached < candidates.size()) {
       best = Better(candidates, best, cached);
     }
@@ -31,22 +35,21 @@
   }
 
  private:
-  static double Cost(const Candidate& candidate) {
-    return RelativeLoad(candidate) -
-           kCachedPromptWorth * candidate.cached_prefix_share;
+  double Cost(const Candidate& candidate) const {
+    return RelativeLoad(candidate) - m_worth * candidate.cached_prefix_share;
   }
 
-  static std::size_t Better(std::span<const Candidate> candidates,
-                            std::size_t first,
-                            std::size_t second) {
+  std::size_t Better(std::span<const Candidate> candidates,
+                     std::size_t first,
+                     std::size_t second) const {
     return Cost(candidates[second]) < Cost(candidates[first]) ? second : first;
   }
 
   // Returns the cheapest candidate that has a part of the prompt cached and
   // is within the load bound, or the number of candidates if there is none.
-  static std::size_t BestCached(std::span<const Candidate> candidates,
-                                kernel::Random& random) {
-    const double mean = MeanRelativeLoad(candidates);
+  std::size_t BestCached(std::span<const Candidate> candidates,
+                         double mean,
+                         kernel::Random& random) const {
     std::size_t best = candidates.size();
     std::size_t ties = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -70,6 +73,8 @@
     const double capacity = std::max(candidate.capacity, 1.0);
     return candidate.estimated_calls <= kLoadBound * mean * capacity + 1;
   }
+
+  double m_worth = kCachedPromptWorth;  // For the call being routed.
 };
 
 const kernel::Registration<PolicyFactory> registration("prefix-affinity", [] {
