routing: entries agree on where an unknown prefix goes

Cause: an entry that did not know who has a prefix drew two endpoints at random. With 16 entries each prefix was prefilled on many endpoints, which pushed others out of the caches; at load 1.2 this never recovered. Now the prefix and the names of the endpoints give two homes by rendezvous hashing, within the load bound.

--- a/source/radishrudder/routing/prefix_affinity_policy.cc
+++ b/source/radishrudder/routing/prefix_affinity_policy.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "radishrudder/kernel/hash.h"
 #include "radishrudder/routing/candidate_draw.h"
 #include "radishrudder/routing/policy.h"
 #include "radishrudder/routing/policy_anchors.h"
@@ -11,13 +12,16 @@
 // more as the mean relative load is above 1: behind queues, differences of
 // load grow, while prefills that are saved shorten the queues.
 constexpr double kCachedPromptWorth = 1;
-// A candidate above this multiple of the mean load, plus one call, is not
-// chosen for its cache.
+// A candidate above this multiple of the mean load, plus one call, is out of
+// bounds.
 constexpr double kLoadBound = 2;
 
-// Chooses among two random candidates and the one with the largest cached
-// part of the prompt, by load less the worth of the cache. The cached one
-// counts only while its load is bounded.
+// Chooses by load less the worth of the cache among the two homes of the
+// prefix and the best candidate that has a part of the prompt cached. The
+// homes follow from the prefix and the names only, so that all entries place a
+// new prefix on the same endpoints. A candidate above the load bound is
+// neither a home nor chosen for its cache. Calls without a prefix go to the
+// less loaded of two random candidates.
 class PrefixAffinityPolicy : public Policy {
  public:
   std::size_t Choose(const CallView& call,
@@ -25,7 +29,9 @@
                      kernel::Random& random) override {
     const double mean = MeanRelativeLoad(candidates);
     m_worth = kCachedPromptWorth * std::max(1.0, mean);
-    const CandidatePair pair = DrawTwo(candidates.size(), random);
+    const CandidatePair pair =
+        call.prefix_hash == 0 ? DrawTwo(candidates.size(), random)
+                              : HomesOf(call.prefix_hash, candidates, mean);
     std::size_t best = Better(candidates, pair.first, pair.second);
     const std::size_t cached = BestCached(candidates, mean, random);
     if (cached < candidates.size()) {
@@ -45,6 +51,40 @@
     return Cost(candidates[second]) < Cost(candidates[first]) ? second : first;
   }
 
+  // Returns the two candidates within the load bound that come first in the
+  // rendezvous order of the prefix. At least the least loaded candidate is
+  // within the bound.
+  static CandidatePair HomesOf(std::uint64_t prefix,
+                               std::span<const Candidate> candidates,
+                               double mean) {
+    CandidatePair homes{candidates.size(), candidates.size()};
+    std::uint64_t first_weight = 0;
+    std::uint64_t second_weight = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+      if (!IsWithinBound(candidates[i], mean)) {
+        continue;
+      }
+      const std::uint64_t weight = Weight(prefix, candidates[i].instance);
+      if (homes.first == candidates.size() || weight > first_weight) {
+        homes.second = homes.first;
+        second_weight = first_weight;
+        homes.first = i;
+        first_weight = weight;
+      } else if (homes.second == candidates.size() || weight > second_weight) {
+        homes.second = i;
+        second_weight = weight;
+      }
+    }
+    if (homes.second == candidates.size()) {
+      homes.second = homes.first;
+    }
+    return homes;
+  }
+
+  static std::uint64_t Weight(std::uint64_t prefix, const std::string& name) {
+    return kernel::Random(prefix ^ kernel::StableHash(name)).Next();
+  }
+
   // Returns the cheapest candidate that has a part of the prompt cached and
   // is within the load bound, or the number of candidates if there is none.
   std::size_t BestCached(std::span<const Candidate> candidates,
--- a/tests/routing/policy_test.cc
+++ b/tests/routing/policy_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 
 #include <gtest/gtest.h>
 
@@ -130,6 +131,46 @@
   EXPECT_EQ(Shares("prefix-affinity", candidates)[5], kDraws);
 }
 
+// Returns which of 8 candidates of those loads get calls with that prefix.
+std::set<std::size_t> HomesOf(std::uint64_t prefix,
+                              std::uint64_t seed,
+                              std::span<const double> loads) {
+  RegisterBuiltInPolicies();
+  const std::unique_ptr<Policy> policy =
+      PolicyRegistry::Instance().Find("prefix-affinity")();
+  kernel::Random random(seed);
+  std::set<std::size_t> homes;
+  for (int i = 0; i < 100; ++i) {
+    homes.insert(
+        policy->Choose({.prefix_hash = prefix}, Candidates(loads), random));
+  }
+  return homes;
+}
+
+TEST(PrefixAffinityPolicyTest, EntriesAgreeOnWhereAnUnknownPrefixGoes) {
+  const std::vector<double> loads(8, 2.0);
+  const std::set<std::size_t> homes = HomesOf(7, 1, loads);
+  EXPECT_LE(homes.size(), 2U);
+  EXPECT_EQ(HomesOf(7, 2, loads), homes);
+}
+
+TEST(PrefixAffinityPolicyTest, DifferentPrefixesUseAllCandidates) {
+  const std::vector<double> loads(8, 2.0);
+  std::set<std::size_t> used;
+  for (std::uint64_t prefix = 1; prefix <= 100; ++prefix) {
+    used.merge(HomesOf(prefix, 1, loads));
+  }
+  EXPECT_EQ(used.size(), 8U);
+}
+
+TEST(PrefixAffinityPolicyTest, AFullHomeIsReplaced) {
+  std::vector<double> loads(8, 2.0);
+  for (const std::size_t home : HomesOf(7, 1, loads)) {
+    loads[home] = 16;
+    EXPECT_FALSE(HomesOf(7, 1, loads).contains(home));
+  }
+}
+
 TEST(PrefixAffinityPolicyTest, LeavesTheCandidateWithThePrefixWhenItIsFull) {
   const std::vector<double> loads = {2, 2, 2, 2, 2, 14};
   std::vector<Candidate> candidates = Candidates(loads);
