--- a/source/radishrudder/calls/entry_state.cc
+++ b/source/radishrudder/calls/entry_state.cc
@@ -90,6 +90,9 @@
   call.idempotent =
       service.routes.IsIdempotent(call.request.method, call.request.target);
   m_deadlines.emplace(call.deadline, id);
+  if (AdmitByKey(now, id, service)) {
+    return;
+  }
   service.budget.Earn();
   call.waiting = true;
   const auto refused = service.queue.Push({.id = id,
@@ -160,6 +163,11 @@
          found->second.endpoints.Explain();
 }
 
+std::uint64_t EntryState::NextSequence() {
+  const std::uint64_t round = m_settings.sequences->fetch_add(1) + 1;
+  return round * m_settings.shard_count + m_settings.shard;
+}
+
 EntryService* EntryState::FindService(std::string_view name) {
   const auto found = m_services.find(name);
   return found == m_services.end() ? nullptr : &found->second;
@@ -208,6 +216,10 @@
 
 void EntryState::ExpireCall(kernel::Time now, CallId id) {
   EntryCall& call = m_calls.at(id);
+  if (call.key_request != 0) {
+    FailWithoutKey(now, id);
+    return;
+  }
   EntryService* const service = FindService(call.request.service);
   if (call.waiting && service != nullptr) {
     service->queue.Remove(id);
@@ -228,6 +240,7 @@
                                     .reason = failure.reason,
                                     .retry_after = failure.retry_after,
                                     .answer_begun = call.answer_begun,
+                                    .issued_key = std::move(failure.issued_key),
                                     .detail = std::move(failure.detail)});
   Forget(now, id);
 }
@@ -239,6 +252,7 @@
     CancelAttempt(now, m_attempts.find(sequence));
   }
   m_deadlines.erase({call->second.deadline, id});
+  m_key_requests.erase(call->second.key_request);
   m_calls.erase(call);
 }
 
