rollout: tests that fail without each rule

Cause: two rules, the closed gate after an unanswered order and the turn after an endpoint was unreachable, passed the tests also when taken out. Change: a count of openings, and a case of an unreachable engine.

--- a/tests/rollout/rollout_history_test.cc
+++ b/tests/rollout/rollout_history_test.cc
@@ -1,3 +1,5 @@
+#include <ostream>
+
 #include <gtest/gtest.h>
 
 #include "fleet.h"
@@ -30,6 +32,10 @@
   FleetSettings settings;
 };
 
+void PrintTo(const HistoryCase& history, std::ostream* out) {
+  *out << history.name;
+}
+
 class RolloutHistoryTest : public testing::TestWithParam<HistoryCase> {};
 
 TEST_P(RolloutHistoryTest, FloorHoldsUnderAnyOldView) {
--- a/tests/rollout/rollout_orders_test.cc
+++ b/tests/rollout/rollout_orders_test.cc
@@ -38,10 +38,11 @@
     ++m_start;
   }
   EndpointStatus Status() const {
-    return {true, running, std::to_string(m_start)};
+    return {reachable, running, std::to_string(m_start)};
   }
 
   std::string running;
+  bool reachable = true;
 
  private:
   bool m_checks_fence;
@@ -92,6 +93,7 @@
       rollout.OnGateEmpty(now);
     } else if (std::holds_alternative<OpenGate>(output)) {
       gate_open = true;
+      ++opened;
     } else if (std::holds_alternative<ReadBack>(output) && !silent) {
       rollout.OnEndpointStatus(now, m_engine.Status());
     } else if (const auto* order = std::get_if<OrderLoad>(&output)) {
@@ -112,6 +114,7 @@
   Ready announced;
   std::optional<OrderLoad> last;
   int orders = 0;
+  int opened = 0;
   bool gate_open = false;
   bool silent = false;
   bool hold_orders = false;
@@ -203,6 +206,7 @@
   agent.Run(m_now, 100);
   // The engine still runs "v1" but may change at any moment.
   EXPECT_FALSE(agent.gate_open);
+  EXPECT_EQ(agent.opened, 1);
   EXPECT_GT(agent.orders, 2);
   agent.hold_orders = false;
   agent.Run(m_now, 200);
@@ -210,6 +214,27 @@
   EXPECT_TRUE(agent.gate_open);
 }
 
+TEST_P(EngineKindTest, UnreachableEngineComesBackWithoutLosingItsTurn) {
+  AgentRun agent(m_engine, 10);
+  agent.Want(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  RolloutPeer peer;
+  peer.instance = "other";
+  peer.accepted_revision = 1;
+  agent.rollout.OnVersionComplete(m_now, "v2");
+  agent.rollout.OnPeers(m_now, {peer, peer, peer});
+  agent.rollout.OnDocument(m_now, 2, DocumentOf("v2"));
+  m_engine.reachable = false;
+  agent.Run(m_now, 5);
+  EXPECT_FALSE(agent.gate_open);
+  EXPECT_EQ(agent.announced.running_digest, "");
+  m_engine.reachable = true;
+  agent.Run(m_now, 5);
+  // The others have not accepted revision 2, so that this is not its turn.
+  EXPECT_TRUE(agent.gate_open);
+  EXPECT_EQ(agent.orders, 1);
+}
+
 INSTANTIATE_TEST_SUITE_P(All,
                          EngineKindTest,
                          testing::Bool(),
