dissemination: faults of service, network and processes

They found three faults, seen red first: a process whose own read was due read again at each news of a peer (62 reads a second of 40 processes while the service was down); a half without the service took longer than 3 s to learn after a partition, as only one neighbour was asked a second; and a document deleted while nobody watched was kept alive by an old copy. Now a read that starts draws the next one, all neighbours get the digest, and a full list without a document marks it deleted.

--- a/source/radishrudder/dissemination/document_replica.cc
+++ b/source/radishrudder/dissemination/document_replica.cc
@@ -1,6 +1,7 @@
 #include "radishrudder/dissemination/document_replica.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "document_store.h"
@@ -44,6 +45,43 @@
     }
   }
 
+  // Takes a document from a peer. One that the service's full list no longer
+  // has was deleted while nobody here watched.
+  void AcceptFromPeer(PublishedDocument document, std::string_view source) {
+    const bool was_deleted = has_full_list &&
+                             document.revision <= read_through &&
+                             store.Find(document.service) == nullptr;
+    if (was_deleted) {
+      Accept({document.service, read_through, true, ""}, {});
+    } else {
+      Accept(std::move(document), source);
+    }
+  }
+
+  // Marks as deleted what a full list of the service no longer has.
+  void AcceptFullList(const ReadResult& result) {
+    if (result.documents.empty()) {
+      return;
+    }
+    has_full_list = true;
+    std::set<std::string_view> listed;
+    for (const PublishedDocument& document : result.documents) {
+      listed.insert(document.service);
+    }
+    std::vector<std::string> gone;
+    for (const PublishedDocument* document : store.All()) {
+      const bool is_gone = !document->deleted &&
+                           document->revision <= result.revision &&
+                           !listed.contains(document->service);
+      if (is_gone) {
+        gone.push_back(document->service);
+      }
+    }
+    for (std::string& service : gone) {
+      Accept({std::move(service), result.revision, true, ""}, {});
+    }
+  }
+
   void OnDigest(kernel::Time now,
                 const std::string& from,
                 const wire::DocumentDigest& digest) {
@@ -79,6 +117,7 @@
   void StartDueRead(kernel::Time now) {
     const std::optional<StartRead> read = reads.Due(now, read_through);
     if (read.has_value()) {
+      read_after = read->after;
       outputs.emplace_back(*read);
     }
   }
@@ -90,9 +129,11 @@
   ReadSchedule reads;
   // The service's revision through which own reads are complete.
   std::uint64_t read_through = 0;
+  std::uint64_t read_after = 0;  // Of the read in progress.
   std::uint64_t current_summary = 0;
   kernel::Time hold_until{};
   bool has_current_summary = false;
+  bool has_full_list = false;
   bool begun = false;
   bool read_succeeded = false;
   bool is_current = false;
@@ -124,6 +165,9 @@
   state.reads.OnReadEnded(now, result.succeeded);
   if (result.succeeded) {
     state.read_succeeded = true;
+    if (state.read_after == 0) {
+      state.AcceptFullList(result);
+    }
     state.read_through = std::max(state.read_through, result.revision);
     for (PublishedDocument& document : result.documents) {
       state.Accept(std::move(document), {});
@@ -146,7 +190,7 @@
       state.exchange.OnRequest(from, message.document_request());
       break;
     case wire::Envelope::kDocumentUpdate:
-      state.Accept(FromUpdate(message.document_update()), from);
+      state.AcceptFromPeer(FromUpdate(message.document_update()), from);
       state.UpdateCurrent(now);
       break;
     default:
--- a/source/radishrudder/dissemination/exchange.cc
+++ b/source/radishrudder/dissemination/exchange.cc
@@ -113,6 +113,10 @@
 
 void Exchange::SetCurrent() {
   m_is_current = true;
+  TellAll();
+}
+
+void Exchange::TellAll() {
   for (const std::string& neighbour : m_neighbours) {
     SendDigest(neighbour, {});
   }
@@ -123,11 +127,7 @@
     return;
   }
   ScheduleExchange(now);
-  if (m_neighbours.empty()) {
-    return;
-  }
-  m_next_neighbour = (m_next_neighbour + 1) % m_neighbours.size();
-  SendDigest(m_neighbours[m_next_neighbour], {});
+  TellAll();
 }
 
 Exchange::Comparison Exchange::Compare(
--- a/source/radishrudder/dissemination/exchange.h
+++ b/source/radishrudder/dissemination/exchange.h
@@ -71,6 +71,8 @@
   void SendDigest(const std::string& to,
                   std::vector<wire::DocumentVersion> versions);
   void SendEnvelope(const std::string& to, wire::Envelope message);
+  // Sends the summary to all neighbours.
+  void TellAll();
   void ScheduleExchange(kernel::Time now);
 
   const ReplicaSettings& m_settings;
@@ -81,7 +83,6 @@
   std::set<std::string> m_unheard;
   std::map<std::string, Pull, std::less<>> m_pulls;
   kernel::Time m_next_exchange = kernel::Time::max();
-  std::size_t m_next_neighbour = 0;
   bool m_is_current = false;
   bool m_has_neighbours = false;
 };
--- a/source/radishrudder/dissemination/read_schedule.cc
+++ b/source/radishrudder/dissemination/read_schedule.cc
@@ -66,7 +66,6 @@
     return;
   }
   m_failures = 0;
-  m_own_read = now + kOwnReadInterval / 2 + DrawDelay(kOwnReadInterval);
   Schedule(now, m_is_reader ? kernel::Duration::zero()
                             : kQuietTime + DrawDelay(SpreadOfFleet()));
 }
@@ -84,6 +83,7 @@
     return std::nullopt;
   }
   m_reading = true;
+  m_own_read = now + kOwnReadInterval / 2 + DrawDelay(kOwnReadInterval);
   const kernel::Duration wait =
       m_is_reader && after != 0 ? m_watch_wait : kernel::Duration::zero();
   return StartRead{after, std::chrono::duration_cast<milliseconds>(wait)};
--- a/tests/dissemination/replica_network.cc
+++ b/tests/dissemination/replica_network.cc
@@ -26,6 +26,11 @@
   m_history[service].push_back({service, m_revision, true, ""});
 }
 
+void FakeService::Forget(const std::string& service) {
+  ++m_revision;
+  m_history.erase(service);
+}
+
 ReadResult FakeService::Read(std::uint64_t after) const {
   if (down) {
     return {};
@@ -124,8 +129,10 @@
   }
   if (delivery.message.has_hello()) {  // Stands for the end of a read.
     process.reading = false;
-    process.replica->OnRead(
-        m_now, m_service.Read(std::stoull(delivery.message.hello().address())));
+    const bool reachable = !cannot_read || !cannot_read(delivery.to);
+    const std::uint64_t after = std::stoull(delivery.message.hello().address());
+    process.replica->OnRead(m_now,
+                            reachable ? m_service.Read(after) : ReadResult{});
   } else {
     process.replica->OnMessage(m_now, delivery.message);
   }
--- a/tests/dissemination/replica_network.h
+++ b/tests/dissemination/replica_network.h
@@ -18,6 +18,8 @@
  public:
   void Publish(std::string service, std::string content);
   void Delete(const std::string& service);
+  // Deletes a document so that a read of everything does not show it.
+  void Forget(const std::string& service);
   std::uint64_t Revision() const { return m_revision; }
 
   bool down = false;
@@ -64,7 +66,9 @@
   double loss = 0;
   // Returns whether two processes are cut off from each other.
   std::function<bool(std::size_t, std::size_t)> is_cut;
-  // Bytes of updates sent, by receiver.
+  // Returns whether a process cannot reach the service.
+  std::function<bool(std::size_t)> cannot_read;
+  // Bytes sent by all processes.
   std::size_t update_bytes = 0;
   std::size_t all_bytes = 0;
 
