daemon: tell peers which revision was accepted while serving

Peers were not told the revision that an instance accepted, on which the order of ranks rests. The shell passes it on, and takes the view of a peer from the rollout part. The key of a key request is named "key", as callers were told.

--- a/include/radishrudder/calls/entry_core.h
+++ b/include/radishrudder/calls/entry_core.h
@@ -32,7 +32,7 @@
 };
 
 // A POST to this target of a service asks for an idempotency key; the answer
-// is {"idempotency_key": "..."} with status 201.
+// is {"key": "..."} with status 201.
 inline constexpr std::string_view kIssueKeyTarget = "/-/idempotency-keys";
 
 using EntryOutput = std::
--- a/source/radishrudder/calls/entry_keys.cc
+++ b/source/radishrudder/calls/entry_keys.cc
@@ -130,7 +130,7 @@
       .call = id,
       .status = kStatusCreated,
       .headers = {{.name = "Content-Type", .value = "application/json"}}});
-  const nlohmann::json body = {{"idempotency_key", key}};
+  const nlohmann::json body = {{"key", key}};
   m_outputs.emplace_back(AnswerPart{.call = id, .data = body.dump()});
   m_outputs.emplace_back(AnswerComplete{.call = id});
   Forget(now, id);
--- a/source/radishrudder/daemon/agent_daemon.cc
+++ b/source/radishrudder/daemon/agent_daemon.cc
@@ -14,6 +14,7 @@
 #include "radishrudder/daemon/weights_fetcher.h"
 #include "radishrudder/document/service_document.h"
 #include "radishrudder/logging/events.h"
+#include "radishrudder/rollout/peer_view.h"
 #include "radishrudder/rollout/rollout.h"
 #include "radishrudder/weights/transfer.h"
 
@@ -244,8 +245,7 @@
       transfer_peers.push_back({member.listed.instance,
                                 member.listed.data_centre, member.listed.region,
                                 !dead && !leaving && !suspected});
-      rollout_peers.push_back({member.listed.instance, leaving, suspected, dead,
-                               member.running_digest, member.ready_revision});
+      rollout_peers.push_back(rollout::ToPeer(member));
     }
     m_transfer.Run([&](auto& core, kernel::Time now) {
       core.OnPeers(now, std::move(transfer_peers));
@@ -421,7 +421,7 @@
       const std::lock_guard lock(m_state_mutex);
       m_in_force.ready_revision = ready.revision;
     }
-    m_node.SetReady(ready.running_digest, ready.revision);
+    m_node.SetReady(ready);
   }
 
   void ArmUpkeep() {
--- a/source/radishrudder/daemon/node.cc
+++ b/source/radishrudder/daemon/node.cc
@@ -308,9 +308,9 @@
   });
 }
 
-void Node::SetReady(const std::string& running_digest, std::uint64_t revision) {
+void Node::SetReady(const rollout::Ready& ready) {
   m_membership->Run([&](auto& core, kernel::Time) {
-    core.SetReady(running_digest, revision);
+    core.SetReady(ready.running_digest, ready.revision, ready.accepted);
   });
 }
 
--- a/source/radishrudder/daemon/node.h
+++ b/source/radishrudder/daemon/node.h
@@ -21,6 +21,7 @@
 #include "radishrudder/http/server.h"
 #include "radishrudder/membership/membership.h"
 #include "radishrudder/metrics/metrics.h"
+#include "radishrudder/rollout/rollout.h"
 #include "radishrudder/transport/peer_transport.h"
 
 namespace radishrudder::daemon {
@@ -67,7 +68,7 @@
   std::vector<membership::Member> Members() const;
   bool DocumentsAreCurrent() const;
 
-  void SetReady(const std::string& running_digest, std::uint64_t revision);
+  void SetReady(const rollout::Ready& ready);
   void SetLoad(const membership::Load& load);
   void SetLeaving();
 
