calls: entries choose endpoints by routing::Router

Cause: the entry had a choice of its own, and one failed call kept it from an endpoint for a second. Change: EndpointSet keeps room and closed runs; subset, policy, ejection and load view are the router's, which hears how each attempt ended.

--- a/source/radishrudder/calls/endpoint_set.cc
+++ b/source/radishrudder/calls/endpoint_set.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "radishrudder/routing/built_in_policies.h"
-
 namespace radishrudder::calls {
 
 namespace {
@@ -13,31 +11,45 @@
 constexpr kernel::Duration kReportLifetime = std::chrono::seconds(2);
 constexpr kernel::Duration kClosedTime = std::chrono::seconds(2);
 
-// Takes the less loaded of two random candidates.
-std::size_t LessLoadedOfTwo(const std::vector<routing::Candidate>& candidates,
-                            kernel::Random& random) {
-  const std::size_t first = random.Below(candidates.size());
-  const std::size_t second = random.Below(candidates.size());
-  const auto load = [&](std::size_t index) {
-    return candidates[index].estimated_calls / candidates[index].capacity;
-  };
-  return load(second) < load(first) ? second : first;
+routing::Refusal ToRefusal(wire::RefusalReason reason) {
+  switch (reason) {
+    case wire::REFUSAL_OVERLOADED:
+      return routing::Refusal::kOverloaded;
+    case wire::REFUSAL_DRAINING:
+      return routing::Refusal::kLeaving;
+    case wire::REFUSAL_NOT_READY:
+      return routing::Refusal::kNotReady;
+    case wire::REFUSAL_ENDPOINT_UNREACHABLE:
+      return routing::Refusal::kEndpointUnreachable;
+    default:
+      return routing::Refusal::kOther;
+  }
 }
 
-}  // namespace
+routing::LoadReport ToReport(const wire::EndpointLoad& load) {
+  return {.running = load.running(),
+          .waiting = load.waiting(),
+          .capacity = load.capacity()};
+}
 
-void EndpointSet::SetPolicy(std::string_view name) {
-  if (m_policy && m_policy_name == name) {
-    return;
-  }
-  routing::RegisterBuiltInPolicies();
-  m_policy_name = name;
-  const auto factory = routing::PolicyRegistry::Instance().Find(name);
-  m_policy = factory ? factory() : nullptr;
+routing::Endpoint ToEndpoint(const EndpointView& view) {
+  return {.instance = view.instance,
+          .incarnation = view.incarnation,
+          .data_centre = view.data_centre,
+          .distance_seconds = view.distance_seconds,
+          .leaving = view.leaving,
+          .suspected = view.suspected,
+          .running_digest = view.running_digest,
+          .load = {.running = view.running,
+                   .waiting = view.waiting,
+                   .capacity = view.capacity}};
 }
 
+}  // namespace
+
 void EndpointSet::Update(kernel::Time now,
                          std::vector<EndpointView> endpoints) {
+  std::vector<routing::Endpoint> routed;
   std::map<std::string, Endpoint, std::less<>> updated;
   for (EndpointView& view : endpoints) {
     Endpoint endpoint;
@@ -46,6 +58,7 @@
         known->second.view.incarnation == view.incarnation) {
       endpoint = std::move(known->second);
     }
+    routed.push_back(ToEndpoint(view));
     const double reported = view.running + view.waiting;
     endpoint.others = std::max(0.0, reported - endpoint.own);
     endpoint.told = now;
@@ -53,38 +66,31 @@
     updated.emplace(endpoint.view.instance, std::move(endpoint));
   }
   m_endpoints = std::move(updated);
+  m_router.OnEndpoints(now, routed);
 }
 
 Choice EndpointSet::Choose(kernel::Time now,
                            const routing::CallView& call,
-                           const std::set<wire::ProcessKey>& excluded,
-                           kernel::Random& random) {
-  std::vector<routing::Candidate> candidates;
+                           const std::set<wire::ProcessKey>& excluded) {
+  std::vector<std::string> unfit;
   bool any = false;
   for (const auto& [name, endpoint] : m_endpoints) {
     const EndpointView& view = endpoint.view;
-    if (!IsUsable(now, endpoint) ||
-        excluded.contains({view.instance, view.incarnation})) {
-      continue;
-    }
-    any = true;
-    const double estimated = EstimatedCalls(now, endpoint);
-    if (endpoint.avoid_until > now || estimated >= CapacityOf(endpoint)) {
-      continue;
+    const bool usable = IsUsable(now, endpoint) &&
+                        !excluded.contains({view.instance, view.incarnation});
+    any |= usable;
+    if (!usable || EstimatedCalls(now, endpoint) >= CapacityOf(endpoint)) {
+      unfit.push_back(name);
     }
-    candidates.push_back({.instance = name,
-                          .estimated_calls = estimated,
-                          .capacity = CapacityOf(endpoint),
-                          .distance_seconds = view.distance_seconds});
   }
-  if (candidates.empty()) {
+  const routing::Route route =
+      unfit.size() == m_endpoints.size()
+          ? routing::Route()
+          : m_router.Choose(now, {.call = call, .excluded = unfit});
+  if (route.instance.empty()) {
     return {.result = any ? ChoiceResult::kAllBusy : ChoiceResult::kNone};
   }
-  const std::size_t index = m_policy
-                                ? m_policy->Choose(call, candidates, random)
-                                : LessLoadedOfTwo(candidates, random);
-  return {.result = ChoiceResult::kChosen,
-          .agent = *Find(candidates[index].instance)};
+  return {.result = ChoiceResult::kChosen, .agent = *Find(route.instance)};
 }
 
 Choice EndpointSet::ChooseAny(kernel::Time now, kernel::Random& random) const {
@@ -111,22 +117,50 @@
   return wire::ProcessKey{view.instance, view.incarnation};
 }
 
-void EndpointSet::OnStarted(const wire::ProcessKey& agent) {
+void EndpointSet::OnStarted(kernel::Time now,
+                            const wire::ProcessKey& agent,
+                            const routing::CallView& call) {
+  m_router.OnSent(now, agent.instance, call);
   if (Endpoint* endpoint = FindRun(agent)) {
     ++endpoint->own;
   }
 }
 
-void EndpointSet::OnEnded(const wire::ProcessKey& agent) {
+void EndpointSet::OnEnded(kernel::Time now,
+                          const wire::ProcessKey& agent,
+                          const AttemptResult& result) {
   Endpoint* endpoint = FindRun(agent);
   if (endpoint != nullptr && endpoint->own > 0) {
     --endpoint->own;
   }
+  switch (result.ending) {
+    case AttemptEnding::kAnswered: {
+      routing::Answer answer{.first_byte = result.first_byte};
+      if (result.load) {
+        answer.load = ToReport(*result.load);
+      }
+      m_router.OnAnswered(now, agent.instance, answer);
+      break;
+    }
+    case AttemptEnding::kRefused:
+      m_router.OnRefused(now, agent.instance, ToRefusal(result.reason),
+                         result.retry_after);
+      break;
+    case AttemptEnding::kFailed:
+      m_router.OnFailed(now, agent.instance);
+      break;
+    case AttemptEnding::kAbandoned:
+      m_router.OnAbandoned(now, agent.instance);
+      break;
+  }
+  if (result.load) {
+    TakeLoad(now, agent, *result.load);
+  }
 }
 
-void EndpointSet::OnLoad(kernel::Time now,
-                         const wire::ProcessKey& agent,
-                         const wire::EndpointLoad& load) {
+void EndpointSet::TakeLoad(kernel::Time now,
+                           const wire::ProcessKey& agent,
+                           const wire::EndpointLoad& load) {
   Endpoint* endpoint = FindRun(agent);
   if (endpoint == nullptr) {
     return;
@@ -151,34 +185,8 @@
   }
 }
 
-double EndpointSet::Capacity() const {
-  double capacity = 0;
-  for (const auto& [name, endpoint] : m_endpoints) {
-    if (!endpoint.view.leaving && !endpoint.view.suspected) {
-      capacity += CapacityOf(endpoint);
-    }
-  }
-  return capacity;
-}
-
-std::string EndpointSet::Explain() const {
-  std::string text;
-  for (const auto& [name, endpoint] : m_endpoints) {
-    text += name + ": " + std::to_string(endpoint.own) +
-            " of this entry's calls in progress, " +
-            std::to_string(endpoint.view.running) + " running and " +
-            std::to_string(endpoint.view.waiting) + " waiting as reported";
-    text += endpoint.view.leaving     ? ", leaving"
-            : endpoint.view.suspected ? ", suspected"
-                                      : "";
-    text += '\n';
-  }
-  return text;
-}
-
 bool EndpointSet::IsUsable(kernel::Time now, const Endpoint& endpoint) const {
-  return !endpoint.view.leaving && !endpoint.view.suspected &&
-         endpoint.closed_until <= now;
+  return !endpoint.view.leaving && endpoint.closed_until <= now;
 }
 
 EndpointSet::Endpoint* EndpointSet::FindRun(const wire::ProcessKey& agent) {
--- a/source/radishrudder/calls/entry_attempts.cc
+++ b/source/radishrudder/calls/entry_attempts.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr kernel::Duration kAvoidAfterOverload = std::chrono::milliseconds(50);
-
 // Refusals that an endpoint gives until its state changes, not because of the
 // load.
 bool IsClosing(wire::RefusalReason reason) {
@@ -56,9 +54,13 @@
   m_attempts[sequence] = {.call = id,
                           .service = call.request.service,
                           .agent = agent,
-                          .answer = {}};
+                          .answer = {},
+                          .started = now};
   call.attempts.insert(sequence);
-  service.endpoints.OnStarted(agent);
+  service.endpoints.OnStarted(now, agent,
+                              {.workspace = call.request.workspace,
+                               .priority = call.request.priority,
+                               .prefix_hash = call.request.prefix_hash});
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       call.deadline - now);
   wire::Send send{.to = agent.instance, .message = {}};
@@ -116,14 +118,17 @@
 }
 
 void EntryState::Advance(kernel::Time now, Attempts::iterator attempt) {
-  PassOn(attempt);
+  PassOn(now, attempt);
   const AnswerAssembler& answer = attempt->second.answer;
   if (answer.IsWhole()) {
     const CallId call = attempt->second.call;
     EntryService* const service = FindService(attempt->second.service);
-    DropAttempt(now, attempt);
+    DropAttempt(
+        now, attempt,
+        {.ending = AttemptEnding::kAnswered,
+         .first_byte = attempt->second.first_byte - attempt->second.started});
     m_outputs.emplace_back(AnswerComplete{.call = call});
-    Forget(now, call);
+    Forget(now, call, AttemptEnding::kAbandoned);
     if (service != nullptr) {
       Dispatch(now, *service);
     }
@@ -150,12 +155,13 @@
            "refused by agent \"" + attempt->second.agent.instance + "\""});
 }
 
-void EntryState::PassOn(Attempts::iterator attempt) {
+void EntryState::PassOn(kernel::Time now, Attempts::iterator attempt) {
   const CallId id = attempt->second.call;
   EntryCall& call = m_calls.at(id);
   AnswerAssembler& answer = attempt->second.answer;
   if (auto head = answer.TakeHead()) {
     call.answer_begun = true;
+    attempt->second.first_byte = now;
     m_outputs.emplace_back(
         AnswerHead{.call = id,
                    .status = head->status(),
@@ -219,7 +225,12 @@
   call.excluded.insert(attempt->second.agent);
   call.maybe_ran |= failure.outcome != wire::OUTCOME_NOT_RUN;
   const bool showed = attempt->second.answer.HeadTaken();
-  DropAttempt(now, attempt);
+  const bool refused = failure.outcome == wire::OUTCOME_NOT_RUN;
+  DropAttempt(
+      now, attempt,
+      {.ending = refused ? AttemptEnding::kRefused : AttemptEnding::kFailed,
+       .reason = failure.reason,
+       .retry_after = failure.retry_after});
   if (!call.attempts.empty() && !showed) {
     return;
   }
@@ -249,10 +260,6 @@
   }
   if (IsClosing(failure.reason)) {
     service->endpoints.OnClosed(now, attempt.agent);
-  } else if (failure.reason == wire::REFUSAL_OVERLOADED) {
-    service->endpoints.Avoid(attempt.agent, now + kAvoidAfterOverload);
-  } else if (failure.reason == wire::REFUSAL_ENDPOINT_UNREACHABLE) {
-    service->endpoints.Avoid(attempt.agent, now + kAvoidAfterFailure);
   }
 }
 
@@ -272,14 +279,16 @@
                           : service.budget.TryTake();
 }
 
-void EntryState::DropAttempt(kernel::Time now, Attempts::iterator attempt) {
+void EntryState::DropAttempt(kernel::Time now,
+                             Attempts::iterator attempt,
+                             AttemptResult result) {
   EntryService* const service = FindService(attempt->second.service);
   if (service != nullptr) {
-    service->endpoints.OnEnded(attempt->second.agent);
     const auto& end = attempt->second.answer.End();
     if (end && end->has_load()) {
-      service->endpoints.OnLoad(now, attempt->second.agent, end->load());
+      result.load = end->load();
     }
+    service->endpoints.OnEnded(now, attempt->second.agent, result);
   }
   const auto call = m_calls.find(attempt->second.call);
   if (call != m_calls.end()) {
@@ -288,7 +297,9 @@
   m_attempts.erase(attempt);
 }
 
-void EntryState::CancelAttempt(kernel::Time now, Attempts::iterator attempt) {
+void EntryState::CancelAttempt(kernel::Time now,
+                               Attempts::iterator attempt,
+                               AttemptEnding ending) {
   wire::Send send{.to = attempt->second.agent.instance, .message = {}};
   *send.message.mutable_from() = ToMessage(m_settings.self);
   wire::CancelAttempt& cancel = *send.message.mutable_cancel_attempt();
@@ -296,7 +307,7 @@
       AttemptKey{.entry = m_settings.self, .sequence = attempt->first});
   cancel.set_agent_incarnation(attempt->second.agent.incarnation);
   m_outputs.emplace_back(std::move(send));
-  DropAttempt(now, attempt);
+  DropAttempt(now, attempt, {.ending = ending});
 }
 
 }  // namespace radishrudder::calls
--- a/source/radishrudder/calls/entry_keys.cc
+++ b/source/radishrudder/calls/entry_keys.cc
@@ -133,7 +133,7 @@
   const nlohmann::json body = {{"key", key}};
   m_outputs.emplace_back(AnswerPart{.call = id, .data = body.dump()});
   m_outputs.emplace_back(AnswerComplete{.call = id});
-  Forget(now, id);
+  Forget(now, id, AttemptEnding::kAbandoned);
 }
 
 void EntryState::FailWithoutKey(kernel::Time now, CallId id) {
--- a/source/radishrudder/calls/entry_state.cc
+++ b/source/radishrudder/calls/entry_state.cc
@@ -21,7 +21,12 @@
 
 void EntryState::OnDocument(kernel::Time now,
                             const document::ServiceDocument& document) {
-  EntryService& service = m_services[document.service];
+  const auto [found, added] = m_services.try_emplace(
+      document.service,
+      routing::RouterSettings{.entry = m_settings.self.instance,
+                              .subset = {.size = m_settings.endpoint_subset}},
+      kernel::Random(m_random.Next()));
+  EntryService& service = found->second;
   service.document = document;
   service.routes = RouteTable(document);
   service.queue.SetMaximum(document.calls.maximum_queue);
@@ -128,7 +133,7 @@
   if (found->second.waiting && service != nullptr) {
     service->queue.Remove(id);
   }
-  Forget(now, id);
+  Forget(now, id, AttemptEnding::kAbandoned);
   if (service != nullptr) {
     Dispatch(now, *service);
   }
@@ -169,7 +174,7 @@
   }
   return "policy " + found->second.document.calls.routing_policy + ", " +
          std::to_string(found->second.queue.Size()) + " calls waiting\n" +
-         found->second.endpoints.Explain();
+         found->second.endpoints.Explain(m_last_dispatch);
 }
 
 std::uint64_t EntryState::NextSequence() {
@@ -204,8 +209,7 @@
   const routing::CallView view{.workspace = call.request.workspace,
                                .priority = call.request.priority,
                                .prefix_hash = call.request.prefix_hash};
-  const Choice choice =
-      service.endpoints.Choose(now, view, call.excluded, m_random);
+  const Choice choice = service.endpoints.Choose(now, view, call.excluded);
   if (choice.result == ChoiceResult::kAllBusy) {
     return false;
   }
@@ -251,14 +255,16 @@
                                     .answer_begun = call.answer_begun,
                                     .issued_key = std::move(failure.issued_key),
                                     .detail = std::move(failure.detail)});
-  Forget(now, id);
+  Forget(now, id,
+         failure.reason == wire::REFUSAL_EXPIRED ? AttemptEnding::kFailed
+                                                 : AttemptEnding::kAbandoned);
 }
 
-void EntryState::Forget(kernel::Time now, CallId id) {
+void EntryState::Forget(kernel::Time now, CallId id, AttemptEnding ending) {
   const auto call = m_calls.find(id);
   const std::set<std::uint64_t> attempts = call->second.attempts;
   for (const std::uint64_t sequence : attempts) {
-    CancelAttempt(now, m_attempts.find(sequence));
+    CancelAttempt(now, m_attempts.find(sequence), ending);
   }
   m_deadlines.erase({call->second.deadline, id});
   m_key_requests.erase(call->second.key_request);
--- a/source/radishrudder/calls/entry_state.h
+++ b/source/radishrudder/calls/entry_state.h
@@ -22,6 +22,9 @@
 
 // What one entry keeps of one service.
 struct EntryService {
+  EntryService(routing::RouterSettings settings, kernel::Random random)
+      : endpoints(std::move(settings), random) {}
+
   document::ServiceDocument document;
   RouteTable routes;
   FairQueue queue{0};
@@ -55,6 +58,8 @@
   std::string service{};
   wire::ProcessKey agent{};
   AnswerAssembler answer;
+  kernel::Time started{};
+  kernel::Time first_byte{};
 };
 
 // How an attempt or a call ended without a whole answer.
@@ -124,7 +129,8 @@
   bool Place(kernel::Time now, EntryService& service, CallId id);
   void ExpireCall(kernel::Time now, CallId id);
   void Fail(kernel::Time now, CallId id, Failure failure);
-  void Forget(kernel::Time now, CallId id);
+  // Ends a call; `ending` is that of the attempts it still has.
+  void Forget(kernel::Time now, CallId id, AttemptEnding ending);
 
   // entry_keys.cc: idempotency keys.
   // Treats a call whose key decides what happens; returns whether it was one.
@@ -148,13 +154,17 @@
   Attempts::iterator FindAttempt(const wire::Envelope& message,
                                  const wire::AttemptId& id);
   void Advance(kernel::Time now, Attempts::iterator attempt);
-  void PassOn(Attempts::iterator attempt);
+  void PassOn(kernel::Time now, Attempts::iterator attempt);
   void EndAttempt(kernel::Time now,
                   Attempts::iterator attempt,
                   const Failure& failure);
   // Stops counting an attempt; its later messages are dropped.
-  void DropAttempt(kernel::Time now, Attempts::iterator attempt);
-  void CancelAttempt(kernel::Time now, Attempts::iterator attempt);
+  void DropAttempt(kernel::Time now,
+                   Attempts::iterator attempt,
+                   AttemptResult result);
+  void CancelAttempt(kernel::Time now,
+                     Attempts::iterator attempt,
+                     AttemptEnding ending);
   void NoteRefusal(kernel::Time now,
                    const EntryAttempt& attempt,
                    const Failure& failure);
