--- a/cmake/RadishrudderTargets.cmake
+++ b/cmake/RadishrudderTargets.cmake
@@ -23,6 +23,9 @@
   target_link_libraries(radishrudder_${part}
     PUBLIC ${ARG_DEPENDS}
     PRIVATE $<BUILD_INTERFACE:radishrudder_options>)
+  set_target_properties(radishrudder_${part} PROPERTIES EXPORT_NAME ${part})
+  install(TARGETS radishrudder_${part} EXPORT radishrudder
+    ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
 endfunction()
 
 # radishrudder_add_test(<name> SOURCES <file>... DEPENDS <target>...)
--- a/tests/programs/command_test.cc
+++ b/tests/programs/command_test.cc
@@ -69,6 +69,16 @@
             "valid: \"kind\"\n");
 }
 
+TEST(CheckTest, WarnsOfAPolicyThatNoProgramHas) {
+  const Result result = RunWith({"check", "cases/unknown_policy.json"});
+  EXPECT_EQ(result.exit_code, settings::kExitSuccess);
+  EXPECT_EQ(result.errors,
+            "cases/unknown_policy.json: warning: \"round-robbin\" is no policy "
+            "of this program at /calls/routingPolicy; valid: "
+            "least-expected-latency, least-loaded-of-two, prefix-affinity, "
+            "random, round-robin\n");
+}
+
 TEST(DiffTest, SaysWhatWillHappen) {
   const Result result = RunWith({"diff", "cases/old.json", "cases/new.json"});
   EXPECT_EQ(result.exit_code, settings::kExitSuccess);
