--- a/tests/programs/compare_help.cmake
+++ b/tests/programs/compare_help.cmake
@@ -1,9 +1,9 @@
-# Fails unless PAGE holds what "PROGRAM --help" prints, indented by four. With
+# Fails unless PAGE holds what "PROGRAM [SUBCOMMAND] --help" prints, indented by four. With
 # UPDATE, puts it in the place of the block that PAGE holds.
-execute_process(COMMAND ${PROGRAM} --help
+execute_process(COMMAND ${PROGRAM} ${SUBCOMMAND} --help
   OUTPUT_VARIABLE help RESULT_VARIABLE result)
 if(NOT result EQUAL 0)
-  message(FATAL_ERROR "${PROGRAM} --help ended with ${result}")
+  message(FATAL_ERROR "${PROGRAM} ${SUBCOMMAND} --help ended with ${result}")
 endif()
 string(REGEX REPLACE "\n+$" "" help "${help}")
 string(REPLACE "\n" "\n    " block "    ${help}")
