--- a/apps/radishrudder/explanation.cc
+++ b/apps/radishrudder/explanation.cc
@@ -65,7 +65,7 @@
     return WeightsSentence(agent);
   }
   if (!agent.waiting_for.empty()) {
-    return "it waits for " + agent.waiting_for;
+    return "its rollout stands at " + agent.waiting_for;
   }
   return "it names no reason; its gate is " + agent.gate +
          " and its endpoint runs " + ShortDigest(agent.running_digest);
--- a/apps/radishrudder/status_report.h
+++ b/apps/radishrudder/status_report.h
@@ -24,7 +24,7 @@
   std::uint64_t origin_bytes = 0;
   std::uint64_t peer_bytes = 0;
   bool weights_complete = false;
-  std::string waiting_for;  // In words; empty: nothing.
+  std::string waiting_for;  // Where its rollout stands, in words.
   std::uint64_t calls_in_progress = 0;
   std::uint64_t calls_waiting = 0;
   bool draining = false;
--- a/apps/radishrudder/status_view.cc
+++ b/apps/radishrudder/status_view.cc
@@ -146,7 +146,7 @@
 std::string RenderAgents(std::span<const ProcessStatus> processes) {
   std::vector<std::vector<std::string>> rows{
       {"SERVICE", "AGENT", "DATA CENTRE", "REVISION", "RUNNING", "GATE",
-       "CHUNKS", "ORIGIN", "PEERS", "CALLS", "WAITS FOR"}};
+       "CHUNKS", "ORIGIN", "PEERS", "CALLS", "ROLLOUT"}};
   for (const AgentStatus* const agent : Agents(processes)) {
     rows.push_back(AgentRow(*agent));
   }
--- a/tests/programs/status_test.cc
+++ b/tests/programs/status_test.cc
@@ -25,7 +25,7 @@
   "data_centre": "ab-a", "document_revision": 7, "ready_revision": 6,
   "running_digest": "sha256:fedcba9876543210", "gate": "closed",
   "weights": {"chunks_present": 40, "chunks_total": 40, "complete": true},
-  "waiting_for": "r-2, which ranks before it"})";
+  "waiting_for": "revision 7: r-2 is next"})";
 constexpr char kLateAgent[] = R"({"instance": "r-4", "service": "draft-llm",
   "data_centre": "ab-a", "document_revision": 6, "ready_revision": 6,
   "running_digest": "sha256:fedcba9876543210", "gate": "open",
@@ -59,13 +59,13 @@
       "weights complete 2/4, accepting calls 2/4\n"
       "\n"
       "SERVICE    AGENT  DATA CENTRE  REVISION  RUNNING              GATE     "
-      " CHUNKS  ORIGIN   PEERS    CALLS  WAITS FOR\n"
+      " CHUNKS  ORIGIN   PEERS    CALLS  ROLLOUT\n"
       "draft-llm  r-1    sask-a       7         sha256:0123456789ab  open     "
       " 40/40   1.0 MiB  3.0 MiB  3+1\n"
       "draft-llm  r-2    mb-a         6 -> 7    sha256:fedcba987654  open     "
       " 10/40   0 B      512 B    0+0    weights\n"
       "draft-llm  r-3    ab-a         6 -> 7    sha256:fedcba987654  closed   "
-      " 40/40   0 B      0 B      0+0    r-2, which ranks before it\n"
+      " 40/40   0 B      0 B      0+0    revision 7: r-2 is next\n"
       "draft-llm  r-4    ab-a         6         sha256:fedcba987654  draining "
       " 0/0     0 B      0 B      0+0\n"
       "\n"
@@ -98,8 +98,8 @@
       "sha256:0123456789ab.\n"
       "Agent r-2 (mb-a) is not ready on revision 7: it has 10 of 40 chunks of "
       "sha256:0123456789ab (0 B from the origin, 512 B from peers).\n"
-      "Agent r-3 (ab-a) is not ready on revision 7: it waits for r-2, which "
-      "ranks before it.\n"
+      "Agent r-3 (ab-a) is not ready on revision 7: its rollout stands at "
+      "revision 7: r-2 is next.\n"
       "Agent r-3 (ab-a) refuses new calls: its gate is closed.\n"
       "Agent r-4 (ab-a) is not ready on revision 7: it is draining and changes "
       "nothing any more.\n"
