http, daemon: a stopped client cancels what is open before its users end

Cause: 11 of 25 processes hung at a planned stop of the quick start. Watches of the platform were cancelled when the client was destroyed, after the state machines that their handlers call. Client::Stop cancels first; a request after it is cancelled at once, so the endpoint client no longer holds its lock over a start. Ruled out: the streams, which had ended by then in every log.

Before: 11 processes had to be killed.

--- a/include/radishrudder/http/client.h
+++ b/include/radishrudder/http/client.h
@@ -60,6 +60,10 @@
   std::uint64_t Start(ClientRequest request, ClientHandlers handlers);
   void Cancel(std::uint64_t request);
 
+  // Cancels every request and ends the thread. No handler is called after it
+  // returns, but for that of a later `Start`, which is cancelled at once.
+  void Stop();
+
   // Starts a request whose answer is collected and handed over whole.
   std::uint64_t Fetch(ClientRequest request,
                       std::function<void(WholeAnswer)> on_done);
--- a/source/radishrudder/daemon/agent_daemon.cc
+++ b/source/radishrudder/daemon/agent_daemon.cc
@@ -131,6 +131,8 @@
   }
 
   void Stop() {
+    // First the client, so that an order in progress ends.
+    m_node.HttpClient().Stop();
     m_endpoint.Stop();
     m_node.Stop();
   }
--- a/source/radishrudder/daemon/endpoint_client.cc
+++ b/source/radishrudder/daemon/endpoint_client.cc
@@ -105,8 +105,22 @@
   handlers.on_done = [this, id](const http::ClientResult& result) {
     HandleEnd(id, result);
   };
+  {
+    const std::lock_guard lock(m_mutex);
+    m_requests[id] = {};
+  }
+  // Without the lock: a client that has stopped ends the request at once.
+  const std::uint64_t number =
+      m_client.Start(std::move(request), std::move(handlers));
   const std::lock_guard lock(m_mutex);
-  m_requests[id] = m_client.Start(std::move(request), std::move(handlers));
+  const auto found = m_requests.find(id);
+  if (found == m_requests.end()) {
+    return;
+  }
+  found->second.number = number;
+  if (found->second.cancelled) {
+    m_client.Cancel(number);
+  }
 }
 
 void EndpointClient::HandleEnd(calls::EndpointCallId call,
@@ -129,8 +143,12 @@
 void EndpointClient::Cancel(calls::EndpointCallId call) {
   const std::lock_guard lock(m_mutex);
   const auto found = m_requests.find(call);
-  if (found != m_requests.end()) {
-    m_client.Cancel(found->second);
+  if (found == m_requests.end()) {
+    return;
+  }
+  found->second.cancelled = true;
+  if (found->second.number != 0) {
+    m_client.Cancel(found->second.number);
   }
 }
 
--- a/source/radishrudder/daemon/endpoint_client.h
+++ b/source/radishrudder/daemon/endpoint_client.h
@@ -63,6 +63,12 @@
   void Stop();
 
  private:
+  // A request of the client; its number is 0 until the client gave one.
+  struct Request {
+    std::uint64_t number = 0;
+    bool cancelled = false;
+  };
+
   rollout::OrderResult LoadNow(const LoadOrder& order);
   bool Put(const std::string& path, std::string body);
   void HandleEnd(calls::EndpointCallId call, const http::ClientResult& result);
@@ -71,7 +77,7 @@
   const std::string m_url;
   const EndpointCallHandlers m_handlers;
   std::mutex m_mutex;
-  std::map<calls::EndpointCallId, std::uint64_t> m_requests;
+  std::map<calls::EndpointCallId, Request> m_requests;
   // Orders are given one after the other, off the other threads.
   asio::thread_pool m_orders;
 };
--- a/source/radishrudder/daemon/node.cc
+++ b/source/radishrudder/daemon/node.cc
@@ -107,6 +107,7 @@
   if (m_transport) {
     m_transport->Stop();
   }
+  m_client.Stop();
   m_context.stop();
   for (std::thread& thread : m_threads) {
     thread.join();
--- a/source/radishrudder/http/client.cc
+++ b/source/radishrudder/http/client.cc
@@ -120,12 +120,18 @@
 Client::Client() : m_implementation(std::make_unique<Implementation>()) {}
 
 Client::~Client() {
+  Stop();
+}
+
+void Client::Stop() {
   {
     const std::lock_guard lock(m_implementation->mutex);
     m_implementation->ending = true;
   }
   curl_multi_wakeup(m_implementation->multi.get());
-  m_implementation->thread.join();
+  if (m_implementation->thread.joinable()) {
+    m_implementation->thread.join();
+  }
 }
 
 std::uint64_t Client::Start(ClientRequest request, ClientHandlers handlers) {
@@ -135,7 +141,14 @@
   {
     const std::lock_guard lock(m_implementation->mutex);
     number = ++m_implementation->last_number;
-    m_implementation->pending_starts.emplace_back(number, std::move(transfer));
+    if (!m_implementation->ending) {
+      m_implementation->pending_starts.emplace_back(number,
+                                                    std::move(transfer));
+    }
+  }
+  if (transfer) {
+    transfer->FinishWith(std::make_error_code(std::errc::operation_canceled));
+    return number;
   }
   curl_multi_wakeup(m_implementation->multi.get());
   return number;
--- a/tests/http/client_server_test.cc
+++ b/tests/http/client_server_test.cc
@@ -273,6 +273,29 @@
             std::errc::operation_canceled);
 }
 
+TEST(ClientServerTest, AStoppedClientCancelsOpenAndLaterRequests) {
+  std::atomic<int> cancelled = 0;
+  Client client;
+  const auto count_cancelled = [&](const WholeAnswer& answer) {
+    cancelled += answer.result.error == std::errc::operation_canceled ? 1 : 0;
+  };
+  std::shared_ptr<Responder> open;
+  std::promise<void> arrived;
+  Server server({}, [&](const Request&, std::shared_ptr<Responder> responder) {
+    open = std::move(responder);
+    arrived.set_value();
+  });
+  ASSERT_FALSE(server.Start());
+  ClientRequest request;
+  request.url = "http://127.0.0.1:" + std::to_string(server.Port()) + "/";
+  client.Fetch(request, count_cancelled);
+  arrived.get_future().wait();
+  client.Stop();
+  EXPECT_EQ(cancelled, 1);
+  client.Fetch(request, count_cancelled);
+  EXPECT_EQ(cancelled, 2);
+}
+
 TEST(ClientServerTest, ManyRequestsAtOnceGetTheirOwnAnswers) {
   constexpr int kRequests = 200;
   Pair pair(Echo);
