--- a/apps/radishrudder-standin/subcommands.cc
+++ b/apps/radishrudder-standin/subcommands.cc
@@ -82,7 +82,8 @@
            .default_value = "true",
            .choices = {"true", "false"}},
           Integer("load-milliseconds", "Time that a load takes.", "100", 0,
-                  kMaximumLoad)};
+                  kMaximumLoad),
+          ExecutionsFile()};
 }
 
 std::unique_ptr<StandIn> MakeEngine(const Values& values,
@@ -94,7 +95,8 @@
                          values.Integer("tokens-per-second")),
                      .checks_fence = values.Text("checks-fence") == "true",
                      .load_time = std::chrono::milliseconds(
-                         values.Integer("load-milliseconds"))});
+                         values.Integer("load-milliseconds")),
+                     .executions_file = values.Text("executions-file")});
 }
 
 }  // namespace
