--- a/include/radishrudder/http/client.h
+++ b/include/radishrudder/http/client.h
@@ -56,9 +56,13 @@
   Client& operator=(const Client&) = delete;
 
   // Starts a request; returns a number for `Cancel`. `on_done` is called
-  // exactly once, also after a cancel and when the client is destroyed.
+  // exactly once, also after a cancel and when the client is stopped.
   std::uint64_t Start(ClientRequest request, ClientHandlers handlers);
   void Cancel(std::uint64_t request);
+  // Cancels every request and joins the thread; later requests are cancelled
+  // at once, on the calling thread. To be called before what the handlers use
+  // is destroyed, and not on the client's thread.
+  void Stop();
 
   // Starts a request whose answer is collected and handed over whole.
   std::uint64_t Fetch(ClientRequest request,
--- a/source/radishrudder/http/client.cc
+++ b/source/radishrudder/http/client.cc
@@ -120,24 +120,39 @@
 Client::Client() : m_implementation(std::make_unique<Implementation>()) {}
 
 Client::~Client() {
+  Stop();
+}
+
+void Client::Stop() {
   {
     const std::lock_guard lock(m_implementation->mutex);
     m_implementation->ending = true;
   }
   curl_multi_wakeup(m_implementation->multi.get());
-  m_implementation->thread.join();
+  if (m_implementation->thread.joinable()) {
+    m_implementation->thread.join();
+  }
 }
 
 std::uint64_t Client::Start(ClientRequest request, ClientHandlers handlers) {
   auto transfer =
       std::make_unique<ClientTransfer>(std::move(request), std::move(handlers));
   std::uint64_t number = 0;
+  bool ending = false;
   {
     const std::lock_guard lock(m_implementation->mutex);
     number = ++m_implementation->last_number;
-    m_implementation->pending_starts.emplace_back(number, std::move(transfer));
+    ending = m_implementation->ending;
+    if (!ending) {
+      m_implementation->pending_starts.emplace_back(number,
+                                                    std::move(transfer));
+    }
+  }
+  if (ending) {
+    transfer->FinishWith(std::make_error_code(std::errc::operation_canceled));
+  } else {
+    curl_multi_wakeup(m_implementation->multi.get());
   }
-  curl_multi_wakeup(m_implementation->multi.get());
   return number;
 }
 
--- a/tests/http/client_server_test.cc
+++ b/tests/http/client_server_test.cc
@@ -273,6 +273,31 @@
             std::errc::operation_canceled);
 }
 
+// A daemon's handlers ask again when a request ends; they must not be called
+// once the client has stopped.
+TEST(ClientServerTest, AStoppedClientEndsRequestsThatItsHandlersMake) {
+  std::promise<void> started;
+  std::shared_ptr<Responder> kept;
+  Pair pair([&](const Request&, std::shared_ptr<Responder> responder) {
+    kept = std::move(responder);
+    started.set_value();
+  });
+  int ended = 0;
+  const auto count = [&](const WholeAnswer& answer) {
+    EXPECT_EQ(answer.result.error, std::errc::operation_canceled);
+    ++ended;
+  };
+  pair.client.Fetch(pair.To("POST", "/"), [&](const WholeAnswer& answer) {
+    count(answer);
+    pair.client.Fetch(pair.To("POST", "/again"), count);
+  });
+  started.get_future().wait();
+  pair.client.Stop();
+  EXPECT_EQ(ended, 2);
+  pair.client.Fetch(pair.To("POST", "/late"), count);
+  EXPECT_EQ(ended, 3);
+}
+
 TEST(ClientServerTest, ManyRequestsAtOnceGetTheirOwnAnswers) {
   constexpr int kRequests = 200;
   Pair pair(Echo);
