weights: no chunk is sent twice for a repeated request

Cause: a trace showed duplicates and crossings above one copy: a waiting peer asks again while its chunk is on the links, each of 43 senders may burst onto a link between regions, and the manifest crosses again for each early retry. Change: a chunk sent a moment ago is not queued again; senders have a small burst onto links between regions; the manifest is asked for again after 1.5 s; inventories go out every 60 ms. The measurement prints a trace and has a window of 20 s.

--- a/include/radishrudder/weights/transfer.h
+++ b/include/radishrudder/weights/transfer.h
@@ -73,7 +73,7 @@
   double speed = 0.5;  // From the document: 0 origin bytes, 1 time.
   std::uint64_t maximum_staged_bytes = 2ULL << 30U;
   // Time between two inventories to the same neighbours.
-  kernel::Duration inventory_interval = std::chrono::milliseconds(20);
+  kernel::Duration inventory_interval = std::chrono::milliseconds(60);
   // Requests in progress to one neighbour.
   std::uint32_t requests_per_neighbour = 2;
 };
--- a/include/radishrudder/weights/upload_queue.h
+++ b/include/radishrudder/weights/upload_queue.h
@@ -2,6 +2,7 @@
 #define RADISHRUDDER_WEIGHTS_UPLOAD_QUEUE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,7 +28,7 @@
 class UploadQueue {
  public:
   // Returns false if the queue or the peer's part of it is full. An upload
-  // that is already queued stays where it is.
+  // that is already queued, or was sent a moment ago, stays as it is.
   bool Add(Upload upload);
   // Removes and returns the next upload that the budgets let go.
   std::optional<Upload> Take(kernel::Time now, LinkBudgets& budgets);
@@ -39,9 +40,18 @@
   std::size_t Size() const { return m_queue.size(); }
 
  private:
+  struct Sent {
+    std::string peer;
+    std::string manifest_digest;
+    std::uint32_t index = 0;
+    kernel::Time time{};
+  };
+
+  bool WasJustSent(const Upload& upload) const;
   std::uint32_t SentOf(const Upload& upload) const;
 
   std::vector<Upload> m_queue;
+  std::deque<Sent> m_recent;  // The oldest first.
   // Times sent, for each chunk of a version.
   std::map<std::string, std::map<std::uint32_t, std::uint32_t>, std::less<>>
       m_sent;
--- a/measure/spread/host.cc
+++ b/measure/spread/host.cc
@@ -250,6 +250,8 @@
        m_nodes.at(index).core->TakeOutputs()) {
     Handle(index, output);
   }
+  m_world.OnProgress(
+      index, m_nodes.at(index).core->Progress(m_world.Digest()).chunks_present);
   ScheduleTick(index);
 }
 
--- a/measure/spread/options.h
+++ b/measure/spread/options.h
@@ -12,13 +12,13 @@
   std::uint32_t instances = 16;
   std::uint32_t data_centres = 3;  // Each a region of its own.
   double mebibytes = 8;            // Size of the weights, F.
-  double window_seconds = 12;      // The origin's link carries 4 F in it.
+  double window_seconds = 20;      // The origin's link carries 4 F in it.
   double region_mbits = 20;        // Each way, for a pair of regions.
   double kill_percent = 0;
   double corrupt_percent = 0;
   std::uint32_t chunk_kib = 32;
   std::uint32_t neighbours = 6;
-  std::uint32_t inventory_milliseconds = 20;
+  std::uint32_t inventory_milliseconds = 60;
   std::uint32_t requests = 2;  // In progress to one neighbour.
   std::string selector = "rarest-first";
   double speed = 0.5;
--- a/measure/spread/spread.cc
+++ b/measure/spread/spread.cc
@@ -2,9 +2,11 @@
 // carry how many copies of them.
 #include <sys/resource.h>
 
+#include <iomanip>
 #include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <thread>
 #include <vector>
 
@@ -21,6 +23,7 @@
 constexpr double kTimeTargetWithFaults = 1.75;
 constexpr double kCopiesTarget = 1.1;
 constexpr double kOriginTargetWithFaults = 2;
+constexpr double kTracesPerBound = 10;
 constexpr double kMaximumBounds = 5;  // A run ends after so many bounds.
 constexpr std::chrono::milliseconds kConnectTime(200);
 constexpr std::chrono::milliseconds kPoll(5);
@@ -50,13 +53,15 @@
 
  private:
   void StartHosts();
-  void WaitUntil(kernel::Time time) const;
+  void WaitUntil(kernel::Time time);
+  void Trace() const;
   nlohmann::json Report(double processor_seconds) const;
 
   SpreadOptions m_options;
   World m_world;
   std::vector<std::unique_ptr<Host>> m_hosts;
   kernel::Time m_start{};
+  int m_traces = 0;
 };
 
 void Run::StartHosts() {
@@ -74,12 +79,32 @@
   }
 }
 
-void Run::WaitUntil(kernel::Time time) const {
+void Run::WaitUntil(kernel::Time time) {
+  const double step = m_options.FluidBound() / kTracesPerBound;
   while (!m_world.AllComplete() && std::chrono::steady_clock::now() < time) {
+    if (std::chrono::steady_clock::now() >= After(m_start, m_traces * step)) {
+      Trace();
+      ++m_traces;
+    }
     std::this_thread::sleep_for(kPoll);
   }
 }
 
+// Prints the share of the bound's time that passed, the copies that left the
+// origin and the mean share of the weights in each region.
+void Run::Trace() const {
+  const Seconds passed = std::chrono::steady_clock::now() - m_start;
+  std::ostringstream line;
+  line << std::fixed << std::setprecision(2) << "time "
+       << passed.count() / m_options.FluidBound() << " origin "
+       << static_cast<double>(m_world.origin_bytes) / m_options.FileBytes()
+       << " regions";
+  for (const double share : m_world.Progress()) {
+    line << " " << share;
+  }
+  std::cerr << line.str() << "\n";
+}
+
 nlohmann::json Run::Measure() {
   const double bound = m_options.FluidBound();
   StartHosts();
--- a/measure/spread/world.cc
+++ b/measure/spread/world.cc
@@ -29,7 +29,8 @@
                                    m_options.chunk_kib * kKibibyte)),
       m_digest(weights::IdentityOf(m_manifest)),
       m_dead(m_options.instances + 1),
-      m_done(m_options.instances + 1) {
+      m_done(m_options.instances + 1),
+      m_present(m_options.instances + 1) {
   for (NodeIndex node = 0; node <= m_options.instances; ++node) {
     m_names[NameOf(node)] = node;
   }
@@ -91,6 +92,21 @@
   }
 }
 
+std::vector<double> World::Progress() const {
+  std::vector<double> sums(m_options.data_centres, 0);
+  std::vector<std::uint32_t> counts(m_options.data_centres, 0);
+  for (NodeIndex node = 0; node < m_options.instances; ++node) {
+    if (!IsDead(node)) {
+      sums[RegionOf(node)] += m_present[node];
+      ++counts[RegionOf(node)];
+    }
+  }
+  for (std::size_t i = 0; i < sums.size(); ++i) {
+    sums[i] /= static_cast<double>(counts[i] * m_manifest.chunks.size());
+  }
+  return sums;
+}
+
 void World::OnComplete(kernel::Time now, NodeIndex node, bool right) {
   wrong_loads += right ? 0 : 1;
   const std::lock_guard lock(m_mutex);
--- a/measure/spread/world.h
+++ b/measure/spread/world.h
@@ -44,6 +44,12 @@
   // Kills a share of the instances, chosen by the seed.
   void KillSome();
   bool IsDead(NodeIndex node) const { return m_dead[node]; }
+  // Records how many chunks an instance has.
+  void OnProgress(NodeIndex node, std::uint32_t chunks) {
+    m_present[node] = chunks;
+  }
+  // Returns the mean share of the weights on the live instances of each region.
+  std::vector<double> Progress() const;
   // Records that an instance has the version, with these bytes or others.
   void OnComplete(kernel::Time now, NodeIndex node, bool right);
   bool AllComplete() const {
@@ -68,6 +74,7 @@
   std::map<std::string, NodeIndex, std::less<>> m_names;
   std::vector<std::atomic<bool>> m_dead;
   std::vector<std::atomic<bool>> m_done;
+  std::vector<std::atomic<std::uint32_t>> m_present;
   std::atomic<std::uint32_t> m_killed = 0;
   std::atomic<std::uint32_t> m_complete = 0;
   mutable std::mutex m_mutex;
--- a/source/radishrudder/weights/link_budgets.cc
+++ b/source/radishrudder/weights/link_budgets.cc
@@ -7,6 +7,9 @@
 
 // Share of each link that transfers keep under full pressure of calls.
 constexpr double kMinimumShare = 0.1;
+// Many senders share a link between regions: together their bursts must not
+// fill its queue.
+constexpr double kRegionBurstBytes = 4.0 * 1024;
 
 }  // namespace
 
@@ -48,7 +51,7 @@
   const PacedLink* known = FindRegion(region);
   if (known == nullptr || known->Rate() != rate) {
     m_regions.insert_or_assign(std::string(region),
-                               PacedLink(rate, m_burst, now));
+                               PacedLink(rate, kRegionBurstBytes, now));
   }
 }
 
--- a/source/radishrudder/weights/manifest_search.cc
+++ b/source/radishrudder/weights/manifest_search.cc
@@ -8,7 +8,7 @@
 
 constexpr std::size_t kTreeWidth = 4;
 constexpr std::size_t kMaximumWaiting = 4096;
-constexpr std::chrono::milliseconds kAskInterval(500);
+constexpr std::chrono::milliseconds kAskInterval(1500);
 constexpr std::chrono::seconds kFetchTimeout(5);
 // Every so many attempts the sources are asked, whatever the rank.
 constexpr std::uint32_t kAttemptsBeforeFetch = 12;
--- a/source/radishrudder/weights/upload_queue.cc
+++ b/source/radishrudder/weights/upload_queue.cc
@@ -8,6 +8,9 @@
 
 constexpr std::size_t kMaximumQueued = 512;
 constexpr std::ptrdiff_t kMaximumPerPeer = 64;
+// Time that a chunk may take on the links; until then a repeated request does
+// not send it again.
+constexpr std::chrono::milliseconds kFlightTime(1500);
 
 }  // namespace
 
@@ -17,7 +20,7 @@
         return item.index == upload.index && item.peer == upload.peer &&
                item.manifest_digest == upload.manifest_digest;
       });
-  if (known) {
+  if (known || WasJustSent(upload)) {
     return true;
   }
   const auto of_peer = std::count_if(
@@ -30,6 +33,15 @@
   return true;
 }
 
+bool UploadQueue::WasJustSent(const Upload& upload) const {
+  return std::any_of(
+      m_recent.begin(), m_recent.end(), [&upload](const Sent& item) {
+        return item.index == upload.index && item.peer == upload.peer &&
+               item.manifest_digest == upload.manifest_digest &&
+               upload.queued < item.time + kFlightTime;
+      });
+}
+
 std::uint32_t UploadQueue::SentOf(const Upload& upload) const {
   const auto version = m_sent.find(upload.manifest_digest);
   if (version == m_sent.end()) {
@@ -57,6 +69,10 @@
   Upload upload = std::move(*best);
   m_queue.erase(best);
   ++m_sent[upload.manifest_digest][upload.index];
+  while (!m_recent.empty() && m_recent.front().time + kFlightTime <= now) {
+    m_recent.pop_front();
+  }
+  m_recent.push_back({upload.peer, upload.manifest_digest, upload.index, now});
   return upload;
 }
 
