--- a/include/radishrudder/weights/transfer.h
+++ b/include/radishrudder/weights/transfer.h
@@ -21,6 +21,8 @@
   std::string data_centre;
   std::string region;
   bool alive = true;
+
+  bool operator==(const TransferPeer&) const = default;
 };
 
 // Where bytes from outside the fleet come from.
@@ -76,6 +78,12 @@
   kernel::Duration inventory_interval = std::chrono::milliseconds(60);
   // Requests in progress to one neighbour.
   std::uint32_t requests_per_neighbour = 2;
+  // Whether a region may take a chunk from the region before it in the chain,
+  // or each only from the store's region.
+  bool relay_regions = true;
+  // Whether a chunk goes to those on duty as soon as it is here, or when they
+  // ask again.
+  bool push_duties = true;
 };
 
 // How far one version has come here.
--- a/measure/spread/host.cc
+++ b/measure/spread/host.cc
@@ -53,6 +53,8 @@
     settings.neighbours = options.neighbours;
     settings.selector = options.selector;
     settings.speed = options.speed;
+    settings.relay_regions = options.relay;
+    settings.push_duties = options.push;
     settings.requests_per_neighbour = options.requests;
     settings.inventory_interval =
         std::chrono::milliseconds(options.inventory_milliseconds);
--- a/measure/spread/options.cc
+++ b/measure/spread/options.cc
@@ -42,7 +42,11 @@
   add("requests", "Requests in progress to one neighbour", options.requests);
   add("selector", "Chunk selector", options.selector);
   add("speed", "0: few bytes from the origin, 1: time", options.speed);
+  add("relay", "Whether regions take chunks from each other", options.relay);
+  add("push", "Whether chunks go to those on duty unasked", options.push);
   add("threads", "Threads that share the instances", options.threads);
+  add("slopes", "Print what single cores of several sizes take instead",
+      options.slopes);
   parser.add_options()("help", "Print this text");
   try {
     const cxxopts::ParseResult result = parser.parse(argc, argv);
--- a/measure/spread/options.h
+++ b/measure/spread/options.h
@@ -21,8 +21,11 @@
   std::uint32_t inventory_milliseconds = 60;
   std::uint32_t requests = 2;  // In progress to one neighbour.
   std::string selector = "rarest-first";
+  bool relay = true;  // Regions take chunks from each other.
+  bool push = true;   // Chunks go to those on duty without another request.
   double speed = 0.5;
   std::uint32_t threads = 4;
+  bool slopes = false;  // Measure single cores of several sizes instead.
 
   double FileBytes() const { return mebibytes * (1U << 20U); }
   double OriginRate() const { return 4 * FileBytes() / window_seconds; }
--- a/measure/spread/spread.cc
+++ b/measure/spread/spread.cc
@@ -12,6 +12,7 @@
 
 #include "host.h"
 #include "options.h"
+#include "slopes.h"
 #include "world.h"
 
 namespace radishrudder::measure {
@@ -178,6 +179,11 @@
 int main(int argc, char** argv) {
   using radishrudder::measure::ParseOptions;
   using radishrudder::measure::Run;
-  std::cout << Run(ParseOptions(argc, argv)).Measure().dump() << "\n";
+  const radishrudder::measure::SpreadOptions options = ParseOptions(argc, argv);
+  if (options.slopes) {
+    radishrudder::measure::PrintSlopes();
+    return 0;
+  }
+  std::cout << Run(options).Measure().dump() << "\n";
   return 0;
 }
--- a/source/radishrudder/weights/chunk_scheduler.cc
+++ b/source/radishrudder/weights/chunk_scheduler.cc
@@ -165,6 +165,9 @@
     const auto own = std::find(chain.begin(), chain.end(), settings.region);
     for (auto before = own; before != chain.begin();) {
       --before;
+      if (!settings.relay_regions && *before != settings.store_region) {
+        continue;
+      }
       for (std::string& name :
            duties.Order(*before, key, kUpstreamsPerRegion)) {
         upstreams.push_back(std::move(name));
--- a/source/radishrudder/weights/transfer.cc
+++ b/source/radishrudder/weights/transfer.cc
@@ -124,6 +124,9 @@
 }
 
 void Transfer::State::SetPeers(std::vector<TransferPeer> listed) {
+  if (listed == peers) {
+    return;
+  }
   peers = std::move(listed);
   const TransferSettings& settings = context.settings;
   context.duties.SetPeers(peers);
--- a/source/radishrudder/weights/version_transfer.cc
+++ b/source/radishrudder/weights/version_transfer.cc
@@ -13,6 +13,7 @@
 constexpr std::chrono::milliseconds kWaitingRetry(2000);
 constexpr std::chrono::milliseconds kNoManifestRetry(300);
 constexpr std::chrono::milliseconds kFullQueueRetry(500);
+constexpr std::chrono::milliseconds kPullRetry(200);
 constexpr std::chrono::milliseconds kWillNot(0);
 constexpr std::chrono::milliseconds kPollInterval(100);
 
@@ -217,6 +218,10 @@
     Refuse(from, index, kWillNot);
     return;
   }
+  if (!m_context.settings.push_duties) {
+    Refuse(from, index, kPullRetry);
+    return;
+  }
   m_waiting_count += m_waiting[index].insert(from).second ? 1 : 0;
   Refuse(from, index, kWaitingRetry);
 }
