--- a/include/radishrudder/weights/transfer.h
+++ b/include/radishrudder/weights/transfer.h
@@ -21,6 +21,8 @@
   std::string data_centre;
   std::string region;
   bool alive = true;
+
+  bool operator==(const TransferPeer&) const = default;
 };
 
 // Where bytes from outside the fleet come from.
@@ -73,9 +75,15 @@
   double speed = 0.5;  // From the document: 0 origin bytes, 1 time.
   std::uint64_t maximum_staged_bytes = 2ULL << 30U;
   // Time between two inventories to the same neighbours.
-  kernel::Duration inventory_interval = std::chrono::milliseconds(20);
+  kernel::Duration inventory_interval = std::chrono::milliseconds(60);
   // Requests in progress to one neighbour.
   std::uint32_t requests_per_neighbour = 2;
+  // Whether a region may take a chunk from the region before it in the chain,
+  // or each only from the store's region.
+  bool relay_regions = true;
+  // Whether a chunk goes to those on duty as soon as it is here, or when they
+  // ask again.
+  bool push_duties = true;
 };
 
 // How far one version has come here.
