--- a/measure/routing/cluster.cc
+++ b/measure/routing/cluster.cc
@@ -13,6 +13,7 @@
 constexpr double kDistanceBetweenSeconds = 0.005;
 constexpr double kWarmUpSeconds = 30;
 constexpr double kSampleSeconds = 0.1;
+constexpr double kPercent = 100;
 constexpr double kCachedShareAtCapacity = 0.5;
 
 double CallsPerSecond(const Options& options) {
@@ -34,6 +35,7 @@
       m_begin(m_events.Now() + FromSeconds(kWarmUpSeconds)),
       m_random(Seeded(options, 1)),
       m_workload(options.workspaces,
+                 options.shared_percent / kPercent,
                  CallsPerSecond(options),
                  Seeded(options, 2)) {
   AddEndpoints();
@@ -177,7 +179,7 @@
   message.first_sequence = state.next_cache_sequence;
   state.next_cache_sequence += message.events.size();
   for (Entry& entry : m_entries) {
-    if (m_random.Chance(m_options.gap_percent / 100)) {
+    if (m_random.Chance(m_options.gap_percent / kPercent)) {
       continue;
     }
     m_events.After(m_options.lag_ms / 1'000.0, [&entry, &state, message, this] {
--- a/measure/routing/options.cc
+++ b/measure/routing/options.cc
@@ -25,7 +25,9 @@
       "lag-ms", "mean age of a load report", number(defaults.lag_ms))(
       "workspaces", "workspaces of skewed sizes", number(defaults.workspaces))(
       "gap-percent", "cache event messages that are lost",
-      number(defaults.gap_percent))(
+      number(defaults.gap_percent))("shared-percent",
+                                    "calls whose prompt prefix others share",
+                                    number(defaults.shared_percent))(
       "load-factor", "rate over that of the engines with half cached",
       number(defaults.load_factor))("seconds", "virtual time measured",
                                     number(defaults.seconds))(
@@ -42,6 +44,14 @@
   }
 }
 
+void CheckPercent(const std::string& flag,
+                  double value,
+                  kernel::Findings& findings) {
+  if (!(value >= 0 && value <= 100)) {
+    findings.Error({flag, 0, 0, {}}, "out of range", "0 to 100");
+  }
+}
+
 void Check(const Options& options, kernel::Findings& findings) {
   CheckPositive("--endpoints", options.endpoints, findings);
   CheckPositive("--entries", options.entries, findings);
@@ -49,9 +59,8 @@
   CheckPositive("--workspaces", options.workspaces, findings);
   CheckPositive("--load-factor", options.load_factor, findings);
   CheckPositive("--seconds", options.seconds, findings);
-  if (options.gap_percent < 0 || options.gap_percent > 100) {
-    findings.Error({"--gap-percent", 0, 0, {}}, "out of range", "0 to 100");
-  }
+  CheckPercent("--gap-percent", options.gap_percent, findings);
+  CheckPercent("--shared-percent", options.shared_percent, findings);
   std::string names;
   for (const std::string& name : routing::PolicyRegistry::Instance().Names()) {
     names += (names.empty() ? "" : ", ") + name;
@@ -72,6 +81,7 @@
   options.lag_ms = result["lag-ms"].as<std::uint32_t>();
   options.workspaces = result["workspaces"].as<std::uint32_t>();
   options.gap_percent = result["gap-percent"].as<double>();
+  options.shared_percent = result["shared-percent"].as<double>();
   options.load_factor = result["load-factor"].as<double>();
   options.seconds = result["seconds"].as<double>();
   if (result.count("policy") > 0) {
--- a/measure/routing/options.h
+++ b/measure/routing/options.h
@@ -16,6 +16,8 @@
   std::uint32_t lag_ms = 250;
   std::uint32_t workspaces = 10;
   double gap_percent = 5;
+  // Calls whose prompt prefix other calls share.
+  double shared_percent = 100;
   // Mean rate over what the engines do with half of the prefixes cached.
   double load_factor = 0.8;
   double seconds = 300;               // Virtual time that is measured.
--- a/measure/routing/report.cc
+++ b/measure/routing/report.cc
@@ -22,6 +22,7 @@
           {"lag_ms", options.lag_ms},
           {"workspaces", options.workspaces},
           {"gap_percent", options.gap_percent},
+          {"shared_percent", options.shared_percent},
           {"load_factor", options.load_factor},
           {"seconds", options.seconds}};
 }
--- a/measure/routing/workload.cc
+++ b/measure/routing/workload.cc
@@ -41,9 +41,11 @@
 }  // namespace
 
 Workload::Workload(std::uint32_t workspaces,
+                   double shared,
                    double calls_per_second,
                    kernel::Random random)
-    : m_calls_per_second(calls_per_second),
+    : m_shared(shared),
+      m_calls_per_second(calls_per_second),
       m_random(random),
       m_workspace_sums(SkewedSums(workspaces)),
       m_prefix_sums(SkewedSums(kPrefixesPerWorkspace)) {}
@@ -53,8 +55,10 @@
   prompt.workspace =
       static_cast<std::uint32_t>(Draw(m_workspace_sums, m_random));
   const std::size_t rank = Draw(m_prefix_sums, m_random);
-  prompt.prefix = kernel::StableHash(std::to_string(prompt.workspace),
-                                     std::to_string(rank));
+  prompt.prefix = m_random.Chance(m_shared)
+                      ? kernel::StableHash(std::to_string(prompt.workspace),
+                                           std::to_string(rank))
+                      : m_random.Next();
   prompt.prefix_tokens =
       kShortestPrefixTokens +
       prompt.prefix % (kLongestPrefixTokens - kShortestPrefixTokens);
--- a/measure/routing/workload.h
+++ b/measure/routing/workload.h
@@ -23,8 +23,10 @@
 // high and a low one around its mean.
 class Workload {
  public:
-  // `calls_per_second` is the mean rate over all workspaces.
+  // `calls_per_second` is the mean rate over all workspaces. A call has a
+  // prefix that others share with probability `shared`, else one of its own.
   Workload(std::uint32_t workspaces,
+           double shared,
            double calls_per_second,
            kernel::Random random);
 
@@ -35,6 +37,7 @@
  private:
   double Exponential(double mean);
 
+  double m_shared;
   double m_calls_per_second;
   kernel::Random m_random;
   bool m_burst = false;
