--- a/source/radishrudder/routing/prefix_affinity_policy.cc
+++ b/source/radishrudder/routing/prefix_affinity_policy.cc
@@ -12,6 +12,8 @@
 // more as the mean relative load is above 1: behind queues, differences of
 // load grow, while prefills that are saved shorten the queues.
 constexpr double kCachedPromptWorth = 1;
+// Part of a prompt that its first home counts as having cached.
+constexpr double kFirstHomeCachedShare = 0.8;
 // A candidate above this multiple of the mean load, plus one call, is out of
 // bounds.
 constexpr double kLoadBound = 2;
@@ -19,9 +21,11 @@
 // Chooses by load less the worth of the cache among the two homes of the
 // prefix and the best candidate that has a part of the prompt cached. The
 // homes follow from the prefix and the names only, so that all entries place a
-// new prefix on the same endpoints. A candidate above the load bound is
-// neither a home nor chosen for its cache. Calls without a prefix go to the
-// less loaded of two random candidates.
+// new prefix on the same endpoints. Once a prefix is known to be cached
+// somewhere, its first home counts as having it too, since other entries send
+// it there; before, it may be a prompt that never comes again. A candidate
+// above the load bound is neither a home nor chosen for its cache. Calls
+// without a prefix go to the less loaded of two random candidates.
 class PrefixAffinityPolicy : public Policy {
  public:
   std::size_t Choose(const CallView& call,
@@ -32,12 +36,11 @@
     const CandidatePair pair =
         call.prefix_hash == 0 ? DrawTwo(candidates.size(), random)
                               : HomesOf(call.prefix_hash, candidates, mean);
-    std::size_t best = Better(candidates, pair.first, pair.second);
     const std::size_t cached = BestCached(candidates, mean, random);
-    if (cached < candidates.size()) {
-      best = Better(candidates, best, cached);
+    if (cached == candidates.size()) {
+      return Better(candidates, pair.first, pair.second);
     }
-    return best;
+    return Better(candidates, BetterHome(candidates, pair), cached);
   }
 
  private:
@@ -51,6 +54,18 @@
     return Cost(candidates[second]) < Cost(candidates[first]) ? second : first;
   }
 
+  // Chooses between homes. The first one counts as having the prefix cached to
+  // some part, for other entries send it there too.
+  std::size_t BetterHome(std::span<const Candidate> candidates,
+                         const CandidatePair& homes) const {
+    const Candidate& first = candidates[homes.first];
+    const double assumed =
+        std::max(first.cached_prefix_share, kFirstHomeCachedShare);
+    const double first_cost = RelativeLoad(first) - m_worth * assumed;
+    return Cost(candidates[homes.second]) < first_cost ? homes.second
+                                                       : homes.first;
+  }
+
   // Returns the two candidates within the load bound that come first in the
   // rendezvous order of the prefix. At least the least loaded candidate is
   // within the bound.
