--- a/measure/routing/report.cc
+++ b/measure/routing/report.cc
@@ -43,7 +43,12 @@
           {"bytes_per_endpoint_followed",
            state.endpoint_bytes / state.endpoints_followed},
           {"prefixes", state.prefixes},
-          {"prefix_bytes", state.prefix_bytes}};
+          {"prefix_bytes", state.prefix_bytes},
+          {"entries", state.entries},
+          {"entries_per_endpoint_min", state.fewest_entries},
+          {"entries_per_endpoint_max", state.most_entries},
+          {"choose_us", Rounded(state.choose_microseconds, 1)},
+          {"subset_us", Rounded(state.subset_microseconds, 0)}};
 }
 
 // Whether the chosen policy was measured and beats every other one.
--- a/measure/routing/router_state.cc
+++ b/measure/routing/router_state.cc
@@ -1,6 +1,9 @@
 #include "measure/routing/router_state.h"
 
 #include <malloc.h>
+#include <algorithm>
+#include <ctime>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -10,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kEndpoints = 940;
+constexpr std::size_t kEntries = 400;
 constexpr std::size_t kDataCentres = 7;
 constexpr std::size_t kCallsInFlight = 32;  // At each endpoint followed.
 
@@ -17,6 +21,10 @@
   return mallinfo2().uordblks;
 }
 
+double DistanceSeconds(std::size_t entry, std::size_t endpoint) {
+  return entry % kDataCentres == endpoint % kDataCentres ? 0.0005 : 0.005;
+}
+
 std::vector<routing::Endpoint> Endpoints() {
   std::vector<routing::Endpoint> endpoints(kEndpoints);
   for (std::size_t i = 0; i < kEndpoints; ++i) {
@@ -24,20 +32,64 @@
     endpoints[i].instance = "draft-llm-runner-" + std::to_string(i);
     endpoints[i].incarnation = 1;
     endpoints[i].data_centre = "data-centre-" + std::to_string(data_centre);
-    endpoints[i].distance_seconds = data_centre == 0 ? 0.0005 : 0.005;
+    endpoints[i].distance_seconds = DistanceSeconds(0, i);
     endpoints[i].running_digest = "sha256:" + std::string(64, 'a');
     endpoints[i].load.capacity = 16;
   }
   return endpoints;
 }
 
+// Returns the processor time of one run of `action`, the mean of `times`.
+template <typename Action>
+double MicrosecondsOf(std::size_t times, const Action& action) {
+  const std::clock_t begin = std::clock();
+  for (std::size_t i = 0; i < times; ++i) {
+    action();
+  }
+  const double seconds =
+      static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
+  return seconds * 1e6 / static_cast<double>(times);
+}
+
+void MeasureCoverage(std::span<const routing::Endpoint> endpoints,
+                     RouterState& state) {
+  std::vector<std::size_t> entries_of(endpoints.size());
+  for (std::size_t entry = 0; entry < kEntries; ++entry) {
+    // An entry is near to one data centre.
+    std::vector<routing::Endpoint> seen(endpoints.begin(), endpoints.end());
+    for (std::size_t i = 0; i < seen.size(); ++i) {
+      seen[i].distance_seconds = DistanceSeconds(entry, i);
+    }
+    const std::string name = "entry-" + std::to_string(entry);
+    for (const std::size_t index : routing::SelectSubset(name, seen, {})) {
+      ++entries_of[index];
+    }
+  }
+  state.entries = kEntries;
+  state.fewest_entries = std::ranges::min(entries_of);
+  state.most_entries = std::ranges::max(entries_of);
+}
+
+void MeasureTime(routing::Router& router,
+                 std::span<const routing::Endpoint> endpoints,
+                 kernel::Time now,
+                 RouterState& state) {
+  constexpr std::size_t kChoices = 20'000;
+  constexpr std::size_t kSubsets = 200;
+  state.choose_microseconds = MicrosecondsOf(
+      kChoices, [&] { router.Choose(now, {.call = {.prefix_hash = 1}}); });
+  state.subset_microseconds =
+      MicrosecondsOf(kSubsets, [&] { router.OnEndpoints(now, endpoints); });
+}
+
 }  // namespace
 
 RouterState MeasureRouterState() {
   const std::vector<routing::Endpoint> endpoints = Endpoints();
   const kernel::Time now(std::chrono::hours(1));
   const std::size_t before = AllocatedBytes();
-  routing::Router router({.entry = "entry-0"}, kernel::Random(1));
+  routing::Router router({.entry = "entry-0", .policy = "prefix-affinity"},
+                         kernel::Random(1));
   router.OnEndpoints(now, endpoints);
   for (std::size_t i = 0; i < kCallsInFlight; ++i) {
     for (const routing::Endpoint& endpoint : endpoints) {
@@ -57,6 +109,8 @@
     }
   }
   state.prefix_bytes = AllocatedBytes() - with_endpoints;
+  MeasureTime(router, endpoints, now, state);
+  MeasureCoverage(endpoints, state);
   return state;
 }
 
--- a/measure/routing/router_state.h
+++ b/measure/routing/router_state.h
@@ -14,6 +14,13 @@
   // and for a full prefix index.
   std::size_t endpoint_bytes = 0;
   std::size_t prefix_bytes = 0;
+  // Entries whose subset holds an endpoint, over all endpoints.
+  std::size_t entries = 0;
+  std::size_t fewest_entries = 0;
+  std::size_t most_entries = 0;
+  // Processor time of one choice, and of choosing the subset anew.
+  double choose_microseconds = 0;
+  double subset_microseconds = 0;
 };
 
 // Builds a router at the size expected in two years and measures it.
