--- a/source/radishrudder/calls/entry_state.h
+++ b/source/radishrudder/calls/entry_state.h
@@ -116,6 +116,8 @@
   // Returns the next sequence of this shard, above those of every shard so far.
   std::uint64_t NextSequence();
   EntryService* FindService(std::string_view name);
+  // Refuses a call that was not admitted.
+  void Refuse(kernel::Time now, CallId id, Failure failure);
   void Admit(kernel::Time now, CallId id, EntryService& service);
   void Dispatch(kernel::Time now, EntryService& service);
   // Places or fails a call taken from the queue; returns false if it must wait.
