routing: endpoints by run, room, default capacity

Cause: EntryCore keys attempts by instance and incarnation and sends only where there is room; the router knew neither. Calls to a run that has been replaced no longer count at, or eject, the run after it. Choose can leave out endpoints without room and says kBusy, and endpoints that report no capacity get the default.

--- a/include/radishrudder/routing/endpoint.h
+++ b/include/radishrudder/routing/endpoint.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "radishrudder/kernel/time.h"
 
@@ -31,6 +32,12 @@
   LoadReport load;
 };
 
+// One run of an endpoint's agent.
+struct EndpointRun {
+  std::string_view instance;
+  std::uint64_t incarnation = 0;
+};
+
 // Number of an endpoint inside one router; reused after the endpoint is gone.
 using Slot = std::uint32_t;
 
--- a/include/radishrudder/routing/load_estimate.h
+++ b/include/radishrudder/routing/load_estimate.h
@@ -17,8 +17,6 @@
  public:
   // Takes a report into account unless a newer one is known.
   void OnReport(kernel::Time measured, const LoadReport& report);
-  // Forgets what was reported, for another run of the endpoint.
-  void ForgetReports();
   void OnStarted(kernel::Time now);
   void OnEnded(kernel::Time now);
 
@@ -29,6 +27,7 @@
   double OwnAtReport() const { return m_own_at_report; }
   bool HasReport() const { return m_has_report; }
   kernel::Time Measured() const { return m_measured; }
+  // Capacity in the newest report that had one; 0 without.
   double Capacity() const { return m_capacity; }
   // The newest report as it came.
   const LoadReport& Report() const { return m_report; }
@@ -50,7 +49,7 @@
   LoadReport m_report;
   double m_others = 0;
   double m_own_at_report = 0;
-  double m_capacity = 1;
+  double m_capacity = 0;
 };
 
 }  // namespace radishrudder::routing
--- a/include/radishrudder/routing/load_view.h
+++ b/include/radishrudder/routing/load_view.h
@@ -23,11 +23,11 @@
  public:
   explicit LoadView(LoadSettings settings) : m_settings(settings) {}
 
-  // Begins to follow an endpoint, without any load known.
+  // Capacity of endpoints that report none.
+  void SetDefaultCapacity(double calls) { m_default_capacity = calls; }
+  // Begins to follow an endpoint, or another run of it, without any load known.
   void Add(Slot slot);
   void Remove(Slot slot);
-  // Another run of the endpoint: keeps only one's own calls.
-  void Restart(Slot slot) { m_estimates[slot].ForgetReports(); }
 
   // A report out of band. One without a time that equals the newest known one
   // is taken as the same report read again.
@@ -44,7 +44,7 @@
   void Refresh(kernel::Time now);
   // Running and waiting calls of an endpoint, estimated for `now`.
   double EstimatedCalls(kernel::Time now, Slot slot) const;
-  double Capacity(Slot slot) const { return m_estimates[slot].Capacity(); }
+  double Capacity(Slot slot) const;
   std::uint32_t OwnCalls(Slot slot) const {
     return m_estimates[slot].OwnCalls();
   }
@@ -53,6 +53,7 @@
   double Freshness(kernel::Time now, const LoadEstimate& estimate) const;
 
   LoadSettings m_settings;
+  double m_default_capacity = 1;
   std::vector<LoadEstimate> m_estimates;  // By slot.
   std::vector<bool> m_present;            // By slot.
   // Calls of others for each unit of capacity, mean over fresh reports.
--- a/include/radishrudder/routing/router.h
+++ b/include/radishrudder/routing/router.h
@@ -38,6 +38,8 @@
   CallView call{};
   std::string_view manifest_digest{};       // Empty: any.
   std::span<const std::string> excluded{};  // Instances tried before.
+  // Leave out endpoints whose estimated calls reach their capacity.
+  bool only_with_room = false;
 };
 
 // Why no endpoint can take a call.
@@ -46,11 +48,13 @@
   kNoEndpoints,   // None known that is not leaving.
   kWrongVersion,  // None runs the digest asked for.
   kAllTried,      // All that fit are excluded.
-  kRefusing       // All that fit refused calls a moment ago.
+  kRefusing,      // All that fit refused calls a moment ago.
+  kBusy           // All that fit are without room; with `only_with_room`.
 };
 
 struct Route {
   std::string instance{};  // Empty: none.
+  std::uint64_t incarnation = 0;
   NoRoute reason = NoRoute::kNone;
   kernel::Duration retry_after{};  // Set with `kRefusing`.
 };
@@ -73,7 +77,7 @@
 // Chooses endpoints for the calls that one entry sends to one service. State
 // machine without sockets, threads or clocks. Each `OnSent` is followed by
 // exactly one of `OnAnswered`, `OnRefused`, `OnFailed` and `OnAbandoned` for
-// that instance.
+// that run; those of a run that has been replaced are ignored.
 class Router {
  public:
   Router(RouterSettings settings, kernel::Random random);
@@ -81,6 +85,8 @@
   // Changes the policy. Returns false, and keeps the former one, if no policy
   // of that name is registered.
   bool SetPolicy(std::string_view name);
+  // Capacity of endpoints that report none.
+  void SetDefaultCapacity(double calls) { m_loads.SetDefaultCapacity(calls); }
   // All endpoints of the service. Chooses the subset anew.
   void OnEndpoints(kernel::Time now, std::span<const Endpoint> endpoints);
   // News of one endpoint; ignored outside the subset. Cheaper than
@@ -92,22 +98,23 @@
                      const CacheEvents& events);
 
   Route Choose(kernel::Time now, const RouteRequest& request);
-  void OnSent(kernel::Time now,
-              std::string_view instance,
-              const CallView& call);
+  void OnSent(kernel::Time now, const EndpointRun& run, const CallView& call);
   void OnAnswered(kernel::Time now,
-                  std::string_view instance,
+                  const EndpointRun& run,
                   const Answer& answer);
   // `retry_after` is zero if the agent named no time.
   void OnRefused(kernel::Time now,
-                 std::string_view instance,
+                 const EndpointRun& run,
                  Refusal refusal,
                  kernel::Duration retry_after = {});
   // A time-out, a broken connection or an answer that was cut off.
-  void OnFailed(kernel::Time now, std::string_view instance);
+  void OnFailed(kernel::Time now, const EndpointRun& run);
   // The caller has gone or another attempt answered first.
-  void OnAbandoned(kernel::Time now, std::string_view instance);
+  void OnAbandoned(kernel::Time now, const EndpointRun& run);
 
+  // Calls that all endpoints of the subset run at once, without those that
+  // are leaving or suspected.
+  double Capacity() const;
   // Says in words where calls go now and why, one line an endpoint.
   std::string Explain(kernel::Time now) const;
   // Endpoints followed: the subset, and those with calls still in flight.
@@ -129,8 +136,10 @@
   void Update(kernel::Time now, Slot slot, const Endpoint& endpoint);
   void DropOutsideSubset();
   std::optional<Slot> Find(std::string_view instance) const;
+  // Finds an endpoint if that run of it is the current one.
+  std::optional<Slot> FindRun(const EndpointRun& run) const;
   // Ends an attempt; returns its endpoint if it is followed.
-  std::optional<Slot> OnEnded(kernel::Time now, std::string_view instance);
+  std::optional<Slot> OnEnded(kernel::Time now, const EndpointRun& run);
 
   Fitness FitnessOf(kernel::Time now,
                     Slot slot,
@@ -139,6 +148,7 @@
   void RefreshTypicalLatency();
   void CollectCandidates(kernel::Time now, const RouteRequest& request);
   Candidate CandidateFor(kernel::Time now, Slot slot, const CallView& call);
+  bool HasRoom(kernel::Time now, Slot slot) const;
   Route WhyNone(kernel::Time now, const RouteRequest& request) const;
   std::string ExplainEndpoint(kernel::Time now, Slot slot) const;
 
--- a/measure/routing/router_state.cc
+++ b/measure/routing/router_state.cc
@@ -93,7 +93,7 @@
   router.OnEndpoints(now, endpoints);
   for (std::size_t i = 0; i < kCallsInFlight; ++i) {
     for (const routing::Endpoint& endpoint : endpoints) {
-      router.OnSent(now, endpoint.instance, {});
+      router.OnSent(now, {endpoint.instance, 1}, {});
     }
   }
   router.Choose(now, {});
@@ -105,7 +105,7 @@
   state.prefixes = routing::PrefixSettings().maximum_prefixes;
   for (std::size_t prefix = 1; prefix <= state.prefixes; ++prefix) {
     for (const routing::Endpoint& endpoint : endpoints) {
-      router.OnSent(now, endpoint.instance, {.prefix_hash = prefix});
+      router.OnSent(now, {endpoint.instance, 1}, {.prefix_hash = prefix});
     }
   }
   state.prefix_bytes = AllocatedBytes() - with_endpoints;
--- a/source/radishrudder/routing/load_estimate.cc
+++ b/source/radishrudder/routing/load_estimate.cc
@@ -29,13 +29,6 @@
   }
 }
 
-void LoadEstimate::ForgetReports() {
-  m_has_report = false;
-  m_report = LoadReport();
-  m_others = 0;
-  m_own_at_report = 0;
-}
-
 void LoadEstimate::OnStarted(kernel::Time now) {
   ++m_own_calls;
   Record(now, 1);
--- a/source/radishrudder/routing/load_view.cc
+++ b/source/radishrudder/routing/load_view.cc
@@ -61,7 +61,7 @@
     if (m_present[slot] && estimate.HasReport()) {
       const double weight = Freshness(now, estimate);
       others += weight * estimate.OthersReported();
-      capacity += weight * estimate.Capacity();
+      capacity += weight * Capacity(slot);
     }
   }
   m_mean_others = capacity > 0 ? others / capacity : 0;
@@ -69,13 +69,18 @@
 
 double LoadView::EstimatedCalls(kernel::Time now, Slot slot) const {
   const LoadEstimate& estimate = m_estimates[slot];
-  const double typical = m_mean_others * estimate.Capacity();
+  const double typical = m_mean_others * Capacity(slot);
   const double freshness = Freshness(now, estimate);
   const double others =
       freshness * estimate.OthersReported() + (1 - freshness) * typical;
   return estimate.OwnCalls() + others;
 }
 
+double LoadView::Capacity(Slot slot) const {
+  const double reported = m_estimates[slot].Capacity();
+  return reported > 0 ? reported : m_default_capacity;
+}
+
 double LoadView::Freshness(kernel::Time now,
                            const LoadEstimate& estimate) const {
   if (!estimate.HasReport()) {
--- a/source/radishrudder/routing/router.cc
+++ b/source/radishrudder/routing/router.cc
@@ -90,13 +90,15 @@
       CandidatesWithinReach(candidates, m_settings.spill, m_random);
   const std::size_t chosen =
       m_policy->Choose(request.call, candidates.first(count), m_random);
-  return {.instance = m_candidates[chosen].instance};
+  const Slot slot = *Find(m_candidates[chosen].instance);
+  return {.instance = m_candidates[chosen].instance,
+          .incarnation = m_tracked[slot].endpoint.incarnation};
 }
 
 void Router::OnSent(kernel::Time now,
-                    std::string_view instance,
+                    const EndpointRun& run,
                     const CallView& call) {
-  const std::optional<Slot> slot = Find(instance);
+  const std::optional<Slot> slot = FindRun(run);
   if (!slot) {
     return;
   }
@@ -108,9 +110,9 @@
 }
 
 void Router::OnAnswered(kernel::Time now,
-                        std::string_view instance,
+                        const EndpointRun& run,
                         const Answer& answer) {
-  const std::optional<Slot> slot = OnEnded(now, instance);
+  const std::optional<Slot> slot = OnEnded(now, run);
   if (!slot) {
     return;
   }
@@ -124,10 +126,10 @@
 }
 
 void Router::OnRefused(kernel::Time now,
-                       std::string_view instance,
+                       const EndpointRun& run,
                        Refusal refusal,
                        kernel::Duration retry_after) {
-  const std::optional<Slot> slot = OnEnded(now, instance);
+  const std::optional<Slot> slot = OnEnded(now, run);
   if (!slot) {
     return;
   }
@@ -147,15 +149,15 @@
   m_tracked[*slot].refusing_until = now + time;
 }
 
-void Router::OnFailed(kernel::Time now, std::string_view instance) {
-  const std::optional<Slot> slot = OnEnded(now, instance);
+void Router::OnFailed(kernel::Time now, const EndpointRun& run) {
+  const std::optional<Slot> slot = OnEnded(now, run);
   if (slot) {
     m_ejection.OnFailed(now, *slot, m_random);
   }
 }
 
-void Router::OnAbandoned(kernel::Time now, std::string_view instance) {
-  const std::optional<Slot> slot = OnEnded(now, instance);
+void Router::OnAbandoned(kernel::Time now, const EndpointRun& run) {
+  const std::optional<Slot> slot = OnEnded(now, run);
   if (slot) {
     m_ejection.OnUndecided(*slot);
   }
@@ -191,7 +193,7 @@
 void Router::Update(kernel::Time now, Slot slot, const Endpoint& endpoint) {
   Tracked& tracked = m_tracked[slot];
   if (tracked.endpoint.incarnation != endpoint.incarnation) {
-    m_loads.Restart(slot);
+    m_loads.Add(slot);
     m_ejection.Add(slot);
     m_prefixes.Add(slot);
     tracked.latency = {};
@@ -221,9 +223,15 @@
   return found->second;
 }
 
-std::optional<Slot> Router::OnEnded(kernel::Time now,
-                                    std::string_view instance) {
-  const std::optional<Slot> slot = Find(instance);
+std::optional<Slot> Router::FindRun(const EndpointRun& run) const {
+  const std::optional<Slot> slot = Find(run.instance);
+  const bool current =
+      slot && m_tracked[*slot].endpoint.incarnation == run.incarnation;
+  return current ? slot : std::nullopt;
+}
+
+std::optional<Slot> Router::OnEnded(kernel::Time now, const EndpointRun& run) {
+  const std::optional<Slot> slot = FindRun(run);
   if (!slot) {
     return std::nullopt;
   }
@@ -259,7 +267,8 @@
   const bool tried = std::find(request.excluded.begin(), request.excluded.end(),
                                endpoint.instance) != request.excluded.end();
   if (endpoint.leaving || !fits_version || tried ||
-      now < tracked.refusing_until) {
+      now < tracked.refusing_until ||
+      (request.only_with_room && !HasRoom(now, slot))) {
     return Fitness::kUnfit;
   }
   if (endpoint.suspected) {
@@ -268,6 +277,21 @@
   return m_ejection.Admits(now, slot) ? Fitness::kFit : Fitness::kEjected;
 }
 
+bool Router::HasRoom(kernel::Time now, Slot slot) const {
+  return m_loads.EstimatedCalls(now, slot) + 1 <= m_loads.Capacity(slot);
+}
+
+double Router::Capacity() const {
+  double capacity = 0;
+  for (const Slot slot : m_subset) {
+    const Endpoint& endpoint = m_tracked[slot].endpoint;
+    if (!endpoint.leaving && !endpoint.suspected) {
+      capacity += m_loads.Capacity(slot);
+    }
+  }
+  return capacity;
+}
+
 void Router::CollectCandidates(kernel::Time now, const RouteRequest& request) {
   Fitness best = Fitness::kUnfit;
   for (const Slot slot : m_subset) {
--- a/source/radishrudder/routing/router_explain.cc
+++ b/source/radishrudder/routing/router_explain.cc
@@ -54,6 +54,8 @@
     } else if (refusing) {
       worse(NoRoute::kRefusing);
       soonest = std::min(soonest, tracked.refusing_until);
+    } else if (request.only_with_room && !HasRoom(now, slot)) {
+      worse(NoRoute::kBusy);
     } else {
       worse(NoRoute::kAllTried);
     }
