--- a/source/radishrudder/membership/membership.cc
+++ b/source/radishrudder/membership/membership.cc
@@ -14,13 +14,15 @@
 namespace radishrudder::membership {
 namespace {
 
-// Members of the slow walk in one heartbeat to one neighbour.
+// Members of the slow walk in one heartbeat, to one neighbour in turn.
 constexpr std::size_t kWalkMembers = 4;
 // Members told at once to a neighbour that has just started.
 constexpr std::size_t kWelcomeMembers = 64;
 // A process tells the agents it follows that it does once in this many
 // heartbeats.
-constexpr std::uint64_t kHeartbeatsPerFollow = 4;
+constexpr std::uint64_t kHeartbeatsPerFollow = 8;
+// Followers get one heartbeat in this many.
+constexpr std::uint64_t kHeartbeatsPerFollower = 2;
 constexpr kernel::Duration kForgetAfter = std::chrono::seconds(60);
 
 }  // namespace
@@ -51,6 +53,7 @@
   void Defend(kernel::Time now, const wire::Heartbeat& heartbeat);
   void CheckSilence(kernel::Time now);
   void SendHeartbeats(kernel::Time now);
+  void SendToNeighbours(const wire::Heartbeat& own);
   void SendNews();
   void TellFacts(kernel::Time now);
   void UpdateRoster(kernel::Time now);
@@ -110,6 +113,12 @@
 void Membership::State::OnHeartbeat(kernel::Time now,
                                     const wire::ProcessKey& from,
                                     const wire::Heartbeat& heartbeat) {
+  if (!heartbeat.has_process()) {
+    wire::Heartbeat of_sender = heartbeat;
+    *of_sender.mutable_process() = wire::ToMessage(from);
+    OnHeartbeat(now, from, of_sender);
+    return;
+  }
   const std::string& instance = heartbeat.process().instance();
   if (instance == self_name) {
     OnOwnName(now, heartbeat);
@@ -117,8 +126,9 @@
   }
   const bool is_direct = instance == from.instance;
   const Record* before = table.Find(instance);
+  // A run that is new here, or heard again, may have missed news.
   const bool is_new_run =
-      before == nullptr ||
+      before == nullptr || before->member.state == membership::State::kDead ||
       before->member.incarnation != heartbeat.process().incarnation();
   const Change change = table.Apply(now, heartbeat, is_direct);
   if (is_direct && change != Change::kStale) {
@@ -220,15 +230,12 @@
   report.Advance();
   ++heartbeats;
   const wire::Heartbeat own = report.Periodic();
-  for (const std::string& neighbour : roster.Neighbours()) {
-    wire::HeartbeatBatch batch;
-    *batch.add_heartbeats() = own;
-    news.AppendWalk(table, kWalkMembers, batch);
-    Send(neighbour, std::move(batch));
-  }
-  for (const std::string& follower : roster.Followers(now)) {
-    if (!roster.Followed().contains(follower)) {
-      SendOwn(follower, own);
+  SendToNeighbours(own);
+  if (heartbeats % kHeartbeatsPerFollower == 0) {
+    for (const std::string& follower : roster.Followers(now)) {
+      if (!roster.Followed().contains(follower)) {
+        SendOwn(follower, own);
+      }
     }
   }
   if (heartbeats % kHeartbeatsPerFollow == 1) {
@@ -240,6 +247,20 @@
   }
 }
 
+void Membership::State::SendToNeighbours(const wire::Heartbeat& own) {
+  const std::size_t count = roster.Neighbours().size();
+  std::size_t index = 0;
+  for (const std::string& neighbour : roster.Neighbours()) {
+    wire::HeartbeatBatch batch;
+    *batch.add_heartbeats() = own;
+    if (index == heartbeats % count) {
+      news.AppendWalk(table, kWalkMembers, batch);
+    }
+    Send(neighbour, std::move(batch));
+    ++index;
+  }
+}
+
 void Membership::State::SendNews() {
   for (const std::string& neighbour : roster.Neighbours()) {
     wire::HeartbeatBatch batch;
--- a/source/radishrudder/membership/self_report.cc
+++ b/source/radishrudder/membership/self_report.cc
@@ -68,7 +68,6 @@
 
 wire::Heartbeat SelfReport::Short() const {
   wire::Heartbeat heartbeat;
-  *heartbeat.mutable_process() = wire::ToMessage(m_self.key);
   heartbeat.set_sequence(m_sequence);
   heartbeat.set_state(m_leaving ? wire::INSTANCE_STATE_LEAVING
                                 : wire::INSTANCE_STATE_LIVE);
--- a/source/radishrudder/membership/self_report.h
+++ b/source/radishrudder/membership/self_report.h
@@ -28,6 +28,7 @@
   bool IsLeaving() const { return m_leaving; }
   // True when facts changed that no heartbeat has carried yet.
   bool HasNews() const { return m_has_news; }
+  // Heartbeats of this process name no process: it is the sender.
   wire::Heartbeat Full() const;
   // Returns the heartbeat for those who had the facts lately.
   wire::Heartbeat Periodic() const;
