--- a/tools/fleet/calls.py
+++ b/tools/fleet/calls.py
@@ -173,7 +173,8 @@
                 call.repeatable = route["idempotent"]
                 plain(call, entry.url, workspace, route["method"],
                       route["prefix"])
-        except (OSError, http.client.HTTPException, ValueError) as error:
+        except (OSError, http.client.HTTPException, LookupError,
+                ValueError) as error:
             # A connection that was never made sent nothing, but then nobody
             # told the caller so.
             call.outcome, call.detail = "unknown", repr(error)
