--- a/tools/fleet/calls.py
+++ b/tools/fleet/calls.py
@@ -20,7 +20,9 @@
     repeatable: bool
     started: float = 0.0  # Unix time.
     ended: float = 0.0
-    outcome: str = ""  # whole, refused (confirmed not run), unknown, wrong
+    # whole, refused (confirmed not run), unreached (no connection), unknown
+    # or wrong
+    outcome: str = ""
     detail: str = ""
     digests: list = dataclasses.field(default_factory=list)
 
@@ -173,10 +175,10 @@
                 call.repeatable = route["idempotent"]
                 plain(call, entry.url, workspace, route["method"],
                       route["prefix"])
+        except ConnectionRefusedError as error:
+            call.outcome, call.detail = "unreached", repr(error)
         except (OSError, http.client.HTTPException, LookupError,
                 ValueError) as error:
-            # A connection that was never made sent nothing, but then nobody
-            # told the caller so.
             call.outcome, call.detail = "unknown", repr(error)
         call.ended = time.time()
         self.calls.append(call)
--- a/tools/fleet/checks.py
+++ b/tools/fleet/checks.py
@@ -37,3 +37,45 @@
 def outcomes(calls):
     """Counts the calls of each outcome."""
     return dict(collections.Counter(call.outcome for call in calls))
+
+
+def late_work(executions, faults, grace_seconds=2):
+    """Returns executions that began at a leaving endpoint after the grace."""
+    found = []
+    for fault in faults:
+        if fault.kind not in ("stop_agent", "list_leaving"):
+            continue
+        for execution in executions:
+            began = execution["started_unix_ms"] / 1000
+            if execution["instance"] == fault.instance and (
+                    fault.began + grace_seconds < began < fault.ended):
+                found.append(f"{fault.kind} {fault.instance}: "
+                             f"{execution['id'] or execution['path']} began "
+                             f"{began - fault.began:.1f} s after")
+    return found
+
+
+def interrupted(calls, executions, faults):
+    """Returns calls that a planned stop cut: in progress when it began, not
+    whole, and no other fault of a process at the same time."""
+    disturbing = ("kill", "pause")
+    by_marker = _executions_by_marker(calls, executions)
+    found = []
+    for stop in faults:
+        if not stop.kind.startswith("stop_"):
+            continue
+        for call in calls:
+            if call.outcome not in ("unknown", "wrong") or not (
+                    call.started < stop.began < call.ended):
+                continue
+            there = call.entry == stop.instance or any(
+                run["instance"] == stop.instance
+                for run in by_marker[call.marker])
+            others = any(fault.kind.startswith(disturbing)
+                         and fault.began < call.ended
+                         and call.started < fault.ended + 1
+                         for fault in faults)
+            if there and not others:
+                found.append(f"{stop.kind} {stop.instance}: {call.marker} "
+                             f"{call.service} {call.outcome} {call.detail}")
+    return found
