--- a/measure/spread/host.cc
+++ b/measure/spread/host.cc
@@ -311,6 +311,15 @@
   }
 }
 
+void Host::CountLateness(Time due) {
+  constexpr std::chrono::microseconds kLate(20'000);
+  const auto late =
+      std::chrono::duration_cast<std::chrono::microseconds>(Now() - due);
+  ++m_world.events;
+  m_world.late_microseconds += static_cast<std::uint64_t>(late.count());
+  m_world.late_events += late > kLate ? 1 : 0;
+}
+
 void Host::ArmTimer() {
   m_timer.expires_at(m_events.begin()->first);
   m_timer.async_wait([this](std::error_code error) {
@@ -318,6 +327,7 @@
       return;
     }
     while (!m_events.empty() && m_events.begin()->first <= Now()) {
+      CountLateness(m_events.begin()->first);
       const auto action = std::move(m_events.begin()->second);
       m_events.erase(m_events.begin());
       action();
--- a/measure/spread/host.h
+++ b/measure/spread/host.h
@@ -74,6 +74,7 @@
   void ScheduleTick(NodeIndex index);
   void At(kernel::Time time, std::function<void()> action);
   void ArmTimer();
+  void CountLateness(kernel::Time due);
 
   World& m_world;
   std::uint32_t m_hosts;
--- a/measure/spread/spread.cc
+++ b/measure/spread/spread.cc
@@ -167,6 +167,11 @@
   line["control_messages"] = m_world.control_messages.load();
   line["control_bytes"] = m_world.control_bytes.load();
   line["processor_seconds"] = processor_seconds;
+  const auto events = static_cast<double>(m_world.events);
+  line["event_lateness_ms_mean"] =
+      static_cast<double>(m_world.late_microseconds) / 1e3 / events;
+  line["events_late_20_ms_percent"] =
+      100 * static_cast<double>(m_world.late_events) / events;
   line["met"] = all && ratio <= time_target && copies <= origin_target &&
                 (faults || m_world.MaximumRegionCopies() <= kCopiesTarget) &&
                 m_world.wrong_loads == 0;
--- a/measure/spread/world.h
+++ b/measure/spread/world.h
@@ -65,6 +65,10 @@
   std::atomic<std::uint64_t> control_bytes = 0;
   std::atomic<std::uint64_t> chunk_messages = 0;
   std::atomic<std::uint32_t> wrong_loads = 0;
+  // How late the threads were for their events: shows a machine too busy.
+  std::atomic<std::uint64_t> events = 0;
+  std::atomic<std::uint64_t> late_microseconds = 0;
+  std::atomic<std::uint64_t> late_events = 0;  // By more than 20 ms.
 
  private:
   SpreadOptions m_options;
--- a/source/radishrudder/weights/version_transfer.cc
+++ b/source/radishrudder/weights/version_transfer.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t kMaximumWaiting = 8192;
-constexpr std::uint64_t kWholeCheckBytes = 64ULL << 20U;
+constexpr std::uint64_t kWholeCheckBytes = 8ULL << 20U;
 constexpr std::chrono::seconds kInventoryRefresh(2);
 // A waiting peer asks again after this, which shows that both still live.
 constexpr std::chrono::milliseconds kWaitingRetry(2000);
