--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -236,5 +236,37 @@
   }
 }
 
+class HerdingTest : public testing::TestWithParam<const char*> {};
+
+TEST_P(HerdingTest, EntriesWithOneStaleReportDoNotAllChooseTheIdleEndpoint) {
+  constexpr std::uint64_t kEntries = 16;
+  constexpr int kCallsOfAnEntry = 4;
+  std::vector<Endpoint> endpoints = Endpoints(8);
+  for (Endpoint& endpoint : endpoints) {
+    endpoint.load.running = 6;
+  }
+  endpoints[0].load.running = 0;
+  int at_idle = 0;
+  for (std::uint64_t entry = 0; entry < kEntries; ++entry) {
+    Router router(
+        {.entry = "entry-" + std::to_string(entry), .policy = GetParam()},
+        kernel::Random(entry));
+    router.OnEndpoints(At(0), endpoints);
+    for (int i = 0; i < kCallsOfAnEntry; ++i) {
+      const Route route = router.Choose(At(i), {});
+      router.OnSent(At(i), {route.instance, route.incarnation}, {});
+      at_idle += route.instance == "runner-0" ? 1 : 0;
+    }
+  }
+  EXPECT_GT(at_idle, 0);
+  EXPECT_LT(at_idle, static_cast<int>(kEntries) * kCallsOfAnEntry / 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Policies,
+                         HerdingTest,
+                         testing::Values("least-loaded-of-two",
+                                         "least-expected-latency",
+                                         "prefix-affinity"));
+
 }  // namespace
 }  // namespace radishrudder::routing
