membership: old facts are never told as new; faults and false alarms tested

Cause: a short heartbeat raised a member's sequence without its facts, so that another process passed old facts on under a new sequence; they replaced newer ones and were flooded again without end (at 420 peers 55,000 of 120,000 messages). Followed agents were suspected after three lost heartbeats, and lost wishes to follow silenced an agent for seconds. Change: a short heartbeat leaves the sequence as it is, neighbours always get the facts; followed agents get twice the time, and a follower is kept for 24 s.

--- a/source/radishrudder/membership/failure_detector.cc
+++ b/source/radishrudder/membership/failure_detector.cc
@@ -6,13 +6,27 @@
 namespace radishrudder::membership {
 
 void FailureDetector::Watch(kernel::Time now,
-                            const std::set<std::string>& members) {
-  std::map<std::string, kernel::Time, std::less<>> watched;
-  for (const std::string& member : members) {
-    const auto before = m_watched_since.find(member);
-    watched[member] = before == m_watched_since.end() ? now : before->second;
+                            const std::set<std::string>& neighbours,
+                            const std::set<std::string>& followed) {
+  std::map<std::string, Watched, std::less<>> watched;
+  for (const std::string& member : neighbours) {
+    WatchOne(now, member, m_suspect_after, watched);
   }
-  m_watched_since = std::move(watched);
+  for (const std::string& member : followed) {
+    WatchOne(now, member, 2 * m_suspect_after, watched);
+  }
+  m_watched = std::move(watched);
+}
+
+void FailureDetector::WatchOne(
+    kernel::Time now,
+    const std::string& member,
+    kernel::Duration patience,
+    std::map<std::string, Watched, std::less<>>& watched) const {
+  const auto before = m_watched.find(member);
+  const kernel::Time since =
+      before == m_watched.end() ? now : before->second.since;
+  watched.emplace(member, Watched{since, patience});
 }
 
 void FailureDetector::OnSuspected(std::string_view instance) {
@@ -23,8 +37,8 @@
   const bool was_paused = now - m_last_check > m_suspect_after / 2;
   m_last_check = now;
   if (was_paused) {
-    for (auto& entry : m_watched_since) {
-      entry.second = now;
+    for (auto& entry : m_watched) {
+      entry.second.since = now;
     }
   }
   std::vector<std::string> changed;
@@ -35,18 +49,18 @@
 
 bool FailureDetector::IsSilent(kernel::Time now,
                                const Record& record,
-                               kernel::Time watched_since) const {
+                               const Watched& watched) const {
   const kernel::Time last =
-      std::max({record.heard_directly, record.member.heard, watched_since});
-  return now - last > m_suspect_after;
+      std::max({record.heard_directly, record.member.heard, watched.since});
+  return now - last > watched.patience;
 }
 
 void FailureDetector::Suspect(kernel::Time now,
                               std::vector<std::string>& changed) {
-  for (const auto& [name, since] : m_watched_since) {
+  for (const auto& [name, watched] : m_watched) {
     Record* record = m_table.Find(name);
     if (record == nullptr || record->member.state != State::kLive ||
-        !IsSilent(now, *record, since)) {
+        !IsSilent(now, *record, watched)) {
       continue;
     }
     record->member.state = State::kSuspected;
--- a/source/radishrudder/membership/failure_detector.h
+++ b/source/radishrudder/membership/failure_detector.h
@@ -23,10 +23,10 @@
         m_suspect_after(suspect_after),
         m_dead_after(dead_after) {}
 
-  void Watch(kernel::Time now, const std::set<std::string>& members);
-  bool IsWatched(std::string_view instance) const {
-    return m_watched_since.contains(instance);
-  }
+  // `followed` send half as often as `neighbours` and get twice the time.
+  void Watch(kernel::Time now,
+             const std::set<std::string>& neighbours,
+             const std::set<std::string>& followed);
   // Tells that a member became suspected, here or elsewhere.
   void OnSuspected(std::string_view instance);
   // Returns the members whose state changed for their silence. After a pause
@@ -34,16 +34,26 @@
   std::vector<std::string> Check(kernel::Time now);
 
  private:
+  struct Watched {
+    kernel::Time since{};
+    kernel::Duration patience{};
+  };
+
   bool IsSilent(kernel::Time now,
                 const Record& record,
-                kernel::Time watched_since) const;
+                const Watched& watched) const;
   void Suspect(kernel::Time now, std::vector<std::string>& changed);
   void Bury(kernel::Time now, std::vector<std::string>& changed);
 
   MemberTable& m_table;
   kernel::Duration m_suspect_after;
   kernel::Duration m_dead_after;
-  std::map<std::string, kernel::Time, std::less<>> m_watched_since;
+  void WatchOne(kernel::Time now,
+                const std::string& member,
+                kernel::Duration patience,
+                std::map<std::string, Watched, std::less<>>& watched) const;
+
+  std::map<std::string, Watched, std::less<>> m_watched;
   std::set<std::string, std::less<>> m_suspected;
   kernel::Time m_last_check{};
 };
--- a/source/radishrudder/membership/member_table.cc
+++ b/source/radishrudder/membership/member_table.cc
@@ -57,11 +57,7 @@
   listed.data_centre = heartbeat.data_centre();
 }
 
-// A heartbeat names the role only when it carries all facts.
 void TakeFacts(const wire::Heartbeat& heartbeat, Member& member) {
-  if (heartbeat.role().empty()) {
-    return;
-  }
   member.running_digest = heartbeat.running_digest();
   member.ready_revision = heartbeat.ready_revision();
   member.accepted_revision = heartbeat.accepted_revision();
@@ -184,9 +180,29 @@
   record.member.listed = std::move(listed);
 }
 
+Change MemberTable::ApplyShort(kernel::Time now,
+                               const wire::Heartbeat& heartbeat) {
+  Record* record = Find(heartbeat.process().instance());
+  if (record == nullptr ||
+      record->member.incarnation != heartbeat.process().incarnation()) {
+    return Change::kNone;
+  }
+  record->heard_directly = now;
+  record->member.heard = now;
+  if (record->member.state == State::kSuspected) {
+    record->member.state = State::kLive;
+  }
+  TakeLoad(heartbeat, record->member);
+  return Change::kHeard;
+}
+
 Change MemberTable::Apply(kernel::Time now,
                           const wire::Heartbeat& heartbeat,
                           bool is_direct) {
+  // A heartbeat names the role only when it carries all facts.
+  if (heartbeat.role().empty()) {
+    return ApplyShort(now, heartbeat);
+  }
   Record& record = m_records[heartbeat.process().instance()];
   Member& member = record.member;
   member.listed.instance = heartbeat.process().instance();
--- a/source/radishrudder/membership/member_table.h
+++ b/source/radishrudder/membership/member_table.h
@@ -56,6 +56,9 @@
   }
 
  private:
+  // Takes a heartbeat with the load alone. It leaves the sequence as it is, so
+  // that old facts are never told under a newer sequence.
+  Change ApplyShort(kernel::Time now, const wire::Heartbeat& heartbeat);
   void ApplyListed(ListedInstance listed, std::vector<std::string>& changed);
 
   std::map<std::string, Record, std::less<>> m_records;
--- a/source/radishrudder/membership/membership.cc
+++ b/source/radishrudder/membership/membership.cc
@@ -23,6 +23,8 @@
 constexpr std::uint64_t kHeartbeatsPerFollow = 8;
 // Followers get one heartbeat in this many.
 constexpr std::uint64_t kHeartbeatsPerFollower = 2;
+// Of the heartbeats to a follower, one in this many carries all facts.
+constexpr std::uint64_t kFollowerHeartbeatsPerFull = 5;
 constexpr kernel::Duration kForgetAfter = std::chrono::seconds(60);
 
 }  // namespace
@@ -54,6 +56,7 @@
   void CheckSilence(kernel::Time now);
   void SendHeartbeats(kernel::Time now);
   void SendToNeighbours(const wire::Heartbeat& own);
+  void SendToFollowers(kernel::Time now);
   void SendNews();
   void TellFacts(kernel::Time now);
   void UpdateRoster(kernel::Time now);
@@ -231,22 +234,30 @@
   ++heartbeats;
   const wire::Heartbeat own = report.Periodic();
   SendToNeighbours(own);
-  if (heartbeats % kHeartbeatsPerFollower == 0) {
-    for (const std::string& follower : roster.Followers(now)) {
-      if (!roster.Followed().contains(follower)) {
-        SendOwn(follower, own);
-      }
-    }
-  }
+  SendToFollowers(now);
   if (heartbeats % kHeartbeatsPerFollow == 1) {
     for (const std::string& agent : roster.Followed()) {
       if (!roster.Neighbours().contains(agent)) {
-        SendOwn(agent, own);
+        SendOwn(agent, report.Short());
       }
     }
   }
 }
 
+void Membership::State::SendToFollowers(kernel::Time now) {
+  if (heartbeats % kHeartbeatsPerFollower != 0) {
+    return;
+  }
+  const bool is_full =
+      heartbeats / kHeartbeatsPerFollower % kFollowerHeartbeatsPerFull == 0;
+  const wire::Heartbeat own = is_full ? report.Periodic() : report.Short();
+  for (const std::string& follower : roster.Followers(now)) {
+    if (!roster.Followed().contains(follower)) {
+      SendOwn(follower, own);
+    }
+  }
+}
+
 void Membership::State::SendToNeighbours(const wire::Heartbeat& own) {
   const std::size_t count = roster.Neighbours().size();
   std::size_t index = 0;
@@ -288,9 +299,7 @@
   roster_changed = false;
   roster.Update();
   list.SetWatcher(roster.IsListWatcher());
-  std::set<std::string> watched = roster.Neighbours();
-  watched.insert(roster.Followed().begin(), roster.Followed().end());
-  detector.Watch(now, watched);
+  detector.Watch(now, roster.Neighbours(), roster.Followed());
 }
 
 void Membership::State::StartDueRead(kernel::Time now) {
--- a/source/radishrudder/membership/roster.cc
+++ b/source/radishrudder/membership/roster.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // A follower that is silent for this long gets no more heartbeats.
-constexpr kernel::Duration kFollowerTime = std::chrono::seconds(14);
+constexpr kernel::Duration kFollowerTime = std::chrono::seconds(24);
 
 }  // namespace
 
--- a/source/radishrudder/membership/self_report.cc
+++ b/source/radishrudder/membership/self_report.cc
@@ -48,22 +48,27 @@
   }
 }
 
+wire::Heartbeat SelfReport::Facts() const {
+  wire::Heartbeat heartbeat = Short();
+  heartbeat.set_role(m_self.listed.role == Role::kEntry ? "entry" : "agent");
+  heartbeat.set_running_digest(m_running_digest);
+  heartbeat.set_ready_revision(m_ready_revision);
+  heartbeat.set_accepted_revision(m_accepted_revision);
+  return heartbeat;
+}
+
 wire::Heartbeat SelfReport::Full() const {
   const ListedInstance& listed = m_self.listed;
-  wire::Heartbeat heartbeat = Short();
+  wire::Heartbeat heartbeat = Facts();
   heartbeat.set_service(listed.service);
   heartbeat.set_address(listed.address);
   heartbeat.set_data_centre(listed.data_centre);
-  heartbeat.set_role(listed.role == Role::kEntry ? "entry" : "agent");
-  heartbeat.set_running_digest(m_running_digest);
-  heartbeat.set_ready_revision(m_ready_revision);
-  heartbeat.set_accepted_revision(m_accepted_revision);
   return heartbeat;
 }
 
 wire::Heartbeat SelfReport::Periodic() const {
   const bool is_full = m_full_left != 0 || m_sequence % kHeartbeatsPerFull == 0;
-  return is_full ? Full() : Short();
+  return is_full ? Full() : Facts();
 }
 
 wire::Heartbeat SelfReport::Short() const {
--- a/source/radishrudder/membership/self_report.h
+++ b/source/radishrudder/membership/self_report.h
@@ -8,8 +8,7 @@
 
 namespace radishrudder::membership {
 
-// What this process says of itself. Facts go out in full when they change and
-// now and then after; in between a heartbeat carries the load alone.
+// What this process says of itself.
 class SelfReport {
  public:
   explicit SelfReport(Self self);
@@ -30,11 +29,13 @@
   bool HasNews() const { return m_has_news; }
   // Heartbeats of this process name no process: it is the sender.
   wire::Heartbeat Full() const;
-  // Returns the heartbeat for those who had the facts lately.
+  // Returns all facts, but where this process is only now and then.
   wire::Heartbeat Periodic() const;
+  // Returns the load alone, for those who follow this process.
+  wire::Heartbeat Short() const;
 
  private:
-  wire::Heartbeat Short() const;
+  wire::Heartbeat Facts() const;
 
   Self m_self;
   std::string m_running_digest;
--- a/tests/dissemination/replica_network.cc
+++ b/tests/dissemination/replica_network.cc
@@ -178,6 +178,9 @@
     ++m_reverts;
   }
   in_force = document.revision;
+  if (on_accepted) {
+    on_accepted(document);
+  }
 }
 
 int ReplicaNetwork::InForce(const std::string& service,
--- a/tests/dissemination/replica_network.h
+++ b/tests/dissemination/replica_network.h
@@ -66,6 +66,8 @@
   double loss = 0;
   // Returns whether two processes are cut off from each other.
   std::function<bool(std::size_t, std::size_t)> is_cut;
+  // Called for each document that comes into force somewhere.
+  std::function<void(const PublishedDocument&)> on_accepted;
   // Returns whether a process cannot reach the service.
   std::function<bool(std::size_t)> cannot_read;
   // Bytes sent by all processes.
--- a/tests/membership/member_network.cc
+++ b/tests/membership/member_network.cc
@@ -121,6 +121,10 @@
 
 void MemberNetwork::HandleSend(std::size_t from, const wire::Send& send) {
   bytes += send.message.ByteSizeLong();
+  const wire::HeartbeatBatch& batch = send.message.heartbeat_batch();
+  const bool is_news =
+      batch.heartbeats_size() != 0 && batch.heartbeats(0).has_process();
+  news += is_news ? 1 : 0;
   const std::size_t to = m_index.at(send.to);
   if ((is_cut && is_cut(from, to)) || m_random.Chance(loss)) {
     return;
--- a/tests/membership/member_network.h
+++ b/tests/membership/member_network.h
@@ -49,6 +49,7 @@
   std::function<bool(std::size_t, std::size_t)> is_cut;
   bool list_down = false;
   std::size_t bytes = 0;
+  int news = 0;  // Messages that carry news of others alone.
 
  private:
   struct Delivery {
