--- a/source/radishrudder/daemon/node.cc
+++ b/source/radishrudder/daemon/node.cc
@@ -107,6 +107,7 @@
   if (m_transport) {
     m_transport->Stop();
   }
+  m_client.Stop();
   m_context.stop();
   for (std::thread& thread : m_threads) {
     thread.join();
@@ -308,9 +309,9 @@
   });
 }
 
-void Node::SetReady(const std::string& running_digest, std::uint64_t revision) {
+void Node::SetReady(const rollout::Ready& ready) {
   m_membership->Run([&](auto& core, kernel::Time) {
-    core.SetReady(running_digest, revision);
+    core.SetReady(ready.running_digest, ready.revision, ready.accepted);
   });
 }
 
