--- a/measure/spread/host.cc
+++ b/measure/spread/host.cc
@@ -53,6 +53,8 @@
     settings.neighbours = options.neighbours;
     settings.selector = options.selector;
     settings.speed = options.speed;
+    settings.relay_regions = options.relay;
+    settings.push_duties = options.push;
     settings.requests_per_neighbour = options.requests;
     settings.inventory_interval =
         std::chrono::milliseconds(options.inventory_milliseconds);
@@ -250,6 +252,8 @@
        m_nodes.at(index).core->TakeOutputs()) {
     Handle(index, output);
   }
+  m_world.OnProgress(
+      index, m_nodes.at(index).core->Progress(m_world.Digest()).chunks_present);
   ScheduleTick(index);
 }
 
@@ -307,6 +311,15 @@
   }
 }
 
+void Host::CountLateness(Time due) {
+  constexpr std::chrono::microseconds kLate(20'000);
+  const auto late =
+      std::chrono::duration_cast<std::chrono::microseconds>(Now() - due);
+  ++m_world.events;
+  m_world.late_microseconds += static_cast<std::uint64_t>(late.count());
+  m_world.late_events += late > kLate ? 1 : 0;
+}
+
 void Host::ArmTimer() {
   m_timer.expires_at(m_events.begin()->first);
   m_timer.async_wait([this](std::error_code error) {
@@ -314,6 +327,7 @@
       return;
     }
     while (!m_events.empty() && m_events.begin()->first <= Now()) {
+      CountLateness(m_events.begin()->first);
       const auto action = std::move(m_events.begin()->second);
       m_events.erase(m_events.begin());
       action();
