--- a/source/radishrudder/calls/endpoint_set.cc
+++ b/source/radishrudder/calls/endpoint_set.cc
@@ -120,7 +120,7 @@
 void EndpointSet::OnStarted(kernel::Time now,
                             const wire::ProcessKey& agent,
                             const routing::CallView& call) {
-  m_router.OnSent(now, agent.instance, call);
+  m_router.OnSent(now, {agent.instance, agent.incarnation}, call);
   if (Endpoint* endpoint = FindRun(agent)) {
     ++endpoint->own;
   }
@@ -139,18 +139,18 @@
       if (result.load) {
         answer.load = ToReport(*result.load);
       }
-      m_router.OnAnswered(now, agent.instance, answer);
+      m_router.OnAnswered(now, {agent.instance, agent.incarnation}, answer);
       break;
     }
     case AttemptEnding::kRefused:
-      m_router.OnRefused(now, agent.instance, ToRefusal(result.reason),
-                         result.retry_after);
+      m_router.OnRefused(now, {agent.instance, agent.incarnation},
+                         ToRefusal(result.reason), result.retry_after);
       break;
     case AttemptEnding::kFailed:
-      m_router.OnFailed(now, agent.instance);
+      m_router.OnFailed(now, {agent.instance, agent.incarnation});
       break;
     case AttemptEnding::kAbandoned:
-      m_router.OnAbandoned(now, agent.instance);
+      m_router.OnAbandoned(now, {agent.instance, agent.incarnation});
       break;
   }
   if (result.load) {
