transport: a message is queued before its new stream opens

A refused connection could end the stream between its start and the first message, which Send then refused instead of reporting unsent; both say that nothing left, but only one was the contract. The message is now queued first.

--- a/source/radishrudder/transport/peer_transport.cc
+++ b/source/radishrudder/transport/peer_transport.cc
@@ -72,8 +72,13 @@
 
   bool Send(std::string_view instance, wire::Envelope message) {
     *message.mutable_from() = wire::ToMessage(m_self);
-    const std::shared_ptr<PeerStream> stream = FindOrOpen(instance);
-    return stream && stream->Send(std::move(message));
+    const auto [stream, unopened] = FindOrMake(instance);
+    const bool queued = stream && stream->Send(std::move(message));
+    if (unopened) {
+      // Only now, so that a stream that fails at once reports the message.
+      unopened->Open();
+    }
+    return queued;
   }
 
   void Forget(std::string_view instance) {
@@ -190,29 +195,31 @@
     }
   }
 
-  std::shared_ptr<PeerStream> FindOrOpen(std::string_view instance) {
-    std::shared_ptr<ClientStream> stream;
-    {
-      const std::lock_guard lock(m_mutex);
-      const auto found = m_by_instance.find(instance);
-      if (found != m_by_instance.end()) {
-        return found->second;
-      }
-      const auto address = m_addresses.find(instance);
-      if (address == m_addresses.end() || m_stopped) {
-        return nullptr;
-      }
-      stream = std::make_shared<ClientStream>(Greeting(),
-                                              m_settings.maximum_queued_bytes,
-                                              Events(std::string(instance)));
-      m_streams.insert(stream);
-      m_by_instance.emplace(instance, stream);
-      const std::unique_ptr<wire::Peer::Stub> stub =
-          wire::Peer::NewStub(ChannelTo(address->second));
-      stub->async()->Exchange(&stream->Context(), stream.get());
+  // The stream to a peer; `unopened` is set if it has just been made.
+  struct StreamTo {
+    std::shared_ptr<PeerStream> stream;
+    std::shared_ptr<ClientStream> unopened;
+  };
+
+  StreamTo FindOrMake(std::string_view instance) {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_by_instance.find(instance);
+    if (found != m_by_instance.end()) {
+      return {found->second, nullptr};
     }
-    stream->Open();
-    return stream;
+    const auto address = m_addresses.find(instance);
+    if (address == m_addresses.end() || m_stopped) {
+      return {};
+    }
+    const auto stream = std::make_shared<ClientStream>(
+        Greeting(), m_settings.maximum_queued_bytes,
+        Events(std::string(instance)));
+    m_streams.insert(stream);
+    m_by_instance.emplace(instance, stream);
+    const std::unique_ptr<wire::Peer::Stub> stub =
+        wire::Peer::NewStub(ChannelTo(address->second));
+    stub->async()->Exchange(&stream->Context(), stream.get());
+    return {stream, stream};
   }
 
   std::shared_ptr<grpc::Channel> ChannelTo(const std::string& address) const {
