--- a/source/radishrudder/http/client.cc
+++ b/source/radishrudder/http/client.cc
@@ -48,6 +48,17 @@
     CancelAll();
   }
 
+  // Takes the transfer for the thread, unless the client ends; returns its
+  // number.
+  std::uint64_t Enqueue(TransferPointer& transfer) {
+    const std::lock_guard lock(mutex);
+    ++last_number;
+    if (!ending) {
+      pending_starts.emplace_back(last_number, std::move(transfer));
+    }
+    return last_number;
+  }
+
   // Returns false when the client ends.
   bool TakeCommands() {
     std::vector<std::pair<std::uint64_t, TransferPointer>> starts;
@@ -137,18 +148,8 @@
 std::uint64_t Client::Start(ClientRequest request, ClientHandlers handlers) {
   auto transfer =
       std::make_unique<ClientTransfer>(std::move(request), std::move(handlers));
-  std::uint64_t number = 0;
-  bool ending = false;
-  {
-    const std::lock_guard lock(m_implementation->mutex);
-    number = ++m_implementation->last_number;
-    ending = m_implementation->ending;
-    if (!ending) {
-      m_implementation->pending_starts.emplace_back(number,
-                                                    std::move(transfer));
-    }
-  }
-  if (ending) {
+  const std::uint64_t number = m_implementation->Enqueue(transfer);
+  if (transfer) {
     transfer->FinishWith(std::make_error_code(std::errc::operation_canceled));
   } else {
     curl_multi_wakeup(m_implementation->multi.get());
