--- a/examples/embedding/routing_policy.cc
+++ b/examples/embedding/routing_policy.cc
@@ -59,7 +59,7 @@
   request.call.workspace = workspace;
   const routing::Route route = router.Choose(now, request);
   if (!route.instance.empty()) {
-    router.OnSent(now, route.instance, request.call);
+    router.OnSent(now, {route.instance, route.incarnation}, request.call);
   }
   return route.instance;
 }
