weights: a refused duty rests before the next one is asked

Cause: under the address sanitizer the test of an origin that is down took 10 s: while all refuse, each refusal led to the next request at once, a storm. Change: after a refusal the next instance is asked 250 ms later.

--- a/source/radishrudder/weights/chunk_scheduler.cc
+++ b/source/radishrudder/weights/chunk_scheduler.cc
@@ -14,6 +14,7 @@
 constexpr std::size_t kUpstreamsPerRegion = 2;
 constexpr std::chrono::milliseconds kInventoryGrace(500);
 constexpr std::chrono::milliseconds kSilentRest(1000);
+constexpr std::chrono::milliseconds kRefusedRest(250);
 constexpr double kAllowedDebtChunks = 4;
 // Stands for the origin and the store in a list of upstreams.
 constexpr std::string_view kOutsideName = "";
@@ -110,8 +111,12 @@
     return;
   }
   if (request->kind == RequestKind::kDuty) {
-    ++m_version.attempts[index];
-  } else if (Offer* offer = m_version.offers.Find(from)) {
+    // The next one is asked after a rest: all may be refusing.
+    request->acknowledged = false;
+    request->deadline = now + kRefusedRest;
+    return;
+  }
+  if (Offer* offer = m_version.offers.Find(from)) {
     offer->rests_until =
         now + std::max<kernel::Duration>(retry_after, kSilentRest / 10);
   }
