--- a/source/radishrudder/calls/endpoint_set.cc
+++ b/source/radishrudder/calls/endpoint_set.cc
@@ -26,6 +26,10 @@
   }
 }
 
+routing::EndpointRun ToRun(const wire::ProcessKey& agent) {
+  return {.instance = agent.instance, .incarnation = agent.incarnation};
+}
+
 routing::LoadReport ToReport(const wire::EndpointLoad& load) {
   return {.running = load.running(),
           .waiting = load.waiting(),
@@ -120,7 +124,7 @@
 void EndpointSet::OnStarted(kernel::Time now,
                             const wire::ProcessKey& agent,
                             const routing::CallView& call) {
-  m_router.OnSent(now, agent.instance, call);
+  m_router.OnSent(now, ToRun(agent), call);
   if (Endpoint* endpoint = FindRun(agent)) {
     ++endpoint->own;
   }
@@ -139,18 +143,18 @@
       if (result.load) {
         answer.load = ToReport(*result.load);
       }
-      m_router.OnAnswered(now, agent.instance, answer);
+      m_router.OnAnswered(now, ToRun(agent), answer);
       break;
     }
     case AttemptEnding::kRefused:
-      m_router.OnRefused(now, agent.instance, ToRefusal(result.reason),
+      m_router.OnRefused(now, ToRun(agent), ToRefusal(result.reason),
                          result.retry_after);
       break;
     case AttemptEnding::kFailed:
-      m_router.OnFailed(now, agent.instance);
+      m_router.OnFailed(now, ToRun(agent));
       break;
     case AttemptEnding::kAbandoned:
-      m_router.OnAbandoned(now, agent.instance);
+      m_router.OnAbandoned(now, ToRun(agent));
       break;
   }
   if (result.load) {
