rollout: tests compare fences without the generated operator

Cause: clang-tidy takes the generated comparison for a null pointer. Change: the tests compare the three fields by name. Conclusion: the same order as before; the check is as strict.

--- a/tests/rollout/fleet.cc
+++ b/tests/rollout/fleet.cc
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "source/radishrudder/rollout/turn.h"
@@ -29,6 +30,11 @@
   return document;
 }
 
+bool IsNewer(const Fence& fence, const Fence& than) {
+  return std::tie(fence.revision, fence.incarnation, fence.order) >
+         std::tie(than.revision, than.incarnation, than.order);
+}
+
 }  // namespace
 
 Fleet::Fleet(FleetSettings settings)
@@ -215,8 +221,8 @@
     Break("order while the gate is open");
   }
   Endpoint& endpoint = agent.endpoint;
-  const bool refused =
-      m_settings.engines_refuse_old_fences && order.fence <= endpoint.highest;
+  const bool refused = m_settings.engines_refuse_old_fences &&
+                       !IsNewer(order.fence, endpoint.highest);
   if (refused) {
     const Fence fence = order.fence;
     agent.inputs.push_back(
--- a/tests/rollout/rollout_orders_test.cc
+++ b/tests/rollout/rollout_orders_test.cc
@@ -1,4 +1,5 @@
 #include <optional>
+#include <tuple>
 
 #include <gtest/gtest.h>
 
@@ -25,7 +26,11 @@
   explicit Engine(bool checks_fence) : m_checks_fence(checks_fence) {}
 
   OrderResult Load(const OrderLoad& order) {
-    if (m_checks_fence && order.fence <= m_highest) {
+    const auto fence = std::tie(order.fence.revision, order.fence.incarnation,
+                                order.fence.order);
+    const auto highest =
+        std::tie(m_highest.revision, m_highest.incarnation, m_highest.order);
+    if (m_checks_fence && fence <= highest) {
       return OrderResult::kRefusedOldFence;
     }
     m_highest = order.fence;
