daemon: hand weights over before the order, decide only with the list

Causes: an agent that had not read the instance list took every chunk from the origin upon itself and let the rollout see a fleet of two; an order's latest time was checked by nobody, and could not be, for the weights were handed over between the decision and the order; a superseded run went on.

Weights are handed to the endpoint when they are whole, while it runs the old version; the order is checked against its latest time right before it is sent. Versions are wanted and peers are told only once the list was read. A superseded agent gives no more orders and takes no calls.

--- a/source/radishrudder/daemon/agent_daemon.cc
+++ b/source/radishrudder/daemon/agent_daemon.cc
@@ -204,18 +204,34 @@
     m_gate.Run(
         [&](auto& core, kernel::Time now) { core.OnDocument(now, document); });
     if (document.model) {
-      std::vector<std::string> wanted{document.model->manifest_digest};
-      logging::Log(logging::kTransferStarted, {{"version", wanted.front()}});
-      m_transfer.Run([&](auto& core, kernel::Time now) {
-        core.Want(now, std::move(wanted));
-      });
+      logging::Log(logging::kTransferStarted,
+                   {{"version", document.model->manifest_digest}});
     }
     WithRollout([&](auto& core, kernel::Time now) {
       core.OnDocument(now, revision, document);
     });
+    if (m_peers_known) {
+      WantVersion();
+    }
     HandleMembers();
   }
 
+  // Asks for the document's version. Not before the peers are known: alone, an
+  // instance would take every chunk from the origin upon itself.
+  void WantVersion() {
+    std::vector<std::string> wanted;
+    {
+      const std::lock_guard lock(m_state_mutex);
+      if (m_in_force.manifest_digest.empty()) {
+        return;
+      }
+      wanted.push_back(m_in_force.manifest_digest);
+    }
+    m_transfer.Run([&](auto& core, kernel::Time now) {
+      core.Want(now, std::move(wanted));
+    });
+  }
+
   void MakeRollout(bool plain) {
     if (m_rollout.load() != nullptr) {
       return;
@@ -234,6 +250,10 @@
   }
 
   void HandleMembers() {
+    // Before the platform's list, a few members could pass for the fleet.
+    if (!m_node.HasInstanceList()) {
+      return;
+    }
     std::vector<weights::TransferPeer> transfer_peers;
     std::vector<rollout::RolloutPeer> rollout_peers;
     for (const membership::Member& member :
@@ -255,6 +275,9 @@
     WithRollout([&](auto& core, kernel::Time now) {
       core.OnPeers(now, std::move(rollout_peers));
     });
+    if (!m_peers_known.exchange(true)) {
+      WantVersion();
+    }
   }
 
   void HandleMessage(const wire::Envelope& message) {
@@ -318,9 +341,7 @@
                    [this](const weights::VersionComplete& complete) {
                      logging::Log(logging::kTransferComplete,
                                   {{"version", complete.manifest_digest}});
-                     WithRollout([&](auto& core, kernel::Time now) {
-                       core.OnVersionComplete(now, complete.manifest_digest);
-                     });
+                     HandOver(complete.manifest_digest);
                    },
                    [this](const weights::ChunkRejected& rejected) {
                      m_node.Meters().Count("radishrudder_chunks_rejected_total",
@@ -333,6 +354,16 @@
         output);
   }
 
+  // Hands a whole version to the endpoint while it still runs the old one, and
+  // tells the rollout afterwards.
+  void HandOver(const std::string& digest) {
+    m_orders.Stage(digest, [this, digest] {
+      WithRollout([&](auto& core, kernel::Time now) {
+        core.OnVersionComplete(now, digest);
+      });
+    });
+  }
+
   void HandleRollout(rollout::RolloutOutput output) {
     std::visit(
         Overloaded{
@@ -426,6 +457,13 @@
     m_node.SetReady(ready);
   }
 
+  // A later run of this instance acts for it now.
+  void StepDown() {
+    m_orders.Stop();
+    WithRollout([](auto& core, kernel::Time now) { core.OnSuperseded(now); });
+    m_gate.Run([](auto& core, kernel::Time now) { core.OnDrain(now); });
+  }
+
   void ArmUpkeep() {
     m_upkeep.expires_after(kUpkeepInterval);
     m_upkeep.async_wait([this](const std::error_code& error) {
@@ -434,6 +472,12 @@
       }
       ReportEmptyGate();
       m_node.SetLoad(CurrentLoad());
+      if (!m_peers_known) {
+        HandleMembers();
+      }
+      if (m_node.IsSuperseded() && !m_superseded.exchange(true)) {
+        StepDown();
+      }
       ArmUpkeep();
     });
   }
@@ -497,6 +541,8 @@
   std::atomic<RolloutShard*> m_rollout = nullptr;
   std::atomic<bool> m_draining = false;
   std::atomic<bool> m_closing = false;
+  std::atomic<bool> m_peers_known = false;
+  std::atomic<bool> m_superseded = false;
   mutable std::mutex m_state_mutex;
   EndpointState m_endpoint_state;
   InForce m_in_force;
--- a/source/radishrudder/daemon/endpoint_client.cc
+++ b/source/radishrudder/daemon/endpoint_client.cc
@@ -152,31 +152,47 @@
   }
 }
 
-void EndpointClient::Load(LoadOrder order,
-                          std::function<void(rollout::OrderResult)> done) {
-  asio::post(m_orders, [this, order = std::move(order),
-                        done = std::move(done)] { done(LoadNow(order)); });
+void EndpointClient::Stage(VersionAtHand version,
+                           std::function<void(bool)> done) {
+  asio::post(m_orders, [this, version = std::move(version),
+                        done = std::move(done)] { done(StageNow(version)); });
 }
 
-rollout::OrderResult EndpointClient::LoadNow(const LoadOrder& order) {
-  const std::string base = "/v1/weights/" + order.order.manifest_digest;
-  if (!Put(base + "/manifest", weights::ToText(order.manifest))) {
-    return rollout::OrderResult::kFailed;
+bool EndpointClient::StageNow(const VersionAtHand& version) {
+  const std::string base =
+      "/v1/weights/" + weights::IdentityOf(version.manifest);
+  if (!Put(base + "/manifest", weights::ToText(version.manifest))) {
+    return false;
   }
-  for (std::uint32_t i = 0; i < order.manifest.chunks.size(); ++i) {
-    std::optional<std::string> bytes = order.chunk(i);
+  for (std::uint32_t i = 0; i < version.manifest.chunks.size(); ++i) {
+    std::optional<std::string> bytes = version.chunk(i);
     if (!bytes ||
         !Put(base + "/chunks/" + std::to_string(i), *std::move(bytes))) {
-      return rollout::OrderResult::kFailed;
+      return false;
     }
   }
+  return true;
+}
+
+void EndpointClient::Load(rollout::OrderLoad order,
+                          std::function<bool()> still_wanted,
+                          std::function<void(rollout::OrderResult)> done) {
+  asio::post(
+      m_orders,
+      [this, order = std::move(order), still_wanted = std::move(still_wanted),
+       done = std::move(done)] { done(LoadNow(order, still_wanted)); });
+}
+
+rollout::OrderResult EndpointClient::LoadNow(
+    const rollout::OrderLoad& order,
+    const std::function<bool()>& still_wanted) {
   http::ClientRequest request;
   request.method = "POST";
   request.url = m_url + "/v1/orders";
   request.headers = {{"Content-Type", "application/json"}};
-  request.body = OrderText(order.order);
+  request.body = OrderText(order);
   request.timeout = kOrderTimeout;
-  if (!order.still_wanted()) {
+  if (!still_wanted()) {
     return rollout::OrderResult::kFailed;
   }
   return ResultOf(m_client.FetchNow(std::move(request)));
--- a/source/radishrudder/daemon/endpoint_client.h
+++ b/source/radishrudder/daemon/endpoint_client.h
@@ -35,14 +35,11 @@
   std::function<void(calls::EndpointCallId, calls::EndpointEnd)> on_end;
 };
 
-// A version to load, with the bytes at hand.
-struct LoadOrder {
-  rollout::OrderLoad order;
+// A verified version with its bytes at hand.
+struct VersionAtHand {
   weights::Manifest manifest;
   // Returns a copy of a verified chunk, or nothing if it is gone.
   std::function<std::optional<std::string>(std::uint32_t index)> chunk;
-  // Asked right before the order is given: is it still the latest wish?
-  std::function<bool()> still_wanted;
 };
 
 // The agent's only way to its endpoint: calls, orders and status over HTTP.
@@ -55,8 +52,14 @@
 
   void Start(calls::StartEndpointCall call);
   void Cancel(calls::EndpointCallId call);
-  // Hands the weights over and gives the order; `done` is called once.
-  void Load(LoadOrder order, std::function<void(rollout::OrderResult)> done);
+  // Hands the weights of a version over, so that an order to load it can be
+  // carried out at once; `done` is called once with whether all were taken.
+  void Stage(VersionAtHand version, std::function<void(bool)> done);
+  // Gives an order unless `still_wanted` says no right before; `done` is called
+  // once.
+  void Load(rollout::OrderLoad order,
+            std::function<bool()> still_wanted,
+            std::function<void(rollout::OrderResult)> done);
   // Asks what the endpoint runs; `done` is called once.
   void ReadStatus(std::function<void(EndpointReport)> done);
   // Waits for orders in progress and gives no more.
@@ -69,7 +72,9 @@
     bool cancelled = false;
   };
 
-  rollout::OrderResult LoadNow(const LoadOrder& order);
+  bool StageNow(const VersionAtHand& version);
+  rollout::OrderResult LoadNow(const rollout::OrderLoad& order,
+                               const std::function<bool()>& still_wanted);
   bool Put(const std::string& path, std::string body);
   void HandleEnd(calls::EndpointCallId call, const http::ClientResult& result);
 
--- a/source/radishrudder/daemon/node.cc
+++ b/source/radishrudder/daemon/node.cc
@@ -309,6 +309,16 @@
   });
 }
 
+bool Node::HasInstanceList() const {
+  return m_membership->Ask(
+      [](const membership::Membership& core) { return core.HasList(); });
+}
+
+bool Node::IsSuperseded() const {
+  return m_membership->Ask(
+      [](const membership::Membership& core) { return core.IsSuperseded(); });
+}
+
 void Node::SetReady(const rollout::Ready& ready) {
   m_membership->Run([&](auto& core, kernel::Time) {
     core.SetReady(ready.running_digest, ready.revision, ready.accepted);
--- a/source/radishrudder/daemon/node.h
+++ b/source/radishrudder/daemon/node.h
@@ -67,6 +67,11 @@
   std::vector<membership::Member> AgentsOf(const std::string& service) const;
   std::vector<membership::Member> Members() const;
   bool DocumentsAreCurrent() const;
+  // True once the platform's list was read: until then the members known are
+  // too few to decide by.
+  bool HasInstanceList() const;
+  // True if a later run of this instance was heard.
+  bool IsSuperseded() const;
 
   void SetReady(const rollout::Ready& ready);
   void SetLoad(const membership::Load& load);
--- a/source/radishrudder/daemon/order_giver.cc
+++ b/source/radishrudder/daemon/order_giver.cc
@@ -9,32 +9,70 @@
 OrderGiver::OrderGiver(EndpointClient& endpoint, VerifiedWeights weights)
     : m_endpoint(endpoint), m_weights(std::move(weights)) {}
 
-void OrderGiver::Give(
-    const rollout::OrderLoad& order,
-    std::function<void(const rollout::Fence&, rollout::OrderResult)> report) {
-  const std::optional<weights::Manifest> manifest =
-      m_weights.manifest(order.manifest_digest);
+void OrderGiver::Stage(const std::string& digest, std::function<void()> done) {
+  const std::optional<weights::Manifest> manifest = m_weights.manifest(digest);
   if (!manifest) {
-    report(order.fence, rollout::OrderResult::kFailed);
+    done();
     return;
   }
+  VersionAtHand version;
+  version.manifest = *manifest;
+  version.chunk = [this, digest](std::uint32_t index) {
+    return m_weights.chunk(digest, index);
+  };
+  m_endpoint.Stage(std::move(version),
+                   [this, digest, done = std::move(done)](bool staged) {
+                     if (staged) {
+                       SetStaged(digest);
+                     }
+                     done();
+                   });
+}
+
+void OrderGiver::Give(const rollout::OrderLoad& order, Report report) {
+  m_latest = order.fence.order;
+  if (IsStaged(order.manifest_digest)) {
+    Order(order, std::move(report));
+    return;
+  }
+  Stage(order.manifest_digest, [this, order, report = std::move(report)] {
+    if (IsStaged(order.manifest_digest)) {
+      Order(order, report);
+    } else {
+      report(order.fence, rollout::OrderResult::kFailed);
+    }
+  });
+}
+
+void OrderGiver::Order(const rollout::OrderLoad& order, Report report) {
   logging::Log(logging::kOrderSent,
                {{"version", order.manifest_digest},
                 {"revision", std::to_string(order.fence.revision)},
                 {"order", std::to_string(order.fence.order)}});
-  m_latest = order.fence.order;
-  LoadOrder load;
-  load.order = order;
-  load.manifest = *manifest;
-  load.chunk = [this, digest = order.manifest_digest](std::uint32_t index) {
-    return m_weights.chunk(digest, index);
-  };
-  load.still_wanted = [this, number = order.fence.order] {
-    return m_latest == number && !m_stopped;
+  const auto still_wanted = [this, number = order.fence.order,
+                             not_after = order.not_after] {
+    return m_latest == number && !m_stopped &&
+           std::chrono::steady_clock::now() <= not_after;
   };
-  m_endpoint.Load(std::move(load),
-                  [report = std::move(report), fence = order.fence](
-                      rollout::OrderResult result) { report(fence, result); });
+  m_endpoint.Load(order, still_wanted,
+                  [this, report = std::move(report),
+                   fence = order.fence](rollout::OrderResult result) {
+                    if (result == rollout::OrderResult::kFailed) {
+                      // The endpoint may have lost what it was handed.
+                      SetStaged("");
+                    }
+                    report(fence, result);
+                  });
+}
+
+bool OrderGiver::IsStaged(const std::string& digest) const {
+  const std::lock_guard lock(m_mutex);
+  return m_staged == digest;
+}
+
+void OrderGiver::SetStaged(const std::string& digest) {
+  const std::lock_guard lock(m_mutex);
+  m_staged = digest;
 }
 
 void OrderGiver::Stop() {
--- a/source/radishrudder/daemon/order_giver.h
+++ b/source/radishrudder/daemon/order_giver.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -22,24 +23,35 @@
       chunk;
 };
 
-// Gives the endpoint the rollout's orders. An order that a later one has
-// replaced, or that the drain has overtaken, is not given any more.
+// Gives the endpoint the rollout's orders. The weights are handed over before,
+// so that an order takes effect at once. An order that a later one has
+// replaced, that is too old, or that the drain has overtaken is not given.
 class OrderGiver {
  public:
+  using Report =
+      std::function<void(const rollout::Fence&, rollout::OrderResult)>;
+
   OrderGiver(EndpointClient& endpoint, VerifiedWeights weights);
 
+  // Hands a verified version over; `done` is called once, also on failure: the
+  // order will then try again.
+  void Stage(const std::string& digest, std::function<void()> done);
   // Calls `report` once, with failure if the weights are no longer here.
-  void Give(
-      const rollout::OrderLoad& order,
-      std::function<void(const rollout::Fence&, rollout::OrderResult)> report);
+  void Give(const rollout::OrderLoad& order, Report report);
   // Gives no order from now on.
   void Stop();
 
  private:
+  bool IsStaged(const std::string& digest) const;
+  void SetStaged(const std::string& digest);
+  void Order(const rollout::OrderLoad& order, Report report);
+
   EndpointClient& m_endpoint;
   const VerifiedWeights m_weights;
   std::atomic<std::uint64_t> m_latest = 0;
   std::atomic<bool> m_stopped = false;
+  mutable std::mutex m_mutex;
+  std::string m_staged;  // The version that the endpoint has; empty: none.
 };
 
 }  // namespace radishrudder::daemon
