rollout: an order cut off on its way keeps the gate closed

An order whose answer was cut off was reported as failed, which let the gate open on the old version while the engine could still load the new one under calls. It is now reported as unanswered. The new test fails with the old report for both kinds of engine and passes with the new one.

--- a/include/radishrudder/rollout/rollout.h
+++ b/include/radishrudder/rollout/rollout.h
@@ -71,7 +71,12 @@
   std::string start_id;        // Differs after a restart of the endpoint.
 };
 
-enum class OrderResult { kDone, kRefusedOldFence, kFailed };
+enum class OrderResult {
+  kDone,
+  kRefusedOldFence,
+  kFailed,     // The endpoint did not and will not carry it out.
+  kUnanswered  // The endpoint may carry it out yet.
+};
 
 struct RolloutSettings {
   wire::ProcessKey self;
--- a/source/radishrudder/daemon/endpoint_client.cc
+++ b/source/radishrudder/daemon/endpoint_client.cc
@@ -28,7 +28,8 @@
 
 rollout::OrderResult ResultOf(const http::WholeAnswer& answer) {
   if (answer.result.error) {
-    return rollout::OrderResult::kFailed;
+    return answer.result.may_have_been_sent ? rollout::OrderResult::kUnanswered
+                                            : rollout::OrderResult::kFailed;
   }
   if (answer.result.status == kStatusConflict) {
     return rollout::OrderResult::kRefusedOldFence;
--- a/source/radishrudder/daemon/order_giver.cc
+++ b/source/radishrudder/daemon/order_giver.cc
@@ -57,7 +57,7 @@
   m_endpoint.Load(order, still_wanted,
                   [this, report = std::move(report),
                    fence = order.fence](rollout::OrderResult result) {
-                    if (result == rollout::OrderResult::kFailed) {
+                    if (result != rollout::OrderResult::kDone) {
                       // The endpoint may have lost what it was handed.
                       SetStaged("");
                     }
--- a/source/radishrudder/rollout/orders.cc
+++ b/source/radishrudder/rollout/orders.cc
@@ -38,7 +38,7 @@
   if (result == OrderResult::kRefusedOldFence) {
     m_refused = true;
   } else {
-    m_uncertain = false;
+    m_uncertain = result == OrderResult::kUnanswered;
   }
   return true;
 }
--- a/tests/rollout/rollout_orders_test.cc
+++ b/tests/rollout/rollout_orders_test.cc
@@ -219,6 +219,21 @@
   EXPECT_TRUE(agent.gate_open);
 }
 
+TEST_P(EngineKindTest, OrderCutOffOnItsWayKeepsTheGateClosed) {
+  AgentRun agent(m_engine, 10);
+  agent.Want(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  agent.hold_orders = true;
+  agent.Want(m_now, 2, "v2");
+  agent.Run(m_now, 1);
+  ASSERT_TRUE(agent.last.has_value());
+  agent.rollout.OnOrderResult(m_now, agent.last->fence,
+                              OrderResult::kUnanswered);
+  agent.Run(m_now, 1);
+  // The engine says that it runs "v1" but may still load "v2".
+  EXPECT_FALSE(agent.gate_open);
+}
+
 TEST_P(EngineKindTest, UnreachableEngineComesBackWithoutLosingItsTurn) {
   AgentRun agent(m_engine, 10);
   agent.Want(m_now, 1, "v1");
