--- a/measure/streams/main.cc
+++ b/measure/streams/main.cc
@@ -55,7 +55,7 @@
         }
       },
       [](const wire::ProcessKey&) {},
-      [](const std::string&, wire::Envelope) {}};
+      [](const std::string&, const wire::Envelope&) {}};
   peers = std::make_unique<transport::PeerTransport>(
       settings, wire::ProcessKey{"peers", 1}, std::move(handlers));
   peers->Start();
