daemon: the gate and its endpoint in a class of their own

agent_daemon.cc had grown to 578 lines, and both daemons parsed a published document in the same way; an agent also took a document that speaks of another team's service, which an entry refused. EndpointGate and ParsePublished hold these once; the agent refuses such a document now, with a finding that names both services. agent_daemon.cc has 470 lines.

--- a/source/radishrudder/daemon/agent_daemon.cc
+++ b/source/radishrudder/daemon/agent_daemon.cc
@@ -8,9 +8,10 @@
 
 #include "radishrudder/calls/agent_gate.h"
 #include "radishrudder/daemon/agent_status.h"
-#include "radishrudder/daemon/endpoint_client.h"
+#include "radishrudder/daemon/endpoint_gate.h"
 #include "radishrudder/daemon/node.h"
 #include "radishrudder/daemon/order_giver.h"
+#include "radishrudder/daemon/published_document.h"
 #include "radishrudder/daemon/weights_fetcher.h"
 #include "radishrudder/document/service_document.h"
 #include "radishrudder/logging/events.h"
@@ -24,13 +25,6 @@
 // How often load is told to the peers and an empty gate is noticed.
 constexpr std::chrono::milliseconds kUpkeepInterval{50};
 
-// The endpoint as the gate must see it.
-struct EndpointState {
-  std::string running_digest;
-  bool open = false;
-  std::uint32_t capacity = 0;
-};
-
 calls::GateSettings MakeGateSettings(const AgentSettings& settings,
                                      const wire::ProcessKey& self) {
   calls::GateSettings gate;
@@ -70,16 +64,13 @@
         m_fetcher(m_node.HttpClient(),
                   m_settings.origin_url,
                   m_settings.store_url),
-        m_endpoint(m_node.HttpClient(),
-                   m_settings.endpoint_url,
-                   MakeEndpointHandlers()),
-        m_orders(m_endpoint, MakeVerifiedWeights()),
+        m_gate(m_node.Context(),
+               m_node.HttpClient(),
+               m_settings.endpoint_url,
+               MakeGateSettings(m_settings, m_node.Self()),
+               [this](wire::Send send) { m_node.Send(std::move(send)); }),
+        m_orders(m_gate.Endpoint(), MakeVerifiedWeights()),
         m_upkeep(m_node.Context()),
-        m_gate(
-            m_node.Context(),
-            [this](calls::GateOutput output) { HandleGate(std::move(output)); },
-            MakeGateSettings(m_settings, m_node.Self()),
-            kernel::Random(kernel::SystemEntropy())),
         m_transfer(
             m_node.Context(),
             [this](weights::TransferOutput output) {
@@ -103,8 +94,7 @@
       HandleMessage(message);
     };
     handlers.on_lost = [this](const wire::ProcessKey& peer) {
-      m_gate.Run(
-          [&](auto& core, kernel::Time now) { core.OnPeerLost(now, peer); });
+      m_gate.OnPeerLost(peer);
     };
     handlers.on_unsent = [](const wire::Envelope&) {};
     handlers.status = [this] { return ToJson(Status()); };
@@ -119,49 +109,24 @@
   void Drain() {
     m_draining = true;
     m_orders.Stop();
-    m_gate.Run([](auto& core, kernel::Time now) { core.OnDrain(now); });
+    m_gate.Drain();
     m_node.SetLeaving();
     WithRollout([](auto& core, kernel::Time now) { core.OnDrain(now); });
   }
 
-  std::size_t CallsInProgress() const {
-    return m_gate.Ask([](const calls::AgentGate& core) {
-      return core.CallsInProgress() + core.CallsWaiting();
-    });
-  }
+  std::size_t CallsInProgress() const { return m_gate.CallsInProgress(); }
 
   void Stop() {
     // First the client, so that an order in progress ends.
     m_node.HttpClient().Stop();
-    m_endpoint.Stop();
+    m_gate.Endpoint().Stop();
     m_node.Stop();
   }
 
  private:
-  using GateShard = Shard<calls::AgentGate, calls::GateOutput>;
   using TransferShard = Shard<weights::Transfer, weights::TransferOutput>;
   using RolloutShard = Shard<rollout::Rollout, rollout::RolloutOutput>;
 
-  EndpointCallHandlers MakeEndpointHandlers() {
-    return {[this](calls::EndpointCallId call, std::uint32_t status,
-                   std::vector<calls::Header> headers, std::string digest) {
-              m_gate.Run([&](auto& core, kernel::Time now) {
-                core.OnEndpointHead(now, call, status, std::move(headers),
-                                    std::move(digest));
-              });
-            },
-            [this](calls::EndpointCallId call, std::string_view data) {
-              m_gate.Run([&](auto& core, kernel::Time now) {
-                core.OnEndpointData(now, call, data);
-              });
-            },
-            [this](calls::EndpointCallId call, calls::EndpointEnd end) {
-              m_gate.Run([&](auto& core, kernel::Time now) {
-                core.OnEndpointEnd(now, call, end);
-              });
-            }};
-  }
-
   // Calls `action` on the rollout once the first document made one.
   template <typename Action>
   void WithRollout(Action action) {
@@ -175,24 +140,15 @@
     if (published.service != m_settings.node.service || published.deleted) {
       return;
     }
-    kernel::Findings findings;
     const std::optional<document::ServiceDocument> document =
-        document::Parse(published.service, published.content, findings);
-    if (!document) {
-      logging::Log(logging::kDocumentRejected,
-                   {{"service", published.service},
-                    {"revision", std::to_string(published.revision)},
-                    {"findings", Format(findings)}});
-      return;
+        ParsePublished(published);
+    if (document) {
+      ApplyDocument(published.revision, *document);
     }
-    ApplyDocument(published.revision, *document);
   }
 
   void ApplyDocument(std::uint64_t revision,
                      const document::ServiceDocument& document) {
-    logging::Log(logging::kDocumentInForce,
-                 {{"service", document.service},
-                  {"revision", std::to_string(revision)}});
     const bool plain = document.kind == document::ServiceKind::kPlain;
     MakeRollout(plain);
     {
@@ -201,8 +157,7 @@
       m_in_force.manifest_digest =
           document.model ? document.model->manifest_digest : "";
     }
-    m_gate.Run(
-        [&](auto& core, kernel::Time now) { core.OnDocument(now, document); });
+    m_gate.OnDocument(document);
     if (document.model) {
       logging::Log(logging::kTransferStarted,
                    {{"version", document.model->manifest_digest}});
@@ -285,9 +240,7 @@
       case wire::Envelope::kStartAttempt:
       case wire::Envelope::kCancelAttempt:
       case wire::Envelope::kIssueKey:
-        m_gate.Run([&](auto& core, kernel::Time now) {
-          core.OnMessage(now, std::chrono::system_clock::now(), message);
-        });
+        m_gate.OnMessage(message);
         break;
       case wire::Envelope::kChunkInventory:
       case wire::Envelope::kChunkRequest:
@@ -306,18 +259,6 @@
     }
   }
 
-  void HandleGate(calls::GateOutput output) {
-    std::visit(
-        Overloaded{[this](wire::Send& send) { m_node.Send(std::move(send)); },
-                   [this](calls::StartEndpointCall& call) {
-                     m_endpoint.Start(std::move(call));
-                   },
-                   [this](const calls::CancelEndpointCall& cancel) {
-                     m_endpoint.Cancel(cancel.call);
-                   }},
-        output);
-  }
-
   void HandleTransfer(weights::TransferOutput output) {
     std::visit(
         Overloaded{[this](wire::Send& send) { m_node.Send(std::move(send)); },
@@ -368,37 +309,18 @@
     std::visit(
         Overloaded{
             [this](const rollout::CloseGate&) {
-              m_closing = true;
-              UpdateGate([](EndpointState& state) { state.open = false; });
+              m_gate.Close();
               ReportEmptyGate();
             },
-            [this](const rollout::OpenGate&) {
-              m_closing = false;
-              UpdateGate([](EndpointState& state) { state.open = true; });
-            },
+            [this](const rollout::OpenGate&) { m_gate.Open(); },
             [this](const rollout::OrderLoad& order) { GiveOrder(order); },
             [this](const rollout::ReadBack&) { ReadBack(); },
             [this](const rollout::Ready& ready) { HandleReady(ready); }},
         output);
   }
 
-  // Changes what the gate knows of the endpoint.
-  template <typename Change>
-  void UpdateGate(Change change) {
-    EndpointState state;
-    {
-      const std::lock_guard lock(m_state_mutex);
-      change(m_endpoint_state);
-      state = m_endpoint_state;
-    }
-    m_gate.Run([&](auto& core, kernel::Time now) {
-      core.OnEndpointState(now, state.running_digest, state.open);
-    });
-  }
-
   void ReportEmptyGate() {
-    if (m_closing && CallsInProgress() == 0) {
-      m_closing = false;
+    if (m_gate.TakeEmptied()) {
       WithRollout([](auto& core, kernel::Time now) { core.OnGateEmpty(now); });
     }
   }
@@ -433,12 +355,9 @@
   }
 
   void ReadBack() {
-    m_endpoint.ReadStatus([this](const EndpointReport& report) {
+    m_gate.Endpoint().ReadStatus([this](const EndpointReport& report) {
       if (report.status.reachable) {
-        UpdateGate([&](EndpointState& state) {
-          state.running_digest = report.status.running_digest;
-          state.capacity = report.capacity;
-        });
+        m_gate.SetRunning(report);
       }
       WithRollout([&](auto& core, kernel::Time now) {
         core.OnEndpointStatus(now, report.status);
@@ -461,7 +380,7 @@
   void StepDown() {
     m_orders.Stop();
     WithRollout([](auto& core, kernel::Time now) { core.OnSuperseded(now); });
-    m_gate.Run([](auto& core, kernel::Time now) { core.OnDrain(now); });
+    m_gate.Drain();
   }
 
   void ArmUpkeep() {
@@ -471,7 +390,7 @@
         return;
       }
       ReportEmptyGate();
-      m_node.SetLoad(CurrentLoad());
+      m_node.SetLoad(m_gate.CurrentLoad());
       if (!m_peers_known) {
         HandleMembers();
       }
@@ -482,22 +401,7 @@
     });
   }
 
-  membership::Load CurrentLoad() const {
-    membership::Load load;
-    m_gate.Ask([&](const calls::AgentGate& core) {
-      load.running = static_cast<std::uint32_t>(core.CallsInProgress());
-      load.waiting = static_cast<std::uint32_t>(core.CallsWaiting());
-      return 0;
-    });
-    const std::lock_guard lock(m_state_mutex);
-    load.capacity = m_endpoint_state.capacity;
-    return load;
-  }
-
-  bool IsReady() const {
-    const std::lock_guard lock(m_state_mutex);
-    return m_endpoint_state.open && !m_draining;
-  }
+  bool IsReady() const { return m_gate.State().open && !m_draining; }
 
   AgentStatus Status() const {
     AgentStatus status;
@@ -506,14 +410,15 @@
     status.data_centre = m_settings.node.data_centre;
     status.draining = m_draining;
     status.waiting_for = WaitingFor();
-    status.load = CurrentLoad();
+    status.load = m_gate.CurrentLoad();
+    const EndpointState endpoint = m_gate.State();
+    status.running_digest = endpoint.running_digest;
+    status.gate_open = endpoint.open && !m_draining;
     {
       const std::lock_guard lock(m_state_mutex);
       status.document_revision = m_in_force.document_revision;
       status.ready_revision = m_in_force.ready_revision;
       status.wanted_digest = m_in_force.manifest_digest;
-      status.running_digest = m_endpoint_state.running_digest;
-      status.gate_open = m_endpoint_state.open && !m_draining;
     }
     status.progress = m_transfer.Ask([&](const weights::Transfer& core) {
       return core.Progress(status.wanted_digest);
@@ -532,19 +437,16 @@
   const AgentSettings m_settings;
   Node m_node;
   WeightsFetcher m_fetcher;
-  EndpointClient m_endpoint;
+  EndpointGate m_gate;
   OrderGiver m_orders;
   asio::steady_timer m_upkeep;
-  GateShard m_gate;
   TransferShard m_transfer;
   std::unique_ptr<RolloutShard> m_rollout_storage;
   std::atomic<RolloutShard*> m_rollout = nullptr;
   std::atomic<bool> m_draining = false;
-  std::atomic<bool> m_closing = false;
   std::atomic<bool> m_peers_known = false;
   std::atomic<bool> m_superseded = false;
   mutable std::mutex m_state_mutex;
-  EndpointState m_endpoint_state;
   InForce m_in_force;
 };
 
--- a/source/radishrudder/daemon/entry_daemon.cc
+++ b/source/radishrudder/daemon/entry_daemon.cc
@@ -10,6 +10,7 @@
 #include "radishrudder/daemon/call_table.h"
 #include "radishrudder/daemon/caller_request.h"
 #include "radishrudder/daemon/node.h"
+#include "radishrudder/daemon/published_document.h"
 #include "radishrudder/document/service_document.h"
 #include "radishrudder/kernel/hash.h"
 #include "radishrudder/logging/events.h"
@@ -101,13 +102,9 @@
   }
 
   std::size_t CallsInProgress() const {
-    std::size_t calls = 0;
-    for (const std::unique_ptr<CallShard>& shard : m_shards) {
-      calls += shard->core.Ask([](const calls::EntryCore& core) {
-        return core.CallsInProgress() + core.CallsWaiting();
-      });
-    }
-    return calls;
+    return Sum([](const calls::EntryCore& core) {
+      return core.CallsInProgress() + core.CallsWaiting();
+    });
   }
 
   void Stop() {
@@ -147,6 +144,15 @@
     return *m_shards[kernel::StableHash(service) % m_shards.size()];
   }
 
+  template <typename Count>
+  std::size_t Sum(Count count) const {
+    std::size_t sum = 0;
+    for (const std::unique_ptr<CallShard>& shard : m_shards) {
+      sum += shard->core.Ask(count);
+    }
+    return sum;
+  }
+
   template <typename Action>
   void ForEachShard(Action action) {
     for (const std::unique_ptr<CallShard>& shard : m_shards) {
@@ -163,20 +169,12 @@
       });
       return;
     }
-    kernel::Findings findings;
     const std::optional<document::ServiceDocument> document =
-        document::Parse(published.service, published.content, findings);
-    if (!document || document->service != published.service) {
-      logging::Log(logging::kDocumentRejected,
-                   {{"service", published.service},
-                    {"revision", std::to_string(published.revision)},
-                    {"findings", Format(findings)}});
+        ParsePublished(published);
+    if (!document) {
       return;
     }
     RecordRevision(published);
-    logging::Log(logging::kDocumentInForce,
-                 {{"service", published.service},
-                  {"revision", std::to_string(published.revision)}});
     shard.core.Run(
         [&](auto& core, kernel::Time now) { core.OnDocument(now, *document); });
     HandleMembers({published.service});
@@ -404,7 +402,10 @@
         status["endpoints"].push_back(StatusOf(member));
       }
     }
-    status["calls_in_progress"] = CallsInProgress();
+    status["calls_in_progress"] = Sum(
+        [](const calls::EntryCore& core) { return core.CallsInProgress(); });
+    status["calls_waiting"] =
+        Sum([](const calls::EntryCore& core) { return core.CallsWaiting(); });
     status["draining"] = m_draining.load();
     return status;
   }
