weights, daemon: the document's speed reaches the transfer

Cause: transfer.speed was parsed and checked, but the agent left the transfer at its own 0.5, so that both examples spread alike. Transfer::SetSpeed takes it for versions wanted from then on; a test shows that speed 1 takes more than 1.5 copies.

--- a/include/radishrudder/weights/transfer.h
+++ b/include/radishrudder/weights/transfer.h
@@ -123,6 +123,9 @@
 
   // Live calls need the links: transfers give way in this proportion (0..1).
   void SetCallPressure(double pressure);
+  // The document's weight of time against origin bytes, 0 to 1, for versions
+  // that are wanted from now on.
+  void SetSpeed(double speed);
 
   TransferProgress Progress(std::string_view manifest_digest) const;
   // Returns the verified manifest, or null.
--- a/source/radishrudder/daemon/agent_daemon.cc
+++ b/source/radishrudder/daemon/agent_daemon.cc
@@ -52,6 +52,7 @@
   std::uint64_t document_revision = 0;
   std::uint64_t ready_revision = 0;
   std::string manifest_digest;
+  double transfer_speed = 0;  // 0 prefers few origin bytes, 1 time.
 };
 
 }  // namespace
@@ -68,7 +69,7 @@
                m_node.HttpClient(),
                m_settings.endpoint_url,
                MakeGateSettings(m_settings, m_node.Self()),
-               [this](wire::Send send) { m_node.Send(std::move(send)); }),
+               [this](const wire::Send& send) { m_node.Send(send); }),
         m_orders(m_gate.Endpoint(), MakeVerifiedWeights()),
         m_upkeep(m_node.Context()),
         m_transfer(
@@ -156,6 +157,7 @@
       m_in_force.document_revision = revision;
       m_in_force.manifest_digest =
           document.model ? document.model->manifest_digest : "";
+      m_in_force.transfer_speed = document.transfer.speed;
     }
     m_gate.OnDocument(document);
     if (document.model) {
@@ -175,14 +177,17 @@
   // instance would take every chunk from the origin upon itself.
   void WantVersion() {
     std::vector<std::string> wanted;
+    double speed = 0;
     {
       const std::lock_guard lock(m_state_mutex);
       if (m_in_force.manifest_digest.empty()) {
         return;
       }
       wanted.push_back(m_in_force.manifest_digest);
+      speed = m_in_force.transfer_speed;
     }
     m_transfer.Run([&](auto& core, kernel::Time now) {
+      core.SetSpeed(speed);
       core.Want(now, std::move(wanted));
     });
   }
@@ -261,7 +266,7 @@
 
   void HandleTransfer(weights::TransferOutput output) {
     std::visit(
-        Overloaded{[this](wire::Send& send) { m_node.Send(std::move(send)); },
+        Overloaded{[this](const wire::Send& send) { m_node.Send(send); },
                    [this](const weights::FetchManifest& fetch) {
                      m_fetcher.Fetch(fetch, [this, fetch](std::string text) {
                        m_transfer.Run([&](auto& core, kernel::Time now) {
--- a/source/radishrudder/daemon/endpoint_gate.cc
+++ b/source/radishrudder/daemon/endpoint_gate.cc
@@ -11,7 +11,7 @@
                            http::Client& client,
                            std::string endpoint_url,
                            calls::GateSettings settings,
-                           std::function<void(wire::Send)> send)
+                           std::function<void(const wire::Send&)> send)
     : m_send(std::move(send)),
       m_endpoint(client, std::move(endpoint_url), MakeHandlers()),
       m_gate(
@@ -100,7 +100,7 @@
 }
 
 void EndpointGate::HandleOutput(calls::GateOutput output) {
-  std::visit(Overloaded{[this](wire::Send& send) { m_send(std::move(send)); },
+  std::visit(Overloaded{[this](const wire::Send& send) { m_send(send); },
                         [this](calls::StartEndpointCall& call) {
                           m_endpoint.Start(std::move(call));
                         },
--- a/source/radishrudder/daemon/endpoint_gate.h
+++ b/source/radishrudder/daemon/endpoint_gate.h
@@ -30,7 +30,7 @@
                http::Client& client,
                std::string endpoint_url,
                calls::GateSettings settings,
-               std::function<void(wire::Send)> send);
+               std::function<void(const wire::Send&)> send);
 
   void OnDocument(const document::ServiceDocument& document);
   void OnMessage(const wire::Envelope& message);
@@ -60,7 +60,7 @@
   template <typename Change>
   void Update(Change change);
 
-  const std::function<void(wire::Send)> m_send;
+  const std::function<void(const wire::Send&)> m_send;
   EndpointClient m_endpoint;
   GateShard m_gate;
   mutable std::mutex m_mutex;
--- a/source/radishrudder/daemon/entry_daemon.cc
+++ b/source/radishrudder/daemon/entry_daemon.cc
@@ -89,8 +89,8 @@
     server.threads = m_settings.http_threads;
     m_server = std::make_unique<http::Server>(
         server, [this](http::Request request,
-                       std::shared_ptr<http::Responder> responder) {
-          HandleRequest(std::move(request), std::move(responder));
+                       const std::shared_ptr<http::Responder>& responder) {
+          HandleRequest(std::move(request), responder);
         });
     return m_server->Start();
   }
@@ -268,19 +268,18 @@
   }
 
   void HandleRequest(http::Request request,
-                     std::shared_ptr<http::Responder> responder) {
+                     const std::shared_ptr<http::Responder>& responder) {
     std::variant<calls::CallRequest, Problem> parsed =
         ParseCallerRequest(std::move(request));
     if (const Problem* const problem = std::get_if<Problem>(&parsed)) {
       Reply(*problem, *responder);
       return;
     }
-    StartCall(std::get<calls::CallRequest>(std::move(parsed)),
-              std::move(responder));
+    StartCall(std::get<calls::CallRequest>(std::move(parsed)), responder);
   }
 
   void StartCall(calls::CallRequest request,
-                 std::shared_ptr<http::Responder> responder) {
+                 const std::shared_ptr<http::Responder>& responder) {
     const calls::CallId call = ++m_last_call;
     CallShard& shard = ShardOf(request.service);
     Caller caller;
@@ -292,7 +291,7 @@
     shard.core.Run([&](auto& core, kernel::Time now) {
       core.OnCall(now, call, std::move(request));
     });
-    responder->OnGone([this, &shard, call] {
+    responder->OnGone([&shard, call] {
       if (shard.callers.Take(call)) {
         shard.core.Run([&](auto& core, kernel::Time now) {
           core.OnCallerGone(now, call);
@@ -308,7 +307,7 @@
   void HandleOutput(CallShard& shard, calls::EntryOutput output) {
     std::visit(
         Overloaded{
-            [&](wire::Send& send) { m_node.Send(std::move(send)); },
+            [&](const wire::Send& send) { m_node.Send(send); },
             [&](calls::AnswerHead& head) { Begin(shard, std::move(head)); },
             [&](calls::AnswerPart& part) { Write(shard, std::move(part)); },
             [&](const calls::AnswerComplete& complete) {
--- a/source/radishrudder/daemon/node.cc
+++ b/source/radishrudder/daemon/node.cc
@@ -81,7 +81,7 @@
   admin.port = m_settings.admin_port;
   admin.threads = 1;
   m_admin = std::make_unique<http::Server>(
-      admin, [this](http::Request request,
+      admin, [this](const http::Request& request,
                     const std::shared_ptr<http::Responder>& responder) {
         HandleAdmin(request, responder);
       });
@@ -156,7 +156,7 @@
       settings, SeededRandom());
 }
 
-void Node::Send(wire::Send send) {
+void Node::Send(const wire::Send& send) {
   if (!m_transport->Send(send.to, send.message)) {
     m_handlers.on_unsent(send.message);
   }
@@ -191,7 +191,7 @@
 
 void Node::HandleMembership(membership::MembershipOutput output) {
   std::visit(
-      Overloaded{[this](wire::Send& send) { Send(std::move(send)); },
+      Overloaded{[this](const wire::Send& send) { Send(send); },
                  [this](const membership::ReadInstances& read) {
                    m_reader.ReadInstances(
                        read, [this](membership::InstancesRead result) {
@@ -208,7 +208,7 @@
 
 void Node::HandleReplica(dissemination::ReplicaOutput output) {
   std::visit(
-      Overloaded{[this](wire::Send& send) { Send(std::move(send)); },
+      Overloaded{[this](const wire::Send& send) { Send(send); },
                  [this](const dissemination::StartRead& read) {
                    m_reader.ReadDocuments(
                        read, [this](dissemination::ReadResult result) {
--- a/source/radishrudder/daemon/node.h
+++ b/source/radishrudder/daemon/node.h
@@ -61,7 +61,7 @@
   std::uint16_t AdminPort() const { return m_admin->Port(); }
 
   // Sends a message; one that cannot leave goes to `on_unsent`.
-  void Send(wire::Send send);
+  void Send(const wire::Send& send);
 
   // Returns copies of the agents of a service.
   std::vector<membership::Member> AgentsOf(const std::string& service) const;
--- a/source/radishrudder/weights/transfer.cc
+++ b/source/radishrudder/weights/transfer.cc
@@ -353,6 +353,10 @@
   m_state->context.budgets.SetPressure(pressure);
 }
 
+void Transfer::SetSpeed(double speed) {
+  m_state->context.settings.speed = speed;
+}
+
 TransferProgress Transfer::Progress(std::string_view manifest_digest) const {
   const VersionTransfer* version = m_state->Find(manifest_digest);
   return version == nullptr ? TransferProgress() : version->State().progress;
--- a/tests/weights/transfer_test.cc
+++ b/tests/weights/transfer_test.cc
@@ -74,6 +74,18 @@
   EXPECT_GT(m_fleet.Now() - pressed, 2 * free);
 }
 
+TEST_P(TransferTest, SpeedOfTheDocumentTakesChunksStraightFromTheOrigin) {
+  for (const std::string region : {"r1", "r2", "r3"}) {
+    for (const std::string number : {"-0", "-1", "-2", "-3"}) {
+      m_fleet.Core(region + number).SetSpeed(1);
+    }
+  }
+  m_fleet.WantEverywhere({m_digest});
+  EXPECT_TRUE(m_fleet.RunToCompletion(seconds(30), m_digest));
+  // About half of the chunks enter each of the other regions that way.
+  EXPECT_GT(m_fleet.Copies(Source::kOrigin, m_digest), 1.5);
+}
+
 TEST(TransferWholeTest, WrongDigestOfTheWholeIsNeverReported) {
   TransferFleet fleet(1);
   fleet.Add("r1-0");
