--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -65,6 +65,9 @@
     "An instance is leaving and receives no new work."};
 inline constexpr Event kInstanceLost{303, Level::kWarning, "instance-lost",
                                      "An instance no longer answers."};
+inline constexpr Event kInstanceSuspected{
+    304, Level::kInfo, "instance-suspected",
+    "An instance has been silent for long and gets no new work for now."};
 inline constexpr Event kTransferStarted{401, Level::kInfo, "transfer-started",
                                         "The transfer of a version began."};
 inline constexpr Event kChunkCorrupted{
@@ -73,6 +76,9 @@
 inline constexpr Event kTransferComplete{
     403, Level::kInfo, "transfer-complete",
     "All chunks of a version are present and the whole was verified."};
+inline constexpr Event kChunkFetchStarted{
+    404, Level::kDebug, "chunk-fetch-started",
+    "A chunk is read from the origin or the store."};
 inline constexpr Event kCallFailed{501, Level::kWarning, "call-failed",
                                    "A call ended without a whole answer."};
 inline constexpr Event kCallRefused{502, Level::kInfo, "call-refused",
--- a/source/radishrudder/daemon/agent_daemon.cc
+++ b/source/radishrudder/daemon/agent_daemon.cc
@@ -266,37 +266,43 @@
 
   void HandleTransfer(weights::TransferOutput output) {
     std::visit(
-        Overloaded{[this](const wire::Send& send) { m_node.Send(send); },
-                   [this](const weights::FetchManifest& fetch) {
-                     m_fetcher.Fetch(fetch, [this, fetch](std::string text) {
-                       m_transfer.Run([&](auto& core, kernel::Time now) {
-                         core.OnManifestFetched(now, fetch.manifest_digest,
-                                                fetch.source, std::move(text));
-                       });
-                     });
-                   },
-                   [this](const weights::FetchChunk& fetch) {
-                     m_fetcher.Fetch(fetch, [this, fetch](std::string bytes) {
-                       m_transfer.Run([&](auto& core, kernel::Time now) {
-                         core.OnChunkFetched(now, fetch.manifest_digest,
-                                             fetch.index, fetch.source,
-                                             std::move(bytes));
-                       });
-                     });
-                   },
-                   [this](const weights::VersionComplete& complete) {
-                     logging::Log(logging::kTransferComplete,
-                                  {{"version", complete.manifest_digest}});
-                     HandOver(complete.manifest_digest);
-                   },
-                   [this](const weights::ChunkRejected& rejected) {
-                     m_node.Meters().Count("radishrudder_chunks_rejected_total",
-                                           {{"sender", rejected.sender}});
-                     logging::Log(logging::kChunkCorrupted,
-                                  {{"version", rejected.manifest_digest},
-                                   {"chunk", std::to_string(rejected.index)},
-                                   {"sender", rejected.sender}});
-                   }},
+        Overloaded{
+            [this](const wire::Send& send) { m_node.Send(send); },
+            [this](const weights::FetchManifest& fetch) {
+              m_fetcher.Fetch(fetch, [this, fetch](std::string text) {
+                m_transfer.Run([&](auto& core, kernel::Time now) {
+                  core.OnManifestFetched(now, fetch.manifest_digest,
+                                         fetch.source, std::move(text));
+                });
+              });
+            },
+            [this](const weights::FetchChunk& fetch) {
+              logging::Log(logging::kChunkFetchStarted,
+                           {{"version", fetch.manifest_digest},
+                            {"chunk", std::to_string(fetch.index)},
+                            {"source", fetch.source == weights::Source::kOrigin
+                                           ? "origin"
+                                           : "store"}});
+              m_fetcher.Fetch(fetch, [this, fetch](std::string bytes) {
+                m_transfer.Run([&](auto& core, kernel::Time now) {
+                  core.OnChunkFetched(now, fetch.manifest_digest, fetch.index,
+                                      fetch.source, std::move(bytes));
+                });
+              });
+            },
+            [this](const weights::VersionComplete& complete) {
+              logging::Log(logging::kTransferComplete,
+                           {{"version", complete.manifest_digest}});
+              HandOver(complete.manifest_digest);
+            },
+            [this](const weights::ChunkRejected& rejected) {
+              m_node.Meters().Count("radishrudder_chunks_rejected_total",
+                                    {{"sender", rejected.sender}});
+              logging::Log(logging::kChunkCorrupted,
+                           {{"version", rejected.manifest_digest},
+                            {"chunk", std::to_string(rejected.index)},
+                            {"sender", rejected.sender}});
+            }},
         output);
   }
 
@@ -371,9 +377,11 @@
   }
 
   void HandleReady(const rollout::Ready& ready) {
-    logging::Log(logging::kVersionRunning,
-                 {{"version", ready.running_digest},
-                  {"revision", std::to_string(ready.revision)}});
+    if (!ready.running_digest.empty()) {
+      logging::Log(logging::kVersionRunning,
+                   {{"version", ready.running_digest},
+                    {"revision", std::to_string(ready.revision)}});
+    }
     {
       const std::lock_guard lock(m_state_mutex);
       m_in_force.ready_revision = ready.revision;
--- a/source/radishrudder/daemon/node.cc
+++ b/source/radishrudder/daemon/node.cc
@@ -35,13 +35,16 @@
                     });
 }
 
-void LogLeaving(const membership::Member& member) {
-  if (member.state == membership::State::kLeaving) {
-    logging::Log(logging::kInstanceLeaving,
-                 {{"instance", member.listed.instance}});
-  } else if (member.state == membership::State::kDead) {
-    logging::Log(logging::kInstanceLost,
-                 {{"instance", member.listed.instance}});
+const logging::Event& EventOf(membership::State state) {
+  switch (state) {
+    case membership::State::kLeaving:
+      return logging::kInstanceLeaving;
+    case membership::State::kSuspected:
+      return logging::kInstanceSuspected;
+    case membership::State::kDead:
+      return logging::kInstanceLost;
+    default:
+      return logging::kInstanceJoined;
   }
 }
 
@@ -165,6 +168,8 @@
 void Node::HandleMessage(const wire::Envelope& message) {
   switch (message.body_case()) {
     case wire::Envelope::kHello:
+      logging::Log(logging::kPeerConnected,
+                   {{"instance", message.from().instance()}});
       m_transport->SetAddress(message.from().instance(),
                               message.hello().address());
       break;
@@ -231,11 +236,14 @@
       });
   if (member && !member->listed.address.empty()) {
     m_transport->SetAddress(instance, member->listed.address);
-    LogLeaving(*member);
+    LogState(*member);
   } else if (!member) {
     m_transport->Forget(instance);
   }
   const std::lock_guard lock(m_changes_mutex);
+  if (!member) {
+    m_states.erase(instance);
+  }
   if (member) {
     m_changed_services.insert(member->listed.service);
   }
@@ -251,6 +259,19 @@
   });
 }
 
+void Node::LogState(const membership::Member& member) {
+  {
+    const std::lock_guard lock(m_changes_mutex);
+    const auto [known, is_new] =
+        m_states.try_emplace(member.listed.instance, member.state);
+    if (!is_new && known->second == member.state) {
+      return;
+    }
+    known->second = member.state;
+  }
+  logging::Log(EventOf(member.state), {{"instance", member.listed.instance}});
+}
+
 void Node::FlushMembers() {
   std::set<std::string> services;
   {
--- a/source/radishrudder/daemon/node.h
+++ b/source/radishrudder/daemon/node.h
@@ -4,6 +4,7 @@
 #include <asio.hpp>
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -90,6 +91,7 @@
   void HandleMembership(membership::MembershipOutput output);
   void HandleReplica(dissemination::ReplicaOutput output);
   void HandleMemberChanged(const std::string& instance);
+  void LogState(const membership::Member& member);
   void FlushMembers();
   void UpdatePeers();
   void HandleAdmin(const http::Request& request,
@@ -115,6 +117,7 @@
   bool m_flush_armed = false;
   std::set<std::string> m_changed_services;
   std::vector<dissemination::ReplicaPeer> m_peers;
+  std::map<std::string, membership::State> m_states;  // As last logged.
 };
 
 }  // namespace radishrudder::daemon
