--- a/tests/transport/peer_transport_test.cc
+++ b/tests/transport/peer_transport_test.cc
@@ -155,7 +155,7 @@
   TransportSettings settings;
   settings.port = a.Transport().Port();
   PeerTransport second(settings, {"a", 2},
-                       {[](wire::Envelope) {}, [](const wire::ProcessKey&) {},
+                       {[](const wire::Envelope&) {}, [](const wire::ProcessKey&) {},
                         [](const std::string&, const wire::Envelope&) {}});
   EXPECT_EQ(second.Start(), std::errc::address_in_use);
 }
