--- a/tests/transport/peer_transport_test.cc
+++ b/tests/transport/peer_transport_test.cc
@@ -154,9 +154,10 @@
   ASSERT_FALSE(a.Transport().Start());
   TransportSettings settings;
   settings.port = a.Transport().Port();
-  PeerTransport second(settings, {"a", 2},
-                       {[](const wire::Envelope&) {}, [](const wire::ProcessKey&) {},
-                        [](const std::string&, const wire::Envelope&) {}});
+  PeerTransport second(
+      settings, {"a", 2},
+      {[](const wire::Envelope&) {}, [](const wire::ProcessKey&) {},
+       [](const std::string&, const wire::Envelope&) {}});
   EXPECT_EQ(second.Start(), std::errc::address_in_use);
 }
 
