--- a/apps/radishrudder/manifest.cc
+++ b/apps/radishrudder/manifest.cc
@@ -101,9 +101,9 @@
                    std::to_string(manifest->size) + " bytes");
   }
   CompareChunks(*manifest, file.Bytes(), path, findings);
-  if (weights::Sha256(file.Bytes()) != manifest->whole) {
+  if (manifest->whole && weights::Sha256(file.Bytes()) != *manifest->whole) {
     findings.Error({path, 0, 0, ""}, "the whole file differs",
-                   weights::ToText(manifest->whole));
+                   weights::ToText(*manifest->whole));
   }
   std::cerr << kernel::Format(findings);
   if (findings.HasErrors()) {
--- a/include/radishrudder/calls/retry_budget.h
+++ b/include/radishrudder/calls/retry_budget.h
@@ -7,8 +7,10 @@
 // a retry costs a whole one.
 class RetryBudget {
  public:
-  // `share` is the number of retries each call earns, for example 0.1.
-  explicit RetryBudget(double share) : m_share(share) {}
+  // `share` is the number of retries each call earns, for example 0.1;
+  // `maximum` bounds what is saved up.
+  explicit RetryBudget(double share, double maximum = kMaximumTokens)
+      : m_share(share), m_maximum(maximum) {}
 
   void SetShare(double share) { m_share = share; }
   // Adds what one call earns.
@@ -24,6 +26,7 @@
   static constexpr double kMaximumCredit = 32;
 
   double m_share;
+  double m_maximum;
   double m_tokens = 0;
 };
 
--- /dev/null
+++ b/include/radishrudder/exchange/caller_server.h
@@ -0,0 +1,104 @@
+#ifndef RADISHRUDDER_EXCHANGE_CALLER_SERVER_H_
+#define RADISHRUDDER_EXCHANGE_CALLER_SERVER_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+#include "radishrudder/exchange/message_reader.h"
+#include "radishrudder/kernel/time.h"
+
+namespace radishrudder::exchange {
+
+struct CallerLimits {
+  std::size_t head_bytes = 16384;
+  std::size_t body_bytes = 4194304;
+  // From the first byte of a request to the end of its head.
+  std::chrono::milliseconds head_timeout{3000};
+  // Without a request in progress.
+  std::chrono::milliseconds idle_timeout{15000};
+};
+
+struct AnswerHead {
+  int status = 0;
+  std::vector<http::Header> headers{};
+};
+
+// Where the answer to one request goes. What is called after the answer ended
+// or the caller has gone does nothing.
+class CallerExchange {
+ public:
+  virtual ~CallerExchange() = default;
+  // Sends a whole answer.
+  virtual void Reply(const AnswerHead& head, std::string_view body) = 0;
+  // Begins an answer of unknown length.
+  virtual void Begin(const AnswerHead& head) = 0;
+  virtual void Write(std::string_view data) = 0;
+  // Ends it as complete.
+  virtual void Finish() = 0;
+  // Closes the connection, so that the answer does not look complete.
+  virtual void Abort() = 0;
+  // Called at most once, when the caller leaves before the answer ended.
+  virtual void OnGone(std::function<void()> gone) = 0;
+  // Bytes that the caller has not taken yet.
+  virtual std::size_t BytesWaiting() const = 0;
+};
+
+struct ReceivedRequest {
+  RequestHead head{};
+  std::string body{};
+  kernel::Time begun{};  // When its first byte was read.
+};
+
+// Takes requests of callers over kept connections, one at a time on each. One
+// thread: that of the context.
+class CallerServer {
+ public:
+  using Handler =
+      std::function<void(ReceivedRequest, std::shared_ptr<CallerExchange>)>;
+
+  CallerServer(asio::io_context& context, Handler handler);
+  ~CallerServer();
+  CallerServer(const CallerServer&) = delete;
+  CallerServer& operator=(const CallerServer&) = delete;
+
+  std::error_code Listen(std::string_view address);
+  void SetLimits(const CallerLimits& limits) { m_limits = limits; }
+  // Answers from now on say that their connection closes after them.
+  void CloseAfterAnswers() { m_closing = true; }
+  // Accepts no more connections.
+  void StopAccepting();
+  // Closes connections without a request in progress that were silent for at
+  // least `silent`.
+  void CloseIdle(kernel::Time now, std::chrono::milliseconds silent);
+  // Applies the time limits; to be called a few times a second.
+  void CheckTimes(kernel::Time now);
+  std::size_t Connections() const { return m_connections.size(); }
+
+ private:
+  class Connection;
+  friend class Connection;
+
+  void Accept();
+
+  asio::io_context& m_context;
+  asio::ip::tcp::acceptor m_acceptor;
+  asio::steady_timer m_accept_pause;
+  Handler m_handler;
+  CallerLimits m_limits;
+  bool m_closing = false;
+  std::set<std::shared_ptr<Connection>> m_connections;
+};
+
+}  // namespace radishrudder::exchange
+
+#endif  // RADISHRUDDER_EXCHANGE_CALLER_SERVER_H_
--- /dev/null
+++ b/include/radishrudder/exchange/endpoint_pool.h
@@ -0,0 +1,105 @@
+#ifndef RADISHRUDDER_EXCHANGE_ENDPOINT_POOL_H_
+#define RADISHRUDDER_EXCHANGE_ENDPOINT_POOL_H_
+
+#include <asio/io_context.hpp>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "radishrudder/exchange/message_reader.h"
+#include "radishrudder/kernel/time.h"
+
+namespace radishrudder::exchange {
+
+// Why a request got no whole answer.
+enum class Failure {
+  kNotSent,   // No connection came about: no byte has left.
+  kBroken,    // The connection ended, was reset or fell silent.
+  kMalformed  // What came is not an HTTP/1.1 answer.
+};
+
+// What the listener says of the head of an answer.
+enum class HeadVerdict {
+  kMine,     // Go on with its body.
+  kForeign,  // It answers another request: drop it and read the next one.
+  kReject    // Close the connection; the listener hears no more.
+};
+
+// Hears of one request. The pool calls nothing after `OnEnd`, `OnFailure`, a
+// rejected head or `Cancel`.
+class AnswerListener {
+ public:
+  virtual ~AnswerListener() = default;
+  // The request is about to be written to an open connection.
+  virtual void OnSending() {}
+  virtual HeadVerdict OnHead(const ResponseHead& head) = 0;
+  virtual void OnBody(std::string data) = 0;
+  // The answer is whole.
+  virtual void OnEnd() = 0;
+  virtual void OnFailure(Failure failure) = 0;
+};
+
+struct PoolSettings {
+  // Time for a new connection to open.
+  std::chrono::milliseconds connect_timeout{300};
+  // Bytes that stay unacknowledged so long end the connection.
+  std::chrono::milliseconds silence_timeout{1000};
+  // An idle connection is not used again after this time; the endpoint's own
+  // Keep-Alive header shortens it.
+  std::chrono::milliseconds idle_timeout{4000};
+  // The end of an endpoint's idle timeout that is left unused.
+  std::chrono::milliseconds idle_margin{1000};
+  std::size_t maximum_idle = 64;  // Connections an address.
+};
+
+// Sends requests to endpoints over connections that it keeps. It never sends a
+// request twice by itself. One thread: that of the context.
+class EndpointPool {
+ public:
+  using ExchangeId = std::uint64_t;
+
+  EndpointPool(asio::io_context& context, PoolSettings settings);
+  ~EndpointPool();
+  EndpointPool(const EndpointPool&) = delete;
+  EndpointPool& operator=(const EndpointPool&) = delete;
+
+  // Sends `bytes`, one whole request, to "IP:PORT". `head_only`: it is a HEAD
+  // request. The listener must live until it is done or `Cancel` was called.
+  ExchangeId Start(std::string_view address,
+                   std::string bytes,
+                   bool head_only,
+                   AnswerListener& listener);
+  // Closes the connection of an exchange that is not done.
+  void Cancel(ExchangeId exchange);
+  // Closes idle connections that are too old, or all of one address.
+  void CloseIdle(kernel::Time now);
+  void Forget(std::string_view address);
+
+  std::uint64_t ConnectionsOpened() const { return m_opened; }
+
+ private:
+  class Connection;
+  friend class Connection;
+
+  std::shared_ptr<Connection> TakeIdle(const std::string& address);
+  void KeepIdle(const std::shared_ptr<Connection>& connection);
+  void DropIdle(const Connection& connection);
+  void OnDone(ExchangeId exchange);
+
+  asio::io_context& m_context;
+  PoolSettings m_settings;
+  ExchangeId m_last = 0;
+  std::uint64_t m_opened = 0;
+  std::map<ExchangeId, std::shared_ptr<Connection>> m_active;
+  // By address, the most recently used last.
+  std::map<std::string, std::deque<std::shared_ptr<Connection>>, std::less<>>
+      m_idle;
+};
+
+}  // namespace radishrudder::exchange
+
+#endif  // RADISHRUDDER_EXCHANGE_ENDPOINT_POOL_H_
--- a/source/radishrudder/http/headers.h
+++ b/include/radishrudder/http/header.h
@@ -1,15 +1,25 @@
-#ifndef RADISHRUDDER_SOURCE_HTTP_HEADERS_H_
-#define RADISHRUDDER_SOURCE_HTTP_HEADERS_H_
+#ifndef RADISHRUDDER_HTTP_HEADER_H_
+#define RADISHRUDDER_HTTP_HEADER_H_
 
+#include <string>
 #include <string_view>
-
-#include "radishrudder/http/server.h"
+#include <vector>
 
 namespace radishrudder::http {
 
+struct Header {
+  std::string name;
+  std::string value;
+};
+
 // Compares header names, which do not depend on case.
 bool EqualNames(std::string_view first, std::string_view second);
 
+// Returns the value of the first header of that name (case does not matter),
+// or an empty view.
+std::string_view FindHeader(const std::vector<Header>& headers,
+                            std::string_view name);
+
 // Returns whether a header may be sent as given: it is well-formed and does
 // not describe the connection or the framing, which the library decides.
 bool IsSendable(const Header& header);
@@ -19,4 +29,4 @@
 
 }  // namespace radishrudder::http
 
-#endif  // RADISHRUDDER_SOURCE_HTTP_HEADERS_H_
+#endif  // RADISHRUDDER_HTTP_HEADER_H_
--- a/include/radishrudder/http/server.h
+++ b/include/radishrudder/http/server.h
@@ -9,17 +9,9 @@
 #include <system_error>
 #include <vector>
 
-namespace radishrudder::http {
-
-struct Header {
-  std::string name;
-  std::string value;
-};
+#include "radishrudder/http/header.h"
 
-// Returns the value of the first header of that name (case does not matter),
-// or an empty view.
-std::string_view FindHeader(const std::vector<Header>& headers,
-                            std::string_view name);
+namespace radishrudder::http {
 
 struct Request {
   std::string method;
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -28,9 +28,17 @@
 // Returns all events in order of number.
 std::span<const Event> Catalogue();
 
-// Sets up logging to standard error, one record a line:
-// time level number name key=value...
-void Initialize(std::string_view program, Level least);
+enum class Destination {
+  kStandardError,
+  // Never waits: records that do not fit are dropped, and their number is
+  // written as `log-records-dropped` once there is room.
+  kStandardOutput
+};
+
+// Sets up logging, one record a line: time level number name key=value...
+void Initialize(std::string_view program,
+                Level least,
+                Destination destination = Destination::kStandardError);
 
 // Writes one record.
 void Log(const Event& event, std::initializer_list<Field> fields);
@@ -48,6 +56,12 @@
 inline constexpr Event kCallsCut{
     104, Level::kWarning, "calls-cut",
     "The drain limit or a second signal ended calls in progress."};
+inline constexpr Event kLogRecordsDropped{
+    105, Level::kWarning, "log-records-dropped",
+    "The reader of the log was too slow; records were dropped."};
+inline constexpr Event kReadinessChanged{
+    106, Level::kInfo, "readiness-changed",
+    "The process began or ceased to take new callers."};
 inline constexpr Event kDocumentInForce{
     201, Level::kInfo, "document-in-force",
     "A revision of a document took effect."};
@@ -57,6 +71,14 @@
 inline constexpr Event kConfigurationUnavailable{
     203, Level::kWarning, "configuration-unavailable",
     "The configuration service did not answer; documents in force stay."};
+inline constexpr Event kOldVersionIgnored{
+    204, Level::kInfo, "old-version-ignored",
+    "A document was read that is not newer than the one in force."};
+inline constexpr Event kStoreLost{
+    205, Level::kWarning, "store-lost",
+    "The platform's store does not answer; what was read stays in force."};
+inline constexpr Event kStoreRegained{206, Level::kInfo, "store-regained",
+                                      "The platform's store answers again."};
 inline constexpr Event kInstanceJoined{
     301, Level::kInfo, "instance-joined",
     "An instance was seen for the first time."};
@@ -79,10 +101,31 @@
 inline constexpr Event kChunkFetchStarted{
     404, Level::kDebug, "chunk-fetch-started",
     "A chunk is read from the origin or the store."};
+inline constexpr Event kVersionDeclared{
+    405, Level::kInfo, "version-declared",
+    "The operator declared a version of a model."};
+inline constexpr Event kPieceListKnown{
+    406, Level::kInfo, "piece-list-known",
+    "The list of a version's chunks is known."};
+inline constexpr Event kVersionStaged{
+    407, Level::kInfo, "version-staged",
+    "All chunks of a version lie in the endpoint's staging area."};
+inline constexpr Event kStagedChunkRepaired{
+    408, Level::kWarning, "staged-chunk-repaired",
+    "A staged chunk was wrong when read back and is written again."};
 inline constexpr Event kCallFailed{501, Level::kWarning, "call-failed",
                                    "A call ended without a whole answer."};
 inline constexpr Event kCallRefused{502, Level::kInfo, "call-refused",
                                     "A call was refused and was not run."};
+inline constexpr Event kAttemptFailed{
+    503, Level::kInfo, "attempt-failed",
+    "An attempt ended without a whole answer of its endpoint."};
+inline constexpr Event kAttemptRefused{
+    504, Level::kInfo, "attempt-refused",
+    "An endpoint confirmed that it did not run an attempt."};
+inline constexpr Event kCallAnswered{
+    505, Level::kInfo, "call-answered",
+    "A call got its endpoint's answer; successes are sampled."};
 inline constexpr Event kOrderSent{601, Level::kInfo, "order-sent",
                                   "The agent sent its endpoint an order."};
 inline constexpr Event kOrderRefused{602, Level::kWarning, "order-refused",
@@ -90,6 +133,9 @@
 inline constexpr Event kVersionRunning{
     603, Level::kInfo, "version-running",
     "The endpoint runs a version, by its own report."};
+inline constexpr Event kEndpointRestarted{
+    604, Level::kInfo, "endpoint-restarted",
+    "The endpoint started again and holds nothing."};
 inline constexpr Event kPeerConnected{701, Level::kInfo, "peer-connected",
                                       "A connection to a peer is open."};
 inline constexpr Event kPeerLost{
--- a/include/radishrudder/routing/endpoint.h
+++ b/include/radishrudder/routing/endpoint.h
@@ -30,6 +30,7 @@
   bool suspected = false;
   std::string running_digest;  // What it really runs; empty for plain services.
   LoadReport load;
+  bool load_known = true;  // False: `load` says nothing.
 };
 
 // One run of an endpoint's agent.
--- /dev/null
+++ b/include/radishrudder/serving/call_session.h
@@ -0,0 +1,112 @@
+#ifndef RADISHRUDDER_SERVING_CALL_SESSION_H_
+#define RADISHRUDDER_SERVING_CALL_SESSION_H_
+
+#include <concepts>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "radishrudder/direct/entry.h"
+#include "radishrudder/exchange/caller_server.h"
+#include "radishrudder/exchange/endpoint_pool.h"
+
+namespace radishrudder::serving {
+
+// How calls look on the wire.
+template <typename T>
+concept CallCodec = requires(exchange::ReceivedRequest received,
+                             const direct::CallerRequest& request,
+                             const direct::SendAttempt& attempt,
+                             const exchange::ResponseHead& head) {
+  {
+    T::DecodeRequest(std::move(received))
+    } -> std::same_as<direct::CallerRequest>;
+  { T::EncodeAttempt(request, attempt) } -> std::same_as<std::string>;
+  { T::DecodeAnswer(head, "") } -> std::same_as<direct::EndpointAnswer>;
+  {
+    T::EncodeOwnAnswer(0, "", std::nullopt)
+    } -> std::same_as<exchange::AnswerHead>;
+};
+
+// Connects one call of an `Entry` to its caller and to its endpoint.
+// `Process` is called after each input, for the outputs.
+template <CallCodec Codec, typename Process>
+class CallSession : public exchange::AnswerListener {
+ public:
+  CallSession(Process& process,
+              direct::CallId id,
+              std::shared_ptr<const direct::CallerRequest> request,
+              std::shared_ptr<exchange::CallerExchange> caller)
+      : m_process(process),
+        m_id(id),
+        m_request(std::move(request)),
+        m_caller(std::move(caller)) {}
+
+  exchange::CallerExchange& Caller() { return *m_caller; }
+  const direct::CallerRequest& Request() const { return *m_request; }
+
+  void Send(exchange::EndpointPool& pool, const direct::SendAttempt& attempt) {
+    m_endpoint = attempt.endpoint_id;
+    m_exchange =
+        pool.Start(attempt.address, Codec::EncodeAttempt(*m_request, attempt),
+                   m_request->method == "HEAD", *this);
+  }
+  void Cancel(exchange::EndpointPool& pool) { pool.Cancel(m_exchange); }
+
+  void OnSending() override {
+    m_process.Core().OnSending(std::chrono::steady_clock::now(), m_id);
+  }
+  exchange::HeadVerdict OnHead(const exchange::ResponseHead& head) override {
+    Process& process = m_process;
+    const direct::AnswerVerdict verdict =
+        process.Core().OnAnswerHead(std::chrono::steady_clock::now(), m_id,
+                                    Codec::DecodeAnswer(head, m_endpoint));
+    // The outputs may end this session: nothing of it is used after them.
+    process.TakeOutputs();
+    switch (verdict) {
+      case direct::AnswerVerdict::kMine:
+        return exchange::HeadVerdict::kMine;
+      case direct::AnswerVerdict::kForeign:
+        return exchange::HeadVerdict::kForeign;
+      case direct::AnswerVerdict::kReject:
+        break;
+    }
+    return exchange::HeadVerdict::kReject;
+  }
+  void OnBody(std::string data) override {
+    Process& process = m_process;
+    process.Core().OnAnswerBody(std::chrono::steady_clock::now(), m_id,
+                                std::move(data));
+    process.TakeOutputs();
+  }
+  void OnEnd() override {
+    Process& process = m_process;
+    process.Core().OnAnswerEnd(std::chrono::steady_clock::now(), m_id);
+    process.TakeOutputs();
+  }
+  void OnFailure(exchange::Failure failure) override {
+    Process& process = m_process;
+    direct::AttemptFailure reason = direct::AttemptFailure::kBroken;
+    if (failure == exchange::Failure::kNotSent) {
+      reason = direct::AttemptFailure::kNotSent;
+    } else if (failure == exchange::Failure::kMalformed) {
+      reason = direct::AttemptFailure::kMalformed;
+    }
+    process.Core().OnAttemptFailed(std::chrono::steady_clock::now(), m_id,
+                                   reason);
+    process.TakeOutputs();
+  }
+
+ private:
+  Process& m_process;
+  direct::CallId m_id;
+  std::shared_ptr<const direct::CallerRequest> m_request;
+  std::shared_ptr<exchange::CallerExchange> m_caller;
+  std::string m_endpoint;
+  exchange::EndpointPool::ExchangeId m_exchange = 0;
+};
+
+}  // namespace radishrudder::serving
+
+#endif  // RADISHRUDDER_SERVING_CALL_SESSION_H_
--- /dev/null
+++ b/include/radishrudder/serving/entry_process.h
@@ -0,0 +1,443 @@
+#ifndef RADISHRUDDER_SERVING_ENTRY_PROCESS_H_
+#define RADISHRUDDER_SERVING_ENTRY_PROCESS_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "radishrudder/direct/endpoint_list.h"
+#include "radishrudder/direct/entry.h"
+#include "radishrudder/exchange/caller_server.h"
+#include "radishrudder/exchange/endpoint_pool.h"
+#include "radishrudder/exchange/fetcher.h"
+#include "radishrudder/kernel/boot_time.h"
+#include "radishrudder/logging/events.h"
+#include "radishrudder/metrics/metrics.h"
+#include "radishrudder/serving/call_journal.h"
+#include "radishrudder/serving/call_session.h"
+#include "radishrudder/serving/store_follower.h"
+
+namespace radishrudder::serving {
+
+// What an entry needs of the platform: its store, its documents and the form
+// of its calls.
+template <typename T>
+concept EntryPlatform = CallCodec<typename T::Calls> &&
+    StoreCodec<typename T::Store> &&
+    requires(std::string_view text,
+             const dissemination::StoreItem& item,
+             kernel::Findings& findings) {
+  { T::kOperatorPrefix } -> std::convertible_to<std::string_view>;
+  { T::kEndpointPrefix } -> std::convertible_to<std::string_view>;
+  { T::IsConfiguration(text) } -> std::same_as<bool>;
+  { T::IsVersion(text) } -> std::same_as<bool>;
+  T::DecodeConfiguration(text, findings);
+  T::DecodeVersion(text, findings);
+  T::DecodeEndpoint(item, findings);
+  { T::EndpointId(text) } -> std::same_as<std::string_view>;
+};
+
+struct EntryProcessSettings {
+  direct::EntrySettings entry{};
+  std::string callers_address{};
+  std::string readiness_address{};
+  std::string metrics_address{};
+  std::string store_address{};
+  // From the signal to stop until the process is ended from outside.
+  std::chrono::milliseconds stop_time{8000};
+};
+
+// The process that takes callers' requests and sends them to endpoints without
+// a gate, on one thread.
+template <EntryPlatform Platform>
+class EntryProcess {
+ public:
+  EntryProcess(asio::io_context& context,
+               EntryProcessSettings settings,
+               kernel::Random random)
+      : m_context(context),
+        m_settings(std::move(settings)),
+        m_core(m_settings.entry, kernel::Random(random.Next())),
+        m_journal(m_settings.entry.name),
+        m_pool(context, {}),
+        m_store_pool(context, {}),
+        m_fetcher(context, m_store_pool),
+        m_callers(context,
+                  [this](exchange::ReceivedRequest request,
+                         std::shared_ptr<exchange::CallerExchange> caller) {
+                    OnRequest(std::move(request), std::move(caller));
+                  }),
+        m_readiness(
+            context,
+            [this](const exchange::ReceivedRequest&,
+                   const std::shared_ptr<exchange::CallerExchange>& caller) {
+              AnswerReadiness(*caller);
+            }),
+        m_metrics_server(
+            context,
+            [this](const exchange::ReceivedRequest&,
+                   const std::shared_ptr<exchange::CallerExchange>& caller) {
+              caller->Reply({kOk, {{"Content-Type", "text/plain"}}},
+                            m_journal.MetricsText());
+            }),
+        m_operator_follower(
+            context,
+            m_fetcher,
+            {m_settings.store_address, std::string(Platform::kOperatorPrefix)},
+            kernel::Random(random.Next()),
+            [this](dissemination::StoreOutput output) {
+              OnOperatorNews(std::move(output));
+            }),
+        m_endpoint_follower(
+            context,
+            m_fetcher,
+            {m_settings.store_address, std::string(Platform::kEndpointPrefix)},
+            kernel::Random(random.Next()),
+            [this](dissemination::StoreOutput output) {
+              OnEndpointNews(std::move(output));
+            }),
+        m_tick(context) {}
+
+  std::error_code Start() {
+    std::error_code error = m_callers.Listen(m_settings.callers_address);
+    if (!error && !m_settings.readiness_address.empty()) {
+      error = m_readiness.Listen(m_settings.readiness_address);
+    }
+    if (!error && !m_settings.metrics_address.empty()) {
+      error = m_metrics_server.Listen(m_settings.metrics_address);
+    }
+    if (!error) {
+      m_operator_follower.Start();
+      m_endpoint_follower.Start();
+      Tick();
+    }
+    return error;
+  }
+
+  // Begins a planned stop; the context ends once it is done.
+  void Stop() {
+    if (m_stop_began) {
+      return;
+    }
+    m_stop_began = Now();
+    m_core.OnDrain();
+    m_callers.CloseAfterAnswers();
+    logging::Log(logging::kProcessDraining,
+                 {{"instance", m_settings.entry.name},
+                  {"calls", std::to_string(m_core.CallsInProgress())}});
+  }
+
+  direct::Entry& Core() { return m_core; }
+
+  // Carries out what the core decided.
+  void TakeOutputs() {
+    for (direct::Output& output : m_core.TakeOutputs()) {
+      std::visit([this](auto& item) { Carry(item); }, output);
+    }
+  }
+
+ private:
+  using Session = CallSession<typename Platform::Calls, EntryProcess>;
+
+  static constexpr int kOk = 200;
+  static constexpr int kUnavailable = 503;
+  static constexpr std::chrono::milliseconds kTickInterval{25};
+  static constexpr std::chrono::milliseconds kSlowInterval{250};
+  // The platform sends callers elsewhere this long after it was told.
+  static constexpr std::chrono::milliseconds kLastArrivals{3000};
+  // During a stop, connections that were silent this long are closed.
+  static constexpr std::chrono::milliseconds kStopSilence{400};
+  // The end of the time for a stop that is left unused.
+  static constexpr std::chrono::milliseconds kStopMargin{250};
+
+  static kernel::Time Now() { return std::chrono::steady_clock::now(); }
+
+  void OnRequest(exchange::ReceivedRequest received,
+                 std::shared_ptr<exchange::CallerExchange> caller) {
+    const direct::CallId id = ++m_last_call;
+    const auto request = std::make_shared<const direct::CallerRequest>(
+        Platform::Calls::DecodeRequest(std::move(received)));
+    caller->OnGone([this, id] {
+      m_journal.CountGone();
+      m_core.OnCallerGone(Now(), id);
+      TakeOutputs();
+      m_sessions.erase(id);
+    });
+    m_sessions.emplace(
+        id, std::make_unique<Session>(*this, id, request, std::move(caller)));
+    m_core.OnRequest(Now(), kernel::BootTimeNow(), id, request);
+    TakeOutputs();
+  }
+
+  void AnswerReadiness(exchange::CallerExchange& caller) {
+    const bool ready = m_core.IsReady(kernel::BootTimeNow());
+    if (ready != m_ready) {
+      m_ready = ready;
+      logging::Log(logging::kReadinessChanged,
+                   {{"instance", m_settings.entry.name},
+                    {"ready", ready ? "yes" : "no"}});
+    }
+    caller.Reply({ready ? kOk : kUnavailable, {}}, "");
+  }
+
+  Session* Find(direct::CallId id) {
+    const auto found = m_sessions.find(id);
+    return found == m_sessions.end() ? nullptr : found->second.get();
+  }
+
+  void Carry(direct::SendAttempt& output) {
+    if (Session* session = Find(output.call)) {
+      session->Send(m_pool, output);
+    }
+  }
+  void Carry(direct::CancelAttempt& output) {
+    if (Session* session = Find(output.call)) {
+      session->Cancel(m_pool);
+    }
+  }
+  void Carry(direct::ReplyWhole& output) {
+    if (Session* session = Find(output.call)) {
+      exchange::AnswerHead head{output.status, std::move(output.headers)};
+      if (head.headers.empty()) {
+        head = Platform::Calls::EncodeOwnAnswer(
+            output.status, session->Request().attempt_id, output.retry_after);
+      }
+      session->Caller().Reply(head, output.body);
+      m_sessions.erase(output.call);
+    }
+  }
+  void Carry(direct::ReplyBegin& output) {
+    if (Session* session = Find(output.call)) {
+      session->Caller().Begin({output.status, std::move(output.headers)});
+    }
+  }
+  void Carry(direct::ReplyPart& output) {
+    if (Session* session = Find(output.call)) {
+      session->Caller().Write(output.data);
+    }
+  }
+  void Carry(direct::ReplyEnd& output) {
+    if (Session* session = Find(output.call)) {
+      session->Caller().Finish();
+      m_sessions.erase(output.call);
+    }
+  }
+  void Carry(direct::ReplyAbort& output) {
+    if (Session* session = Find(output.call)) {
+      session->Caller().Abort();
+      m_sessions.erase(output.call);
+    }
+  }
+  void Carry(direct::Note& output) { m_journal.Tell(Now(), output); }
+
+  void OnOperatorNews(dissemination::StoreOutput output) {
+    if (auto* whole = std::get_if<dissemination::WholePrefix>(&output)) {
+      for (const dissemination::StoreItem& item : whole->items) {
+        OnOperatorItem(item, /*just_now=*/false);
+      }
+    } else if (auto* changes =
+                   std::get_if<dissemination::PrefixChanges>(&output)) {
+      for (const dissemination::StoreItem& item : changes->items) {
+        OnOperatorItem(item, /*just_now=*/true);
+      }
+    } else if (const auto* confirmed =
+                   std::get_if<dissemination::PrefixConfirmed>(&output)) {
+      m_core.OnConfirmed(confirmed->asked);
+    } else {
+      TellStore(output, Platform::kOperatorPrefix,
+                m_operator_follower.Problem());
+    }
+    TakeOutputs();
+  }
+
+  void OnOperatorItem(const dissemination::StoreItem& item, bool just_now) {
+    kernel::Findings findings;
+    if (item.removed) {
+      return;
+    }
+    if (Platform::IsConfiguration(item.key)) {
+      if (auto configuration =
+              Platform::DecodeConfiguration(item.value, findings)) {
+        const std::uint64_t version = configuration->version;
+        const bool in_force =
+            m_core.OnConfiguration(Now(), std::move(*configuration));
+        if (in_force) {
+          ApplyBounds();
+        }
+        logging::Log(
+            in_force ? logging::kDocumentInForce : logging::kOldVersionIgnored,
+            {{"key", item.key},
+             {"version", std::to_string(version)},
+             {"revision", std::to_string(item.revision)}});
+      }
+    } else if (Platform::IsVersion(item.key)) {
+      if (const auto version = Platform::DecodeVersion(item.value, findings)) {
+        m_core.OnVersionDeclared(Now(), version->model, version->number,
+                                 just_now);
+        logging::Log(logging::kVersionDeclared,
+                     {{"model", version->model},
+                      {"version", std::to_string(version->number)},
+                      {"revision", std::to_string(item.revision)}});
+      }
+    }
+    m_journal.TellFindings(findings);
+  }
+
+  void ApplyBounds() {
+    const direct::CallerBounds& bounds =
+        m_core.Configurations().Current().bounds;
+    m_callers.SetLimits({bounds.head_bytes, bounds.body_bytes,
+                         bounds.head_timeout, bounds.idle_timeout});
+  }
+
+  void OnEndpointNews(dissemination::StoreOutput output) {
+    const kernel::Time now = Now();
+    bool changed = false;
+    if (auto* whole = std::get_if<dissemination::WholePrefix>(&output)) {
+      std::vector<direct::ListedEndpoint> listed;
+      for (const dissemination::StoreItem& item : whole->items) {
+        if (auto endpoint = DecodeEndpoint(item)) {
+          listed.push_back(std::move(*endpoint));
+        }
+      }
+      m_list.OnSnapshot(now, listed, whole->revision);
+      changed = true;
+    } else if (auto* changes =
+                   std::get_if<dissemination::PrefixChanges>(&output)) {
+      for (const dissemination::StoreItem& item : changes->items) {
+        changed = OnEndpointItem(now, item) || changed;
+      }
+    } else if (std::holds_alternative<dissemination::StoreLost>(output)) {
+      m_list.OnUnreachable(now);
+      TellStore(output, Platform::kEndpointPrefix,
+                m_endpoint_follower.Problem());
+    } else if (std::holds_alternative<dissemination::StoreRegained>(output)) {
+      m_list.OnReachable(now);
+      TellStore(output, Platform::kEndpointPrefix, "");
+    }
+    if (changed) {
+      m_core.OnEndpoints(now, m_list.Endpoints());
+      TakeOutputs();
+    }
+  }
+
+  bool OnEndpointItem(kernel::Time now, const dissemination::StoreItem& item) {
+    const std::string_view id = Platform::EndpointId(item.key);
+    auto endpoint = item.removed ? std::nullopt : DecodeEndpoint(item);
+    if (!endpoint) {
+      logging::Log(logging::kInstanceLost,
+                   {{"instance", std::string(id)},
+                    {"revision", std::to_string(item.revision)}});
+      return m_list.OnRemoved(now, id, item.revision);
+    }
+    const direct::ListedEndpoint* known = m_list.Find(id);
+    if (known == nullptr || known->leaving != endpoint->leaving ||
+        known->model_version != endpoint->model_version) {
+      logging::Log(endpoint->leaving ? logging::kInstanceLeaving
+                                     : logging::kInstanceJoined,
+                   {{"instance", std::string(id)},
+                    {"service", endpoint->service},
+                    {"version", std::to_string(endpoint->model_version)},
+                    {"revision", std::to_string(item.revision)}});
+    }
+    return m_list.OnEntry(*endpoint);
+  }
+
+  std::optional<direct::ListedEndpoint> DecodeEndpoint(
+      const dissemination::StoreItem& item) {
+    kernel::Findings findings;
+    auto endpoint = Platform::DecodeEndpoint(item, findings);
+    m_journal.TellFindings(findings);
+    return endpoint;
+  }
+
+  void TellStore(const dissemination::StoreOutput& output,
+                 std::string_view prefix,
+                 const std::string& problem) {
+    if (std::holds_alternative<dissemination::StoreLost>(output)) {
+      logging::Log(logging::kStoreLost,
+                   {{"prefix", std::string(prefix)}, {"problem", problem}});
+    } else if (std::holds_alternative<dissemination::StoreRegained>(output)) {
+      logging::Log(logging::kStoreRegained, {{"prefix", std::string(prefix)}});
+    }
+  }
+
+  void Tick() {
+    const kernel::Time now = Now();
+    m_core.OnTick(now);
+    TakeOutputs();
+    if (now >= m_next_slow) {
+      m_next_slow = now + kSlowInterval;
+      m_callers.CheckTimes(now);
+      m_pool.CloseIdle(now);
+      m_store_pool.CloseIdle(now);
+      if (m_list.OnTick(now)) {
+        m_core.OnEndpoints(now, m_list.Endpoints());
+        TakeOutputs();
+      }
+    }
+    if (m_stop_began && AdvanceStop(now)) {
+      return;
+    }
+    m_tick.expires_after(kTickInterval);
+    m_tick.async_wait([this](std::error_code error) {
+      if (!error) {
+        Tick();
+      }
+    });
+  }
+
+  // Returns whether the stop is done.
+  bool AdvanceStop(kernel::Time now) {
+    const auto elapsed = now - *m_stop_began;
+    m_callers.CloseIdle(now, kStopSilence);
+    if (elapsed >= kLastArrivals) {
+      m_callers.StopAccepting();
+    }
+    const bool idle = elapsed >= kLastArrivals &&
+                      m_core.CallsInProgress() == 0 &&
+                      m_callers.Connections() == 0;
+    if (!idle && elapsed < m_settings.stop_time - kStopMargin) {
+      return false;
+    }
+    if (m_core.CallsInProgress() > 0) {
+      logging::Log(logging::kCallsCut,
+                   {{"instance", m_settings.entry.name},
+                    {"calls", std::to_string(m_core.CallsInProgress())},
+                    {"reason", "time for the stop is over"}});
+    }
+    m_context.stop();
+    return true;
+  }
+
+  asio::io_context& m_context;
+  EntryProcessSettings m_settings;
+  direct::Entry m_core;
+  CallJournal m_journal;
+  exchange::EndpointPool m_pool;
+  exchange::EndpointPool m_store_pool;
+  exchange::Fetcher m_fetcher;
+  std::map<direct::CallId, std::unique_ptr<Session>> m_sessions;
+  exchange::CallerServer m_callers;
+  exchange::CallerServer m_readiness;
+  exchange::CallerServer m_metrics_server;
+  direct::EndpointList m_list{direct::EndpointListSettings{}};
+  StoreFollower<typename Platform::Store> m_operator_follower;
+  StoreFollower<typename Platform::Store> m_endpoint_follower;
+  asio::steady_timer m_tick;
+  kernel::Time m_next_slow{};
+  std::optional<kernel::Time> m_stop_began;
+  direct::CallId m_last_call = 0;
+  bool m_ready = false;
+};
+
+}  // namespace radishrudder::serving
+
+#endif  // RADISHRUDDER_SERVING_ENTRY_PROCESS_H_
--- a/include/radishrudder/weights/manifest.h
+++ b/include/radishrudder/weights/manifest.h
@@ -39,9 +39,11 @@
 // Description of one version of a model's weights. Its identity is the digest
 // of its canonical text.
 struct Manifest {
-  std::string file;           // Name at the origin.
-  std::uint64_t size = 0;     // Bytes.
-  Digest whole{};             // Digest of the whole file.
+  std::string file;        // Name at the origin.
+  std::uint64_t size = 0;  // Bytes.
+  // Digest of the whole file; absent where the origin names none, and the
+  // digests of all chunks stand for it.
+  std::optional<Digest> whole{};
   std::vector<Chunk> chunks;  // In order, without gaps.
   std::string base;  // Manifest digest of the base, for an adapter, or empty.
 };
--- a/include/radishrudder/weights/source_schedule.h
+++ b/include/radishrudder/weights/source_schedule.h
@@ -15,6 +15,11 @@
 // origin rests.
 class SourceSchedule {
  public:
+  // No rest is longer than `longest_rest`, but for jitter.
+  explicit SourceSchedule(
+      kernel::Duration longest_rest = std::chrono::seconds(16))
+      : m_longest_rest(longest_rest) {}
+
   // Returns the source to use now, or nothing while both rest.
   std::optional<Source> Choose(kernel::Time now) const;
   void OnSuccess(Source source);
@@ -30,6 +35,7 @@
     kernel::Time rests_until{};
   };
 
+  kernel::Duration m_longest_rest;
   std::array<State, 2> m_states;
   std::optional<kernel::Time> m_failing_since;
 };
--- a/include/radishrudder/weights/transfer.h
+++ b/include/radishrudder/weights/transfer.h
@@ -74,6 +74,8 @@
   std::string selector = "rarest-first";
   double speed = 0.5;  // From the document: 0 origin bytes, 1 time.
   std::uint64_t maximum_staged_bytes = 2ULL << 30U;
+  // Longest rest of a source that fails again and again.
+  kernel::Duration longest_source_rest = std::chrono::seconds(16);
   // Time between two inventories to the same neighbours.
   kernel::Duration inventory_interval = std::chrono::milliseconds(60);
   // Requests in progress to one neighbour.
--- a/source/radishrudder/calls/retry_budget.cc
+++ b/source/radishrudder/calls/retry_budget.cc
@@ -5,7 +5,7 @@
 namespace radishrudder::calls {
 
 void RetryBudget::Earn() {
-  m_tokens = std::min(m_tokens + m_share, kMaximumTokens);
+  m_tokens = std::min(m_tokens + m_share, m_maximum);
 }
 
 bool RetryBudget::TryTake() {
--- /dev/null
+++ b/source/radishrudder/direct/entry.cc
@@ -0,0 +1,291 @@
+#include "radishrudder/direct/entry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "source/radishrudder/direct/entry_state.h"
+
+namespace radishrudder::direct {
+namespace {
+
+// Time for a call whose caller and route name none.
+constexpr std::chrono::seconds kLongestCall{60};
+// Declared versions of a model whose grace may still run.
+constexpr std::size_t kVersionsRemembered = 16;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+}  // namespace
+
+std::string_view ToText(Reason reason) {
+  switch (reason) {
+    case Reason::kNone:
+      return "none";
+    case Reason::kNoConfiguration:
+      return "no-configuration";
+    case Reason::kStaleConfiguration:
+      return "stale-configuration";
+    case Reason::kNoRoute:
+      return "no-route";
+    case Reason::kNoKey:
+      return "no-key";
+    case Reason::kUnknownKey:
+      return "unknown-key";
+    case Reason::kNoEndpoint:
+      return "no-endpoint";
+    case Reason::kAllBusy:
+      return "all-busy";
+    case Reason::kRefused:
+      return "refused";
+    case Reason::kUnreachable:
+      return "unreachable";
+    case Reason::kBroken:
+      return "broken";
+    case Reason::kInvalidAnswer:
+      return "invalid-answer";
+    case Reason::kTimeout:
+      return "timeout";
+    case Reason::kDraining:
+      return "draining";
+  }
+  return "none";
+}
+
+Entry::Entry(EntrySettings settings, kernel::Random random)
+    : m_state(std::make_unique<State>(std::move(settings), random)) {}
+
+Entry::~Entry() = default;
+
+bool Entry::OnConfiguration(kernel::Time now, Configuration configuration) {
+  if (!m_state->configurations.Apply(std::move(configuration))) {
+    return false;
+  }
+  m_state->Configure(now);
+  return true;
+}
+
+void Entry::OnConfirmed(kernel::BootTime asked) {
+  m_state->age.OnConfirmed(asked);
+}
+
+void Entry::OnVersionDeclared(kernel::Time now,
+                              std::string_view model,
+                              std::uint64_t version,
+                              bool just_now) {
+  auto& versions = m_state->declared[std::string(model)];
+  if (!versions.empty() && versions.back().version >= version) {
+    return;
+  }
+  const EntrySettings& settings = m_state->settings;
+  versions.push_back({version, now + (just_now ? settings.version_grace
+                                               : settings.old_version_grace)});
+}
+
+void Entry::OnEndpoints(kernel::Time now,
+                        std::vector<ListedEndpoint> endpoints) {
+  m_state->endpoints = std::move(endpoints);
+  m_state->endpoints_known = true;
+  m_state->Distribute(now);
+}
+
+void Entry::OnRequest(kernel::Time now,
+                      kernel::BootTime boot_now,
+                      CallId id,
+                      std::shared_ptr<const CallerRequest> given) {
+  State& state = *m_state;
+  const CallerRequest& request = *given;
+  const ConfigurationTable& table = state.configurations;
+  if (!table.HasConfiguration()) {
+    state.Refuse(now, request, id, kUnavailable, Reason::kNoConfiguration);
+    return;
+  }
+  const RouteRule* route = table.FindRoute(request.host, request.path);
+  const bool asks_for_key =
+      table.AsksForKeys() && (route == nullptr || !route->without_key);
+  // An old configuration can have lost keys and gained routes meanwhile.
+  const bool fresh = state.age.IsWithin(boot_now, state.settings.longest_age);
+  if (!fresh && (asks_for_key || route == nullptr)) {
+    state.Refuse(now, request, id, kUnavailable, Reason::kStaleConfiguration);
+    return;
+  }
+  if (route == nullptr) {
+    state.Refuse(now, request, id, kNotFound, Reason::kNoRoute);
+    return;
+  }
+  const WorkspaceRule* workspace = nullptr;
+  if (asks_for_key) {
+    workspace = table.FindWorkspace(request.key);
+    if (workspace == nullptr) {
+      state.Refuse(now, request, id, kUnauthorized,
+                   request.key.empty() ? Reason::kNoKey : Reason::kUnknownKey);
+      return;
+    }
+  }
+  Call call;
+  call.id = id;
+  call.route = *route;
+  call.service = state.ChooseService(*route);
+  call.priority = route->priority;
+  if (workspace != nullptr) {
+    call.workspace = workspace->name;
+    call.priority = workspace->priority.value_or(call.priority);
+  }
+  call.configuration_age =
+      state.age.Age(boot_now).value_or(std::chrono::milliseconds(0));
+  std::chrono::milliseconds time = kLongestCall;
+  time = std::min(time, request.time_left.value_or(time));
+  if (route->timeout.count() > 0) {
+    time = std::min(time, route->timeout);
+  }
+  call.deadline = request.begun + time;
+  call.request = std::move(given);
+  Call& placed = state.calls.emplace(id, std::move(call)).first->second;
+  state.Pool(placed.service).Budget().Earn();
+  state.StartAttempt(now, placed, /*only_with_room=*/true);
+}
+
+void Entry::OnCallerGone(kernel::Time now, CallId id) {
+  Call* call = m_state->Find(id);
+  if (call == nullptr) {
+    return;
+  }
+  if (call->attempt) {
+    m_state->Emit(CancelAttempt{id});
+    if (call->attempt->sent) {
+      m_state->Pool(call->service)
+          .OnAbandoned(now, m_state->RunOf(*call->attempt));
+    }
+  }
+  m_state->calls.erase(id);
+}
+
+void Entry::OnTick(kernel::Time now) {
+  State& state = *m_state;
+  state.RequireVersions(now);
+  std::vector<CallId> ids;
+  ids.reserve(state.calls.size());
+  for (const auto& [id, call] : state.calls) {
+    ids.push_back(id);
+  }
+  for (const CallId id : ids) {
+    if (Call* call = state.Find(id)) {
+      state.CheckTime(now, *call);
+    }
+  }
+}
+
+void Entry::OnDrain() {
+  m_state->draining = true;
+}
+
+bool Entry::IsReady(kernel::BootTime boot_now) const {
+  const State& state = *m_state;
+  return !state.draining && state.configurations.HasConfiguration() &&
+         state.endpoints_known &&
+         state.age.IsWithin(boot_now, state.settings.longest_age);
+}
+
+const ConfigurationTable& Entry::Configurations() const {
+  return m_state->configurations;
+}
+
+std::size_t Entry::CallsInProgress() const {
+  return m_state->calls.size();
+}
+
+std::vector<Output> Entry::TakeOutputs() {
+  return std::exchange(m_state->outputs, {});
+}
+
+std::string Entry::Explain(kernel::Time now, std::string_view service) const {
+  const auto found = m_state->pools.find(service);
+  return found == m_state->pools.end() ? std::string()
+                                       : found->second->Explain(now);
+}
+
+Entry::State::State(EntrySettings given, kernel::Random source)
+    : settings(std::move(given)), random(source) {}
+
+std::string Entry::State::ChooseService(const RouteRule& route) {
+  std::uint64_t total = 0;
+  for (const WeightedService& part : route.services) {
+    total += part.weight;
+  }
+  if (total == 0) {
+    return route.services.empty() ? std::string()
+                                  : route.services.front().service;
+  }
+  std::uint64_t drawn = random.Below(total);
+  for (const WeightedService& part : route.services) {
+    if (drawn < part.weight) {
+      return part.service;
+    }
+    drawn -= part.weight;
+  }
+  return route.services.back().service;
+}
+
+ServicePool& Entry::State::Pool(std::string_view service) {
+  auto found = pools.find(service);
+  if (found == pools.end()) {
+    found = pools
+                .emplace(std::string(service),
+                         std::make_unique<ServicePool>(
+                             settings, kernel::Random(random.Next())))
+                .first;
+    if (const ServiceRule* rule = configurations.FindService(service)) {
+      found->second->Configure(*rule);
+    }
+  }
+  return *found->second;
+}
+
+void Entry::State::Configure(kernel::Time now) {
+  for (const ServiceRule& rule : configurations.Current().services) {
+    Pool(rule.name).Configure(rule);
+  }
+  Distribute(now);
+}
+
+void Entry::State::RequireVersions(kernel::Time now) {
+  for (auto& [model, versions] : declared) {
+    std::uint64_t required = 0;
+    for (const DeclaredVersion& version : versions) {
+      if (version.required_at <= now) {
+        required = std::max(required, version.version);
+      }
+    }
+    if (versions.size() > kVersionsRemembered) {
+      versions.erase(versions.begin());
+    }
+    if (required == 0) {
+      continue;
+    }
+    for (const ServiceRule& rule : configurations.Current().services) {
+      if (rule.engine && rule.engine->model == model) {
+        Pool(rule.name).RequireVersion(now, required);
+      }
+    }
+  }
+}
+
+void Entry::State::Distribute(kernel::Time now) {
+  std::map<std::string, std::vector<ListedEndpoint>, std::less<>> by_service;
+  for (const auto& [service, pool] : pools) {
+    by_service[service];
+  }
+  for (const ListedEndpoint& endpoint : endpoints) {
+    by_service[endpoint.service].push_back(endpoint);
+  }
+  for (const auto& [service, listed] : by_service) {
+    Pool(service).Update(now, listed);
+  }
+}
+
+Call* Entry::State::Find(CallId id) {
+  const auto found = calls.find(id);
+  return found == calls.end() ? nullptr : &found->second;
+}
+
+}  // namespace radishrudder::direct
--- /dev/null
+++ b/source/radishrudder/exchange/endpoint_pool.cc
@@ -0,0 +1,396 @@
+#include "radishrudder/exchange/endpoint_pool.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "source/radishrudder/exchange/socket_options.h"
+
+namespace radishrudder::exchange {
+namespace {
+
+constexpr std::size_t kReadBytes = 8192;
+
+// Returns the idle timeout that an answer states, if it does.
+std::optional<std::chrono::seconds> StatedIdleTimeout(
+    const ResponseHead& head) {
+  constexpr std::string_view kName = "timeout=";
+  const std::string_view value = http::FindHeader(head.headers, "Keep-Alive");
+  const std::size_t begin = value.find(kName);
+  if (begin == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int seconds = 0;
+  const char* first = value.data() + begin + kName.size();
+  const auto parsed =
+      std::from_chars(first, value.data() + value.size(), seconds);
+  if (parsed.ec != std::errc() || seconds < 0) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+class EndpointPool::Connection
+    : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(EndpointPool& pool, std::string address)
+      : m_pool(pool),
+        m_address(std::move(address)),
+        m_socket(pool.m_context),
+        m_timer(pool.m_context),
+        m_reader(MessageReader::Kind::kResponse) {}
+
+  const std::string& Address() const { return m_address; }
+  kernel::Time UsableUntil() const { return m_usable_until; }
+  bool IsOpen() const { return m_socket.is_open(); }
+
+  void Start(ExchangeId exchange,
+             std::string bytes,
+             bool head_only,
+             AnswerListener& listener) {
+    m_exchange = exchange;
+    m_listener = &listener;
+    m_request = std::move(bytes);
+    m_reader.Reset(head_only);
+    m_head_only = head_only;
+    m_head_taken = false;
+    m_keep = true;
+    if (m_open) {
+      Write();
+    } else {
+      Connect();
+    }
+  }
+
+  // Ends the exchange without telling the listener.
+  void Close() {
+    m_listener = nullptr;
+    m_open = false;
+    m_timer.cancel();
+    std::error_code ignored;
+    m_socket.close(ignored);
+  }
+
+ private:
+  void Connect() {
+    const auto endpoint = ParseAddress(m_address);
+    if (!endpoint) {
+      FailLater();
+      return;
+    }
+    ++m_pool.m_opened;
+    m_timer.expires_after(m_pool.m_settings.connect_timeout);
+    m_timer.async_wait([self = shared_from_this()](std::error_code error) {
+      if (!error && !self->m_open && self->m_listener != nullptr) {
+        self->Fail(Failure::kNotSent);
+      }
+    });
+    m_socket.async_connect(
+        *endpoint, [self = shared_from_this()](std::error_code error) {
+          if (self->m_listener == nullptr) {
+            return;
+          }
+          if (error) {
+            self->Fail(Failure::kNotSent);
+            return;
+          }
+          self->m_timer.cancel();
+          self->m_open = true;
+          SetOptions(self->m_socket, self->m_pool.m_settings.silence_timeout);
+          self->Write();
+          self->Read();
+        });
+  }
+
+  // The listener must not hear of the failure while it still starts.
+  void FailLater() {
+    asio::post(m_pool.m_context, [self = shared_from_this()] {
+      if (self->m_listener != nullptr) {
+        self->Fail(Failure::kNotSent);
+      }
+    });
+  }
+
+  void Write() {
+    m_writing = true;
+    m_listener->OnSending();
+    if (m_listener == nullptr) {
+      return;
+    }
+    asio::async_write(
+        m_socket, asio::buffer(m_request),
+        [self = shared_from_this()](std::error_code error, std::size_t) {
+          self->m_writing = false;
+          if (error && self->m_listener != nullptr) {
+            // An answer may have come before the connection broke: the read
+            // decides.
+            self->m_keep = false;
+          }
+        });
+  }
+
+  void Read() {
+    m_socket.async_read_some(
+        asio::buffer(m_buffer),
+        [self = shared_from_this()](std::error_code error, std::size_t size) {
+          self->OnRead(error, size);
+        });
+  }
+
+  void OnRead(std::error_code error, std::size_t size) {
+    if (m_listener == nullptr) {
+      // Idle: an end, an error and bytes that nobody asked for all mean that
+      // the connection is not used again.
+      if (m_open) {
+        const auto self = shared_from_this();
+        m_pool.DropIdle(*this);
+        Close();
+      }
+      return;
+    }
+    if (error) {
+      OnBroken(error == asio::error::eof);
+      return;
+    }
+    if (Consume(std::string_view(m_buffer.data(), size))) {
+      Read();
+    }
+  }
+
+  // Returns whether more is to be read from this connection.
+  bool Consume(std::string_view bytes) {
+    const auto self = shared_from_this();
+    while (true) {
+      const ReadProgress progress = m_reader.Feed(bytes);
+      bytes.remove_prefix(progress.consumed);
+      if (progress.state == ReadState::kMalformed) {
+        Fail(Failure::kMalformed);
+        return false;
+      }
+      if (!HandOver()) {
+        return false;
+      }
+      if (progress.state != ReadState::kComplete) {
+        return true;
+      }
+      if (!m_foreign) {
+        return Finish(!bytes.empty());
+      }
+      // The answer to another request came first; ours may follow.
+      m_keep = false;
+      m_foreign = false;
+      m_head_taken = false;
+      m_reader.Reset(m_head_only);
+      if (bytes.empty()) {
+        return true;
+      }
+    }
+  }
+
+  // Passes on what the reader holds. Returns false if the listener is done.
+  bool HandOver() {
+    if (!m_reader.HeadComplete()) {
+      return true;
+    }
+    if (!m_head_taken) {
+      m_head_taken = true;
+      const HeadVerdict verdict = m_listener->OnHead(m_reader.Response());
+      if (m_listener == nullptr) {
+        return false;
+      }
+      if (verdict == HeadVerdict::kReject) {
+        End();
+        return false;
+      }
+      m_foreign = verdict == HeadVerdict::kForeign;
+    }
+    std::string body = m_reader.TakeBody();
+    if (!body.empty() && !m_foreign) {
+      m_listener->OnBody(std::move(body));
+    }
+    return m_listener != nullptr;
+  }
+
+  // The answer is whole. Returns whether to go on reading (idle).
+  bool Finish(bool extra_bytes) {
+    AnswerListener* listener = m_listener;
+    const ResponseHead& head = m_reader.Response();
+    const auto& settings = m_pool.m_settings;
+    auto idle = settings.idle_timeout;
+    if (const auto stated = StatedIdleTimeout(head)) {
+      idle = std::min<std::chrono::milliseconds>(
+          idle, *stated - settings.idle_margin);
+    }
+    // A request that is not written whole before its answer ends leaves the
+    // connection in a state that the next request must not meet.
+    const bool keep = m_keep && head.keep_alive && !extra_bytes && !m_writing &&
+                      idle.count() > 0;
+    m_listener = nullptr;
+    m_pool.OnDone(m_exchange);
+    if (keep) {
+      m_usable_until = std::chrono::steady_clock::now() + idle;
+      m_pool.KeepIdle(shared_from_this());
+    } else {
+      Close();
+    }
+    listener->OnEnd();
+    return keep && m_open;
+  }
+
+  void OnBroken(bool in_order) {
+    const auto self = shared_from_this();
+    if (in_order && !m_foreign && m_head_taken &&
+        m_reader.OnEnd() == ReadState::kComplete) {
+      if (HandOver()) {
+        m_keep = false;
+        Finish(false);
+      }
+      return;
+    }
+    Fail(Failure::kBroken);
+  }
+
+  // Closes the connection; the listener hears no more.
+  void End() {
+    m_pool.OnDone(m_exchange);
+    Close();
+  }
+
+  void Fail(Failure failure) {
+    const auto self = shared_from_this();
+    AnswerListener* listener = m_listener;
+    End();
+    listener->OnFailure(failure);
+  }
+
+  EndpointPool& m_pool;
+  std::string m_address;
+  asio::ip::tcp::socket m_socket;
+  asio::steady_timer m_timer;
+  MessageReader m_reader;
+  std::array<char, kReadBytes> m_buffer{};
+  std::string m_request;
+  ExchangeId m_exchange = 0;
+  AnswerListener* m_listener = nullptr;
+  bool m_open = false;
+  bool m_writing = false;
+  bool m_head_only = false;
+  bool m_head_taken = false;
+  bool m_foreign = false;
+  bool m_keep = true;  // Nothing yet that forbids using it again.
+  kernel::Time m_usable_until{};
+};
+
+EndpointPool::EndpointPool(asio::io_context& context, PoolSettings settings)
+    : m_context(context), m_settings(settings) {}
+
+EndpointPool::~EndpointPool() {
+  for (const auto& [exchange, connection] : m_active) {
+    connection->Close();
+  }
+  for (const auto& [address, connections] : m_idle) {
+    for (const auto& connection : connections) {
+      connection->Close();
+    }
+  }
+}
+
+EndpointPool::ExchangeId EndpointPool::Start(std::string_view address,
+                                             std::string bytes,
+                                             bool head_only,
+                                             AnswerListener& listener) {
+  const std::string key(address);
+  std::shared_ptr<Connection> connection = TakeIdle(key);
+  if (!connection) {
+    connection = std::make_shared<Connection>(*this, key);
+  }
+  const ExchangeId exchange = ++m_last;
+  m_active.emplace(exchange, connection);
+  connection->Start(exchange, std::move(bytes), head_only, listener);
+  return exchange;
+}
+
+void EndpointPool::Cancel(ExchangeId exchange) {
+  const auto found = m_active.find(exchange);
+  if (found == m_active.end()) {
+    return;
+  }
+  const std::shared_ptr<Connection> connection = found->second;
+  m_active.erase(found);
+  connection->Close();
+}
+
+void EndpointPool::CloseIdle(kernel::Time now) {
+  for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+    std::erase_if(entry->second, [now](const auto& connection) {
+      const bool old = connection->UsableUntil() <= now;
+      if (old) {
+        connection->Close();
+      }
+      return old;
+    });
+    entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
+  }
+}
+
+void EndpointPool::Forget(std::string_view address) {
+  const auto found = m_idle.find(address);
+  if (found == m_idle.end()) {
+    return;
+  }
+  for (const auto& connection : found->second) {
+    connection->Close();
+  }
+  m_idle.erase(found);
+}
+
+std::shared_ptr<EndpointPool::Connection> EndpointPool::TakeIdle(
+    const std::string& address) {
+  const auto found = m_idle.find(address);
+  if (found == m_idle.end()) {
+    return nullptr;
+  }
+  const kernel::Time now = std::chrono::steady_clock::now();
+  while (!found->second.empty()) {
+    std::shared_ptr<Connection> connection = found->second.back();
+    found->second.pop_back();
+    if (connection->IsOpen() && connection->UsableUntil() > now) {
+      return connection;
+    }
+    connection->Close();
+  }
+  return nullptr;
+}
+
+void EndpointPool::KeepIdle(const std::shared_ptr<Connection>& connection) {
+  auto& connections = m_idle[connection->Address()];
+  connections.push_back(connection);
+  if (connections.size() > m_settings.maximum_idle) {
+    connections.front()->Close();
+    connections.pop_front();
+  }
+}
+
+void EndpointPool::DropIdle(const Connection& connection) {
+  const auto found = m_idle.find(connection.Address());
+  if (found != m_idle.end()) {
+    std::erase_if(found->second, [&connection](const auto& other) {
+      return other.get() == &connection;
+    });
+  }
+}
+
+void EndpointPool::OnDone(ExchangeId exchange) {
+  m_active.erase(exchange);
+}
+
+}  // namespace radishrudder::exchange
--- /dev/null
+++ b/source/radishrudder/exchange/socket_options.h
@@ -0,0 +1,27 @@
+#ifndef SOURCE_RADISHRUDDER_EXCHANGE_SOCKET_OPTIONS_H_
+#define SOURCE_RADISHRUDDER_EXCHANGE_SOCKET_OPTIONS_H_
+
+#include <asio/ip/tcp.hpp>
+#include <chrono>
+#include <optional>
+#include <string_view>
+#include <system_error>
+
+namespace radishrudder::exchange {
+
+// Parses "IP:PORT".
+std::optional<asio::ip::tcp::endpoint> ParseAddress(std::string_view text);
+
+// Opens, binds and listens.
+std::error_code OpenAcceptor(asio::ip::tcp::acceptor& acceptor,
+                             const asio::ip::tcp::endpoint& endpoint,
+                             int backlog);
+
+// Sends small writes at once, and lets a peer that fell silent be noticed: by
+// unacknowledged bytes after `silence`, without traffic by probes.
+void SetOptions(asio::ip::tcp::socket& socket,
+                std::chrono::milliseconds silence);
+
+}  // namespace radishrudder::exchange
+
+#endif  // SOURCE_RADISHRUDDER_EXCHANGE_SOCKET_OPTIONS_H_
--- a/source/radishrudder/http/client_transfer.cc
+++ b/source/radishrudder/http/client_transfer.cc
@@ -4,8 +4,8 @@
 #include <new>
 #include <utility>
 
+#include "radishrudder/http/header.h"
 #include "source/radishrudder/http/client_error.h"
-#include "source/radishrudder/http/headers.h"
 
 namespace radishrudder::http {
 namespace {
--- a/source/radishrudder/http/headers.cc
+++ b/source/radishrudder/http/header.cc
@@ -1,4 +1,4 @@
-#include "source/radishrudder/http/headers.h"
+#include "radishrudder/http/header.h"
 
 #include <algorithm>
 #include <array>
@@ -28,8 +28,10 @@
     Reason{409, "Conflict"},
     Reason{413, "Content Too Large"},
     Reason{416, "Range Not Satisfiable"},
+    Reason{421, "Misdirected Request"},
     Reason{422, "Unprocessable Content"},
     Reason{429, "Too Many Requests"},
+    Reason{431, "Request Header Fields Too Large"},
     Reason{500, "Internal Server Error"},
     Reason{501, "Not Implemented"},
     Reason{502, "Bad Gateway"},
--- a/source/radishrudder/http/server.cc
+++ b/source/radishrudder/http/server.cc
@@ -11,8 +11,8 @@
 #include <thread>
 #include <utility>
 
+#include "radishrudder/http/header.h"
 #include "source/radishrudder/http/connection_table.h"
-#include "source/radishrudder/http/headers.h"
 
 namespace radishrudder::http {
 namespace {
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -5,30 +5,20 @@
 namespace radishrudder::logging {
 
 std::span<const Event> Catalogue() {
-  static constexpr std::array kEvents{kProcessStarted,
-                                      kProcessDraining,
-                                      kProcessStopped,
-                                      kCallsCut,
-                                      kDocumentInForce,
-                                      kDocumentRejected,
-                                      kConfigurationUnavailable,
-                                      kInstanceJoined,
-                                      kInstanceLeaving,
-                                      kInstanceLost,
-                                      kInstanceSuspected,
-                                      kTransferStarted,
-                                      kChunkCorrupted,
-                                      kTransferComplete,
-                                      kChunkFetchStarted,
-                                      kCallFailed,
-                                      kCallRefused,
-                                      kOrderSent,
-                                      kOrderRefused,
-                                      kVersionRunning,
-                                      kPeerConnected,
-                                      kPeerLost,
-                                      kMessageRejected,
-                                      kHttpFailed};
+  static constexpr std::array kEvents{
+      kProcessStarted,    kProcessDraining,   kProcessStopped,
+      kCallsCut,          kLogRecordsDropped, kReadinessChanged,
+      kDocumentInForce,   kDocumentRejected,  kConfigurationUnavailable,
+      kOldVersionIgnored, kStoreLost,         kStoreRegained,
+      kInstanceJoined,    kInstanceLeaving,   kInstanceLost,
+      kInstanceSuspected, kTransferStarted,   kChunkCorrupted,
+      kTransferComplete,  kChunkFetchStarted, kVersionDeclared,
+      kPieceListKnown,    kVersionStaged,     kStagedChunkRepaired,
+      kCallFailed,        kCallRefused,       kAttemptFailed,
+      kAttemptRefused,    kCallAnswered,      kOrderSent,
+      kOrderRefused,      kVersionRunning,    kEndpointRestarted,
+      kPeerConnected,     kPeerLost,          kMessageRejected,
+      kHttpFailed};
   return kEvents;
 }
 
--- a/source/radishrudder/logging/logging.cc
+++ b/source/radishrudder/logging/logging.cc
@@ -1,8 +1,13 @@
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <atomic>
+#include <cstdint>
 #include <cstdio>
 #include <memory>
 #include <utility>
 
+#include <log4cplus/appender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -85,19 +90,75 @@
   return text;
 }
 
+// Appends to standard output without ever waiting for its reader.
+class NonBlockingAppender : public log4cplus::Appender {
+ public:
+  NonBlockingAppender() {
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+      fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+  }
+  ~NonBlockingAppender() override { destructorImpl(); }
+
+  void close() override { closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    Flush();
+    if (m_dropped > 0 && m_waiting.empty()) {
+      m_waiting = std::to_string(kLogRecordsDropped.number) + " " +
+                  std::string(kLogRecordsDropped.name) +
+                  " records=" + std::to_string(m_dropped) + "\n";
+      m_dropped = 0;
+    }
+    log4cplus::tstring& record = formatEvent(event);
+    if (m_waiting.size() + record.size() > kMaximumWaiting) {
+      ++m_dropped;
+      return;
+    }
+    m_waiting += record;
+    Flush();
+  }
+
+ private:
+  static constexpr std::size_t kMaximumWaiting = 64U << 10U;
+
+  void Flush() {
+    while (!m_waiting.empty()) {
+      const ssize_t written =
+          ::write(STDOUT_FILENO, m_waiting.data(), m_waiting.size());
+      if (written <= 0) {
+        return;
+      }
+      m_waiting.erase(0, static_cast<std::size_t>(written));
+    }
+  }
+
+  std::string m_waiting;
+  std::uint64_t m_dropped = 0;
+};
+
 log4cplus::Logger RecordLogger() {
   return log4cplus::Logger::getInstance(kLoggerName);
 }
 
 }  // namespace
 
-void Initialize(std::string_view program, Level least) {
+void Initialize(std::string_view program,
+                Level least,
+                Destination destination) {
   static log4cplus::Initializer initializer;
   log4cplus::Logger logger = RecordLogger();
   logger.removeAllAppenders();
   logger.setAdditivity(false);
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(kToStandardError, kFlushEachRecord));
+  log4cplus::SharedAppenderPtr appender;
+  if (destination == Destination::kStandardOutput) {
+    appender = new NonBlockingAppender;
+  } else {
+    appender =
+        new log4cplus::ConsoleAppender(kToStandardError, kFlushEachRecord);
+  }
   appender->setName(std::string(program));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kPattern));
   logger.addAppender(appender);
--- a/source/radishrudder/routing/router.cc
+++ b/source/radishrudder/routing/router.cc
@@ -200,7 +200,9 @@
     tracked.refusing_until = {};
   }
   tracked.endpoint = endpoint;
-  m_loads.OnReport(now, slot, endpoint.load);
+  if (endpoint.load_known) {
+    m_loads.OnReport(now, slot, endpoint.load);
+  }
 }
 
 void Router::DropOutsideSubset() {
--- a/source/radishrudder/weights/manifest.cc
+++ b/source/radishrudder/weights/manifest.cc
@@ -65,7 +65,8 @@
   text += ",";
   AppendMember(text, "size", manifest.size);
   text += ",";
-  AppendMember(text, "whole", ToText(manifest.whole));
+  AppendMember(text, "whole",
+               manifest.whole ? ToText(*manifest.whole) : std::string());
   text += "}";
   return text;
 }
--- a/source/radishrudder/weights/manifest_parser.cc
+++ b/source/radishrudder/weights/manifest_parser.cc
@@ -171,7 +171,9 @@
   constexpr std::uint64_t kMaximumFileBytes =
       std::uint64_t{kMaximumChunks} * kMaximumChunkBytes;
   manifest.size = ReadNumber(root, "", "size", kMaximumFileBytes);
-  manifest.whole = ReadDigest(root, "", "whole");
+  if (root.value("whole", Json()) != "") {
+    manifest.whole = ReadDigest(root, "", "whole");
+  }
   manifest.base = ReadString(root, "", "base");
   if (!manifest.base.empty() && !ParseDigest(manifest.base)) {
     Report("/base", "\"" + manifest.base + "\" is not a digest",
--- a/source/radishrudder/weights/source_schedule.cc
+++ b/source/radishrudder/weights/source_schedule.cc
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kFirstRest(250);
-constexpr std::chrono::milliseconds kLongestRest(16'000);
 constexpr std::uint32_t kMaximumDoublings = 6;
 
 std::size_t IndexOf(Source source) {
@@ -41,8 +40,8 @@
   }
   const std::uint32_t doublings = std::min(state.failures, kMaximumDoublings);
   ++state.failures;
-  const auto rest = std::min<std::chrono::milliseconds>(
-      kFirstRest * (1U << doublings), kLongestRest);
+  const auto rest = std::min<kernel::Duration>(kFirstRest * (1U << doublings),
+                                               m_longest_rest);
   const double factor = 0.5 + random.Uniform();
   state.rests_until =
       now + std::chrono::duration_cast<kernel::Duration>(rest * factor);
--- a/source/radishrudder/weights/transfer_context.cc
+++ b/source/radishrudder/weights/transfer_context.cc
@@ -28,7 +28,8 @@
       random(random),
       selector(FindSelector(settings.selector)),
       duties(settings.self.instance, settings.region, settings.store_region),
-      budgets(settings.instance_link_bytes_per_second, kBurstBytes, now) {
+      budgets(settings.instance_link_bytes_per_second, kBurstBytes, now),
+      sources(settings.longest_source_rest) {
   if (!selector) {
     selector = FindSelector(kDefaultSelector);
   }
--- a/source/radishrudder/weights/whole_check.cc
+++ b/source/radishrudder/weights/whole_check.cc
@@ -19,8 +19,8 @@
     ++m_next;
   }
   if (m_state == WholeState::kPending && m_next == manifest.chunks.size()) {
-    m_state = m_stream.Finish() == manifest.whole ? WholeState::kVerified
-                                                  : WholeState::kWrong;
+    const bool whole = !manifest.whole || m_stream.Finish() == *manifest.whole;
+    m_state = whole ? WholeState::kVerified : WholeState::kWrong;
   }
   return m_state;
 }
--- a/tests/http/headers_test.cc
+++ b/tests/http/header_test.cc
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
+#include "radishrudder/http/header.h"
 #include "radishrudder/http/server.h"
-#include "source/radishrudder/http/headers.h"
 
 namespace radishrudder::http {
 namespace {
