exchange, serving: deadlines go on while the machine is suspended

Ruled out: a late end of the connection, for the caller's deadline alone would have stopped it. All parts around calls take their time from the boot clock.

--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -18,6 +18,7 @@
 #include "radishrudder/exchange/endpoint_pool.h"
 #include "radishrudder/exchange/fetcher.h"
 #include "radishrudder/exchange/frame_links.h"
+#include "radishrudder/kernel/boot_time.h"
 #include "radishrudder/logging/events.h"
 #include "radishrudder/serving/store_follower.h"
 #include "radishrudder/staging/stager.h"
@@ -108,7 +109,9 @@
   static constexpr std::chrono::milliseconds kListAtRest{4000};
   static constexpr std::chrono::milliseconds kLocalTimeout{1000};
   static constexpr std::chrono::milliseconds kOriginTimeout{2500};
-  // A version has seconds to spread: the origin is asked again soon.
+  // A version has seconds to spread: silence counts soon, and the origin is
+  // asked again soon.
+  static constexpr double kTransferPatience = 0.25;
   static constexpr std::chrono::milliseconds kLongestOriginRest{800};
   static constexpr std::chrono::milliseconds kListTimeout{1500};
   static constexpr std::uint64_t kFirstVersion = 1;
@@ -117,8 +120,6 @@
   // Part of the own link that chunks may take.
   static constexpr double kLinkShare = 0.9;
 
-  static kernel::Time Now() { return std::chrono::steady_clock::now(); }
-
   void OnOperatorNews(const dissemination::StoreOutput& output) {
     const std::vector<dissemination::StoreItem>* items = nullptr;
     if (const auto* whole = std::get_if<dissemination::WholePrefix>(&output)) {
@@ -159,7 +160,7 @@
     if (m_operator_read && m_stager &&
         m_declared.find(m_model) == m_declared.end()) {
       m_declared[m_model] = kFirstVersion;
-      m_stager->OnDeclared(Now(), {m_model, kFirstVersion},
+      m_stager->OnDeclared(kernel::Now(), {m_model, kFirstVersion},
                            /*just_now=*/false);
       TakeOutputs();
     }
@@ -199,8 +200,8 @@
     m_declared[version->model] =
         std::max(m_declared[version->model], version->number);
     if (m_stager && version->model == m_model) {
-      m_next_list = Now();
-      m_stager->OnDeclared(Now(), *version, just_now);
+      m_next_list = kernel::Now();
+      m_stager->OnDeclared(kernel::Now(), *version, just_now);
       TakeOutputs();
     }
   }
@@ -214,6 +215,7 @@
     weights::TransferSettings& transfer = settings.transfer;
     kernel::Random incarnation(kernel::SystemEntropy());
     transfer.longest_source_rest = kLongestOriginRest;
+    transfer.patience = kTransferPatience;
     transfer.self = {m_settings.ip, incarnation.Next()};
     transfer.data_centre = m_settings.data_centre;
     transfer.region = m_settings.region;
@@ -222,10 +224,10 @@
     transfer.instance_link_bytes_per_second =
         m_settings.link_bytes_per_second * kLinkShare;
     m_stager = std::make_unique<staging::Stager>(
-        std::move(settings), kernel::Random(m_random.Next()), Now());
+        std::move(settings), kernel::Random(m_random.Next()), kernel::Now());
     const auto declared = m_declared.find(m_model);
     if (declared != m_declared.end()) {
-      m_stager->OnDeclared(Now(), {m_model, declared->second},
+      m_stager->OnDeclared(kernel::Now(), {m_model, declared->second},
                            /*just_now=*/false);
     }
     TakeOutputs();
@@ -261,7 +263,7 @@
                    {{"target", std::string(Platform::kEndpointPrefix)},
                     {"problem", problem}});
       m_list_asked = false;
-      m_next_list = Now() + kListWhileSpreading;
+      m_next_list = kernel::Now() + kListWhileSpreading;
       return;
     }
     for (const dissemination::StoreItem& item : decoded->items) {
@@ -276,7 +278,8 @@
       return;
     }
     m_list_asked = false;
-    m_next_list = Now() + (m_spreading ? kListWhileSpreading : kListAtRest);
+    m_next_list =
+        kernel::Now() + (m_spreading ? kListWhileSpreading : kListAtRest);
     TakeList();
   }
 
@@ -295,7 +298,7 @@
              .alive = !endpoint.leaving});
       }
     }
-    m_stager->OnPeers(Now(), std::move(peers));
+    m_stager->OnPeers(kernel::Now(), std::move(peers));
     TakeOutputs();
   }
 
@@ -307,7 +310,7 @@
       return;
     }
     if (m_stager) {
-      m_stager->OnMessage(Now(), message);
+      m_stager->OnMessage(kernel::Now(), message);
       TakeOutputs();
     }
   }
@@ -334,7 +337,7 @@
             list = Platform::DecodePieceList(version, answer->body, findings);
             TellFindings(findings);
           }
-          m_stager->OnPieceList(Now(), version, std::move(list));
+          m_stager->OnPieceList(kernel::Now(), version, std::move(list));
           TakeOutputs();
         });
   }
@@ -345,7 +348,7 @@
         Platform::Endpoint::EncodePiece(fetch.version, fetch.index),
         kOriginTimeout,
         [this, fetch](std::optional<exchange::FetchedAnswer> answer) {
-          m_stager->OnPiece(Now(), fetch.version, fetch.index,
+          m_stager->OnPiece(kernel::Now(), fetch.version, fetch.index,
                             BodyOf(std::move(answer)));
           TakeOutputs();
         });
@@ -356,7 +359,7 @@
         kLocalTimeout,
         [this, version = output.version,
          index = output.index](std::optional<exchange::FetchedAnswer> answer) {
-          m_stager->OnStaged(Now(), version, index,
+          m_stager->OnStaged(kernel::Now(), version, index,
                              answer && answer->status < kFirstFailure);
           TakeOutputs();
         });
@@ -367,7 +370,7 @@
         m_settings.endpoint_address, Platform::Endpoint::EncodeReadStaged(read),
         kLocalTimeout,
         [this, read](std::optional<exchange::FetchedAnswer> answer) {
-          m_stager->OnStagedRead(Now(), read.version, read.index,
+          m_stager->OnStagedRead(kernel::Now(), read.version, read.index,
                                  BodyOf(std::move(answer)));
           TakeOutputs();
         });
@@ -384,18 +387,18 @@
                       }
                       m_spreading = !report.reachable || report.version == 0 ||
                                     report.version < m_declared[m_model];
-                      m_stager->OnReport(Now(), report);
+                      m_stager->OnReport(kernel::Now(), report);
                       TakeOutputs();
                     });
   }
   void Carry(staging::OrderLoad& output) {
-    m_fetcher.Fetch(m_settings.endpoint_address,
-                    Platform::Endpoint::EncodeOrder(output), kLocalTimeout,
-                    [this](std::optional<exchange::FetchedAnswer> answer) {
-                      m_stager->OnOrderResult(
-                          Now(), Platform::Endpoint::DecodeOrder(answer));
-                      TakeOutputs();
-                    });
+    m_fetcher.Fetch(
+        m_settings.endpoint_address, Platform::Endpoint::EncodeOrder(output),
+        kLocalTimeout, [this](std::optional<exchange::FetchedAnswer> answer) {
+          m_stager->OnOrderResult(kernel::Now(),
+                                  Platform::Endpoint::DecodeOrder(answer));
+          TakeOutputs();
+        });
   }
   void Carry(staging::Progress& output) {
     logging::Log(EventOf(output.kind),
@@ -444,7 +447,7 @@
   }
 
   void Tick() {
-    const kernel::Time now = Now();
+    const kernel::Time now = kernel::Now();
     if (!m_list_asked && now >= m_next_list) {
       ReadList();
     }
--- a/include/radishrudder/serving/call_session.h
+++ b/include/radishrudder/serving/call_session.h
@@ -10,6 +10,7 @@
 #include "radishrudder/direct/entry.h"
 #include "radishrudder/exchange/caller_server.h"
 #include "radishrudder/exchange/endpoint_pool.h"
+#include "radishrudder/kernel/boot_time.h"
 
 namespace radishrudder::serving {
 
@@ -54,14 +55,11 @@
   }
   void Cancel(exchange::EndpointPool& pool) { pool.Cancel(m_exchange); }
 
-  void OnSending() override {
-    m_process.Core().OnSending(std::chrono::steady_clock::now(), m_id);
-  }
+  void OnSending() override { m_process.Core().OnSending(kernel::Now(), m_id); }
   exchange::HeadVerdict OnHead(const exchange::ResponseHead& head) override {
     Process& process = m_process;
-    const direct::AnswerVerdict verdict =
-        process.Core().OnAnswerHead(std::chrono::steady_clock::now(), m_id,
-                                    Codec::DecodeAnswer(head, m_endpoint));
+    const direct::AnswerVerdict verdict = process.Core().OnAnswerHead(
+        kernel::Now(), m_id, Codec::DecodeAnswer(head, m_endpoint));
     // The outputs may end this session: nothing of it is used after them.
     process.TakeOutputs();
     switch (verdict) {
@@ -76,13 +74,12 @@
   }
   void OnBody(std::string data) override {
     Process& process = m_process;
-    process.Core().OnAnswerBody(std::chrono::steady_clock::now(), m_id,
-                                std::move(data));
+    process.Core().OnAnswerBody(kernel::Now(), m_id, std::move(data));
     process.TakeOutputs();
   }
   void OnEnd() override {
     Process& process = m_process;
-    process.Core().OnAnswerEnd(std::chrono::steady_clock::now(), m_id);
+    process.Core().OnAnswerEnd(kernel::Now(), m_id);
     process.TakeOutputs();
   }
   void OnFailure(exchange::Failure failure) override {
@@ -93,8 +90,7 @@
     } else if (failure == exchange::Failure::kMalformed) {
       reason = direct::AttemptFailure::kMalformed;
     }
-    process.Core().OnAttemptFailed(std::chrono::steady_clock::now(), m_id,
-                                   reason);
+    process.Core().OnAttemptFailed(kernel::Now(), m_id, reason);
     process.TakeOutputs();
   }
 
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -126,7 +126,7 @@
     if (m_stop_began) {
       return;
     }
-    m_stop_began = Now();
+    m_stop_began = kernel::Now();
     m_core.OnDrain();
     m_callers.CloseAfterAnswers();
     logging::Log(logging::kProcessDraining,
@@ -157,8 +157,6 @@
   // The end of the time for a stop that is left unused.
   static constexpr std::chrono::milliseconds kStopMargin{250};
 
-  static kernel::Time Now() { return std::chrono::steady_clock::now(); }
-
   void OnRequest(exchange::ReceivedRequest received,
                  std::shared_ptr<exchange::CallerExchange> caller) {
     const direct::CallId id = ++m_last_call;
@@ -166,13 +164,13 @@
         Platform::Calls::DecodeRequest(std::move(received)));
     caller->OnGone([this, id] {
       m_journal.CountGone();
-      m_core.OnCallerGone(Now(), id);
+      m_core.OnCallerGone(kernel::Now(), id);
       TakeOutputs();
       m_sessions.erase(id);
     });
     m_sessions.emplace(
         id, std::make_unique<Session>(*this, id, request, std::move(caller)));
-    m_core.OnRequest(Now(), kernel::BootTimeNow(), id, request);
+    m_core.OnRequest(kernel::Now(), kernel::BootTimeNow(), id, request);
     TakeOutputs();
   }
 
@@ -235,7 +233,7 @@
       m_sessions.erase(output.call);
     }
   }
-  void Carry(direct::Note& output) { m_journal.Tell(Now(), output); }
+  void Carry(direct::Note& output) { m_journal.Tell(kernel::Now(), output); }
 
   void OnOperatorNews(dissemination::StoreOutput output) {
     if (auto* whole = std::get_if<dissemination::WholePrefix>(&output)) {
@@ -267,7 +265,7 @@
               Platform::DecodeConfiguration(item.value, findings)) {
         const std::uint64_t version = configuration->version;
         const bool in_force =
-            m_core.OnConfiguration(Now(), std::move(*configuration));
+            m_core.OnConfiguration(kernel::Now(), std::move(*configuration));
         if (in_force) {
           ApplyBounds();
         }
@@ -279,7 +277,7 @@
       }
     } else if (Platform::IsVersion(item.key)) {
       if (const auto version = Platform::DecodeVersion(item.value, findings)) {
-        m_core.OnVersionDeclared(Now(), version->model, version->number,
+        m_core.OnVersionDeclared(kernel::Now(), version->model, version->number,
                                  just_now);
         logging::Log(logging::kVersionDeclared,
                      {{"model", version->model},
@@ -298,7 +296,7 @@
   }
 
   void OnEndpointNews(dissemination::StoreOutput output) {
-    const kernel::Time now = Now();
+    const kernel::Time now = kernel::Now();
     bool changed = false;
     if (auto* whole = std::get_if<dissemination::WholePrefix>(&output)) {
       std::vector<direct::ListedEndpoint> listed;
@@ -370,7 +368,7 @@
   }
 
   void Tick() {
-    const kernel::Time now = Now();
+    const kernel::Time now = kernel::Now();
     m_core.OnTick(now);
     TakeOutputs();
     if (now >= m_next_slow) {
--- a/include/radishrudder/serving/store_follower.h
+++ b/include/radishrudder/serving/store_follower.h
@@ -1,6 +1,7 @@
 #ifndef RADISHRUDDER_SERVING_STORE_FOLLOWER_H_
 #define RADISHRUDDER_SERVING_STORE_FOLLOWER_H_
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
@@ -61,10 +62,9 @@
   const std::string& Problem() const { return m_problem; }
 
  private:
-  static kernel::Time Now() { return std::chrono::steady_clock::now(); }
-
   void Advance() {
-    m_reader.OnTick(Now(), kernel::BootTimeNow());
+    const kernel::Time now = kernel::Now();
+    m_reader.OnTick(now, kernel::BootTimeNow());
     for (dissemination::StoreOutput& output : m_reader.TakeOutputs()) {
       if (const auto* page = std::get_if<dissemination::ReadPage>(&output)) {
         Ask(Codec::EncodePage(m_settings.prefix, *page), m_settings.answer_time,
@@ -80,7 +80,8 @@
     if (m_reader.NextTick() == kernel::Time::max()) {
       return;
     }
-    m_timer.expires_at(m_reader.NextTick());
+    m_timer.expires_after(
+        std::max(m_reader.NextTick() - now, kernel::Duration::zero()));
     m_timer.async_wait([this](std::error_code error) {
       if (!error) {
         Advance();
@@ -106,7 +107,7 @@
     if (answer) {
       decoded = Codec::Decode(*answer, m_problem);
     }
-    const kernel::Time now = Now();
+    const kernel::Time now = kernel::Now();
     if (!decoded) {
       m_reader.OnFailed(now);
     } else if (decoded->history_gone) {
--- a/include/radishrudder/weights/transfer.h
+++ b/include/radishrudder/weights/transfer.h
@@ -74,6 +74,9 @@
   std::string selector = "rarest-first";
   double speed = 0.5;  // From the document: 0 origin bytes, 1 time.
   std::uint64_t maximum_staged_bytes = 2ULL << 30U;
+  // Factor of the times after which silence counts as failure: 1 suits
+  // versions that have minutes to spread.
+  double patience = 1;
   // Longest rest of a source that fails again and again.
   kernel::Duration longest_source_rest = std::chrono::seconds(16);
   // Time between two inventories to the same neighbours.
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "radishrudder/kernel/boot_time.h"
 #include "source/radishrudder/exchange/socket_options.h"
 
 namespace radishrudder::exchange {
@@ -53,7 +54,7 @@
       : m_server(server),
         m_socket(std::move(socket)),
         m_reader(MessageReader::Kind::kRequest),
-        m_silent_since(std::chrono::steady_clock::now()) {
+        m_silent_since(kernel::Now()) {
     SetOptions(m_socket, kCallerSilence);
   }
 
@@ -177,7 +178,7 @@
       return;
     }
     if (!m_begun) {
-      m_begun = std::chrono::steady_clock::now();
+      m_begun = kernel::Now();
       m_reader.Reset();
     }
     const ReadProgress progress = m_reader.Feed(m_incoming);
@@ -293,7 +294,7 @@
   void EndAnswer() {
     m_exchange.reset();
     m_gone = nullptr;
-    m_silent_since = std::chrono::steady_clock::now();
+    m_silent_since = kernel::Now();
     m_ending = !m_keep;
     m_next = true;
   }
--- a/source/radishrudder/exchange/endpoint_pool.cc
+++ b/source/radishrudder/exchange/endpoint_pool.cc
@@ -11,6 +11,7 @@
 #include <optional>
 #include <utility>
 
+#include "radishrudder/kernel/boot_time.h"
 #include "source/radishrudder/exchange/socket_options.h"
 
 namespace radishrudder::exchange {
@@ -237,7 +238,7 @@
     m_listener = nullptr;
     m_pool.OnDone(m_exchange);
     if (keep) {
-      m_usable_until = std::chrono::steady_clock::now() + idle;
+      m_usable_until = kernel::Now() + idle;
       m_pool.KeepIdle(shared_from_this());
     } else {
       Close();
@@ -359,7 +360,7 @@
   if (found == m_idle.end()) {
     return nullptr;
   }
-  const kernel::Time now = std::chrono::steady_clock::now();
+  const kernel::Time now = kernel::Now();
   while (!found->second.empty()) {
     std::shared_ptr<Connection> connection = found->second.back();
     found->second.pop_back();
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "radishrudder/kernel/boot_time.h"
 #include "radishrudder/logging/events.h"
 
 namespace radishrudder::serving {
@@ -42,8 +43,7 @@
 CallJournal::CallJournal(std::string instance)
     : m_instance(std::move(instance)),
       m_metrics(kMaximumSeries),
-      m_lines(kLinesPerSecond, kLinesAtOnce, std::chrono::steady_clock::now()) {
-}
+      m_lines(kLinesPerSecond, kLinesAtOnce, kernel::Now()) {}
 
 bool CallJournal::MayLog(kernel::Time now, const direct::Note& note) {
   if (IsSuccess(note) && m_successes++ % kSuccessSample != 0) {
--- a/source/radishrudder/weights/transfer_context.cc
+++ b/source/radishrudder/weights/transfer_context.cc
@@ -45,11 +45,13 @@
   const double rate = settings.instance_link_bytes_per_second;
   const double chunk_seconds = rate > 0 ? chunk_bytes / rate : 0;
   const double haste = std::clamp(settings.speed, 0.0, 1.0);
+  const double patience = settings.patience;
   TransferTiming timing{};
-  timing.request_timeout = ToDuration(1.0 + kQueuedChunks * chunk_seconds);
-  timing.silence = ToDuration(2.0 - haste);
-  timing.stall = ToDuration(8.0 - 6.0 * haste);
-  timing.fetch_timeout = ToDuration(10.0 + kQueuedChunks * chunk_seconds);
+  timing.request_timeout = ToDuration(patience + kQueuedChunks * chunk_seconds);
+  timing.silence = ToDuration(patience * (2.0 - haste));
+  timing.stall = ToDuration(patience * (8.0 - 6.0 * haste));
+  timing.fetch_timeout =
+      ToDuration(patience * 10.0 + kQueuedChunks * chunk_seconds);
   return timing;
 }
 
--- /dev/null
+++ b/tests/direct/parts_test.cc
@@ -0,0 +1,149 @@
+#include <gtest/gtest.h>
+
+#include "radishrudder/direct/configuration.h"
+#include "radishrudder/direct/endpoint_list.h"
+#include "radishrudder/direct/event_splitter.h"
+
+namespace radishrudder::direct {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct RouteCase {
+  const char* name;
+  const char* host;
+  const char* path;
+  const char* route;  // Empty: none.
+};
+
+class RouteTest : public testing::TestWithParam<RouteCase> {};
+
+TEST_P(RouteTest, HostAndLongestPrefixDecide) {
+  Configuration configuration;
+  configuration.version = 1;
+  for (const auto& [name, host, prefix] :
+       {std::tuple("short", "a.example", "/x/"),
+        std::tuple("long", "a.example", "/x/y/"),
+        std::tuple("other", "b.example", "/x/")}) {
+    RouteRule route;
+    route.name = name;
+    route.host = host;
+    route.prefix = prefix;
+    configuration.routes.push_back(std::move(route));
+  }
+  ConfigurationTable table;
+  ASSERT_TRUE(table.Apply(std::move(configuration)));
+  const RouteRule* found = table.FindRoute(GetParam().host, GetParam().path);
+  EXPECT_EQ(found == nullptr ? "" : found->name, GetParam().route);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    RouteTest,
+    testing::Values(RouteCase{"Short", "a.example", "/x/1", "short"},
+                    RouteCase{"Long", "a.example", "/x/y/1", "long"},
+                    RouteCase{"Port", "A.Example:8080", "/x/1", "short"},
+                    RouteCase{"OtherHost", "b.example", "/x/y/1", "other"},
+                    RouteCase{"UnknownHost", "c.example", "/x/1", ""},
+                    RouteCase{"NoSlash", "a.example", "/x", ""}),
+    [](const auto& info) { return info.param.name; });
+
+ListedEndpoint Entry(const std::string& id,
+                     std::uint64_t revision,
+                     bool leaving = false) {
+  ListedEndpoint entry;
+  entry.id = id;
+  entry.revision = revision;
+  entry.leaving = leaving;
+  return entry;
+}
+
+class EndpointListTest : public testing::Test {
+ protected:
+  EndpointList m_list{EndpointListSettings{}};
+  kernel::Time m_now{std::chrono::hours(1)};
+};
+
+TEST_F(EndpointListTest, NothingGoesBack) {
+  EXPECT_TRUE(m_list.OnEntry(Entry("a", 5, true)));
+  EXPECT_FALSE(m_list.OnEntry(Entry("a", 4, false)));
+  EXPECT_TRUE(m_list.Find("a")->leaving);
+  EXPECT_TRUE(m_list.OnRemoved(m_now, "a", 6));
+  EXPECT_FALSE(m_list.OnEntry(Entry("a", 5)));
+  EXPECT_EQ(m_list.Find("a"), nullptr);
+  EXPECT_TRUE(m_list.OnEntry(Entry("a", 7)));
+}
+
+TEST_F(EndpointListTest, RemovalIsTakenAtOnceWhileTheListIsSound) {
+  m_list.OnEntry(Entry("a", 1));
+  EXPECT_TRUE(m_list.OnRemoved(m_now, "a", 2));
+  EXPECT_EQ(m_list.Size(), 0U);
+}
+
+// While the store is away entries lapse though their endpoints live.
+TEST_F(EndpointListTest, LapsedEntriesHaveTimeToComeBack) {
+  m_list.OnEntry(Entry("back", 1));
+  m_list.OnEntry(Entry("gone", 2));
+  m_list.OnEntry(Entry("leaving", 3, true));
+  m_list.OnUnreachable(m_now);
+  m_now += std::chrono::seconds(10);
+  m_list.OnReachable(m_now);
+  m_list.OnSnapshot(m_now, {}, 9);
+  EXPECT_NE(m_list.Find("back"), nullptr);
+  EXPECT_EQ(m_list.Find("leaving"), nullptr);
+  m_now += milliseconds(1000);
+  m_list.OnEntry(Entry("back", 10));
+  m_now += milliseconds(1100);
+  EXPECT_TRUE(m_list.OnTick(m_now));
+  EXPECT_NE(m_list.Find("back"), nullptr);
+  EXPECT_EQ(m_list.Find("gone"), nullptr);
+}
+
+struct SplitCase {
+  const char* name;
+  std::vector<std::string> data;
+  std::vector<std::string> events;
+  std::size_t pending;
+};
+
+class SplitTest : public testing::TestWithParam<SplitCase> {};
+
+TEST_P(SplitTest, PassesOnWholeEvents) {
+  EventSplitter splitter;
+  std::vector<std::string> events;
+  for (const std::string& data : GetParam().data) {
+    events.push_back(splitter.Feed(data));
+  }
+  EXPECT_EQ(events, GetParam().events);
+  EXPECT_EQ(splitter.Pending(), GetParam().pending);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    SplitTest,
+    testing::Values(
+        SplitCase{"One", {"id: 1\ndata: a\n\n"}, {"id: 1\ndata: a\n\n"}, 0},
+        SplitCase{"Two", {"id: 1\n\nid: 2\n\n"}, {"id: 1\n\nid: 2\n\n"}, 0},
+        SplitCase{"Halves",
+                  {"id: 1\nda", "ta: a\n\n"},
+                  {"", "id: 1\ndata: a\n\n"},
+                  0},
+        SplitCase{"BlankLineInTwo", {"id: 1\n", "\nid"}, {"", "id: 1\n\n"}, 2},
+        SplitCase{"CarriageReturns",
+                  {"id: 1\r\n\r", "\n"},
+                  {"", "id: 1\r\n\r\n"},
+                  0},
+        SplitCase{"Unfinished", {"id: 1\ndata"}, {""}, 10}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(EventSplitterTest, AnotherAttemptRepeatsNothing) {
+  EventSplitter splitter;
+  splitter.Feed("id: 1\n\nid: 2\n\nid: 3\nda");
+  EXPECT_EQ(splitter.LastId(), 2U);
+  splitter.Restart(splitter.LastId());
+  EXPECT_EQ(splitter.Feed("id: 2\n\nid: 3\n\n"), "id: 3\n\n");
+  EXPECT_EQ(splitter.LastId(), 3U);
+}
+
+}  // namespace
+}  // namespace radishrudder::direct
--- /dev/null
+++ b/tests/exchange/caller_server_test.cc
@@ -0,0 +1,204 @@
+#include "radishrudder/exchange/caller_server.h"
+
+#include <gtest/gtest.h>
+
+#include <asio/connect.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <vector>
+
+#include "radishrudder/exchange/frame_links.h"
+#include "radishrudder/kernel/boot_time.h"
+
+namespace radishrudder::exchange {
+namespace {
+
+// Returns a free port of loopback.
+std::string FreeAddress(asio::io_context& context) {
+  asio::ip::tcp::acceptor acceptor(
+      context, {asio::ip::address_v4::loopback(), std::uint16_t{0}});
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+asio::ip::tcp::endpoint EndpointOf(const std::string& address) {
+  return {asio::ip::address_v4::loopback(),
+          static_cast<std::uint16_t>(
+              std::stoi(address.substr(address.find(':') + 1)))};
+}
+
+class ServerTest : public testing::Test {
+ protected:
+  ServerTest() {
+    m_address = FreeAddress(m_context);
+    EXPECT_FALSE(m_server.Listen(m_address));
+    m_client.connect(EndpointOf(m_address));
+    m_client.non_blocking(true);
+  }
+
+  void Write(std::string_view text) {
+    asio::write(m_client, asio::buffer(text));
+  }
+  // Lets the server work until `text` ends what the client received.
+  void ReadUntil(std::string_view text) {
+    while (!m_received.ends_with(text) && !m_ended) {
+      m_context.poll();
+      Receive();
+    }
+  }
+  void Receive() {
+    std::array<char, 4096> buffer{};
+    std::error_code error;
+    const std::size_t size = m_client.read_some(asio::buffer(buffer), error);
+    m_received.append(buffer.data(), size);
+    m_ended = m_ended || (error && error != asio::error::would_block);
+  }
+  void RunUntil(const std::function<bool()>& done) {
+    while (!done()) {
+      m_context.run_one();
+    }
+  }
+
+  asio::io_context m_context{1};
+  std::vector<ReceivedRequest> m_requests;
+  std::vector<std::shared_ptr<CallerExchange>> m_exchanges;
+  CallerServer m_server{m_context,
+                        [this](ReceivedRequest request,
+                               std::shared_ptr<CallerExchange> exchange) {
+                          m_requests.push_back(std::move(request));
+                          m_exchanges.push_back(std::move(exchange));
+                        }};
+  std::string m_address;
+  asio::ip::tcp::socket m_client{m_context};
+  std::string m_received;
+  bool m_ended = false;
+};
+
+TEST_F(ServerTest, AnswersOneRequestAfterTheOther) {
+  Write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  m_exchanges[0]->Reply({200, {{"X-A", "1"}}}, "one");
+  RunUntil([this] { return m_requests.size() == 2; });
+  EXPECT_EQ(m_requests[1].head.target, "/2");
+  m_exchanges[1]->Begin({200, {}});
+  m_exchanges[1]->Write("two");
+  m_exchanges[1]->Finish();
+  ReadUntil("0\r\n\r\n");
+  EXPECT_EQ(m_received,
+            "HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 3\r\n\r\none"
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "3\r\ntwo\r\n0\r\n\r\n");
+}
+
+// An answer that is broken off must not look complete.
+TEST_F(ServerTest, AbortEndsWithoutTheLastChunk) {
+  Write("GET / HTTP/1.1\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  m_exchanges[0]->Begin({200, {}});
+  m_exchanges[0]->Write("part");
+  ReadUntil("part\r\n");
+  m_exchanges[0]->Abort();
+  ReadUntil("never");
+  EXPECT_TRUE(m_ended);
+  EXPECT_FALSE(m_received.ends_with("0\r\n\r\n"));
+  EXPECT_EQ(m_server.Connections(), 0U);
+}
+
+TEST_F(ServerTest, TellsOfACallerThatLeaves) {
+  Write("GET / HTTP/1.1\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  bool gone = false;
+  m_exchanges[0]->OnGone([&gone] { gone = true; });
+  m_client.close();
+  RunUntil([&gone] { return gone; });
+  m_exchanges[0]->Reply({200, {}}, "late");
+  EXPECT_EQ(m_server.Connections(), 0U);
+}
+
+TEST_F(ServerTest, StopClosesAfterTheAnswer) {
+  Write("GET / HTTP/1.1\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  m_server.CloseAfterAnswers();
+  m_exchanges[0]->Reply({200, {}}, "last");
+  ReadUntil("never");
+  EXPECT_NE(m_received.find("Connection: close\r\n"), std::string::npos);
+  EXPECT_TRUE(m_received.ends_with("last"));
+}
+
+TEST_F(ServerTest, SilentConnectionsAreClosedInAStop) {
+  RunUntil([this] { return m_server.Connections() == 1; });
+  const kernel::Time now = kernel::Now();
+  m_server.CloseIdle(now, std::chrono::minutes(1));
+  EXPECT_EQ(m_server.Connections(), 1U);
+  m_server.CloseIdle(now + std::chrono::minutes(2), std::chrono::minutes(1));
+  EXPECT_EQ(m_server.Connections(), 0U);
+}
+
+struct RefusalCase {
+  const char* name;
+  std::string request;
+  const char* status;
+};
+
+class RefusalTest : public ServerTest,
+                    public testing::WithParamInterface<RefusalCase> {};
+
+TEST_P(RefusalTest, SaysWhyAndCloses) {
+  m_server.SetLimits({.head_bytes = 200, .body_bytes = 50});
+  Write(GetParam().request);
+  ReadUntil("never");
+  EXPECT_TRUE(
+      m_received.starts_with("HTTP/1.1 " + std::string(GetParam().status)))
+      << m_received;
+  EXPECT_TRUE(m_requests.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    RefusalTest,
+    testing::Values(RefusalCase{"Malformed", "nonsense\r\n\r\n", "400"},
+                    RefusalCase{"LongHead",
+                                "GET / HTTP/1.1\r\nX: " +
+                                    std::string(400, 'x') + "\r\n\r\n",
+                                "431"},
+                    RefusalCase{
+                        "LongBody",
+                        "POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n" +
+                            std::string(60, 'x'),
+                        "413"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(ServerTest, SlowHeadIsRefused) {
+  Write("GET / HT");
+  RunUntil([this] { return m_server.Connections() == 1; });
+  m_context.poll();
+  while (!m_ended) {
+    m_server.CheckTimes(kernel::Now() + std::chrono::seconds(10));
+    m_context.poll();
+    Receive();
+  }
+  EXPECT_TRUE(m_received.empty() || m_received.starts_with("HTTP/1.1 408"));
+}
+
+TEST(FrameLinksTest, DeliverMessagesInOrder) {
+  asio::io_context context(1);
+  std::vector<std::string> received;
+  FrameLinks receiver(context, [&received](std::string_view frame) {
+    received.emplace_back(frame);
+  });
+  FrameLinks sender(context, [](std::string_view) {});
+  const std::string address = FreeAddress(context);
+  ASSERT_FALSE(receiver.Listen(address));
+  const std::string large(100'000, 'x');
+  EXPECT_TRUE(sender.Send(address, "one"));
+  EXPECT_TRUE(sender.Send(address, ""));
+  EXPECT_TRUE(sender.Send(address, large));
+  EXPECT_FALSE(sender.Send(address, std::string(8U << 20U, 'x')));
+  EXPECT_FALSE(sender.Send("nowhere", "one"));
+  while (received.size() < 3) {
+    context.run_one();
+  }
+  EXPECT_EQ(received, (std::vector<std::string>{"one", "", large}));
+}
+
+}  // namespace
+}  // namespace radishrudder::exchange
--- /dev/null
+++ b/tests/platform/codecs_test.cc
@@ -0,0 +1,263 @@
+#include <gtest/gtest.h>
+
+#include "platform/endpoint_codec.h"
+#include "platform/messages.h"
+#include "platform/settings.h"
+#include "platform/store_codec.h"
+
+namespace radishrudder::platform {
+namespace {
+
+exchange::ReceivedRequest Received(std::vector<http::Header> headers) {
+  exchange::ReceivedRequest received;
+  received.head.method = "POST";
+  received.head.target = "/a/b?c=d";
+  received.head.headers = std::move(headers);
+  received.body = "body";
+  return received;
+}
+
+TEST(CallCodecTest, DecodesWhatTheCallerSent) {
+  const direct::CallerRequest request = CallCodec::DecodeRequest(
+      Received({{"Host", "h.example"},
+                {"Radishrudder-Attempt-Id", "id-1"},
+                {"Radishrudder-Deadline-Ms", "1500"},
+                {"Radishrudder-Token-Usage", "1460,80"},
+                {"Last-Event-Id", "12"},
+                {"Authorization", "Token secret"}}));
+  EXPECT_EQ(request.path, "/a/b");
+  EXPECT_EQ(request.target, "/a/b?c=d");
+  EXPECT_EQ(request.attempt_id, "id-1");
+  EXPECT_EQ(request.time_left, std::chrono::milliseconds(1500));
+  EXPECT_EQ(request.prompt_tokens, 1460);
+  EXPECT_EQ(request.maximum_answer_tokens, 80);
+  EXPECT_EQ(request.last_event_id, 12U);
+  EXPECT_EQ(request.key, "secret");
+}
+
+struct ForwardCase {
+  const char* name;
+  http::Header header;
+  bool forwarded;
+};
+
+class ForwardTest : public testing::TestWithParam<ForwardCase> {};
+
+TEST_P(ForwardTest, OnlyWhatConcernsTheEndpoint) {
+  const direct::CallerRequest request = CallCodec::DecodeRequest(Received(
+      {{"Host", "h"}, {"Connection", "close, X-Hop"}, GetParam().header}));
+  direct::SendAttempt attempt;
+  attempt.endpoint_id = "i-1";
+  attempt.time_left = std::chrono::milliseconds(700);
+  const std::string text = CallCodec::EncodeAttempt(request, attempt);
+  const std::string line =
+      "\r\n" + GetParam().header.name + ": " + GetParam().header.value + "\r\n";
+  EXPECT_EQ(text.find(line) != std::string::npos, GetParam().forwarded);
+  EXPECT_NE(text.find("\r\nRadishrudder-Expect-Instance: i-1\r\n"),
+            std::string::npos);
+  EXPECT_NE(text.find("\r\nRadishrudder-Deadline-Ms: 700\r\n"),
+            std::string::npos);
+  EXPECT_TRUE(text.ends_with("\r\nContent-Length: 4\r\n\r\nbody"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ForwardTest,
+    testing::Values(
+        ForwardCase{"Id", {"Radishrudder-Attempt-Id", "id-1"}, true},
+        ForwardCase{"Model", {"Radishrudder-Model", "m"}, true},
+        ForwardCase{"Own", {"X-Own", "1"}, true},
+        ForwardCase{"Key", {"Authorization", "Token k"}, false},
+        ForwardCase{"Workspace", {"Radishrudder-Tenant", "t"}, false},
+        ForwardCase{"Endpoint", {"Radishrudder-Expect-Instance", "x"}, false},
+        ForwardCase{"Version", {"Radishrudder-Expect-Version", "9"}, false},
+        ForwardCase{"Urgency", {"Radishrudder-Request-Priority", "0"}, false},
+        ForwardCase{"Hop", {"X-Hop", "1"}, false},
+        ForwardCase{"Framing", {"Transfer-Encoding", "chunked"}, false}),
+    [](const auto& info) { return info.param.name; });
+
+struct AnswerCase {
+  const char* name;
+  int status;
+  http::Header header;
+  bool not_run;
+  bool wrong_endpoint;
+  bool wrong_version;
+};
+
+class AnswerTest : public testing::TestWithParam<AnswerCase> {};
+
+TEST_P(AnswerTest, SaysWhetherItRan) {
+  exchange::ResponseHead head;
+  head.status = GetParam().status;
+  head.headers = {GetParam().header};
+  const direct::EndpointAnswer answer = CallCodec::DecodeAnswer(head, "i-1");
+  EXPECT_EQ(answer.not_run, GetParam().not_run);
+  EXPECT_EQ(answer.wrong_endpoint, GetParam().wrong_endpoint);
+  EXPECT_EQ(answer.wrong_version, GetParam().wrong_version);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    AnswerTest,
+    testing::Values(
+        AnswerCase{"Ran", 200, {"X", "1"}, false, false, false},
+        AnswerCase{"Unavailable", 503, {"X", "1"}, false, false, false},
+        AnswerCase{"Shed",
+                   503,
+                   {"Radishrudder-Not-Executed", "1"},
+                   true,
+                   false,
+                   false},
+        AnswerCase{"OtherEndpoint",
+                   421,
+                   {"Radishrudder-Served-By", "i-2"},
+                   true,
+                   true,
+                   false},
+        AnswerCase{"OtherVersion",
+                   421,
+                   {"Radishrudder-Served-By", "i-1"},
+                   true,
+                   false,
+                   true}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(CallCodecTest, DecodesLoadAndVersion) {
+  exchange::ResponseHead head;
+  head.status = 200;
+  head.headers = {{"Radishrudder-Instance-Load", "3, 1, 8"},
+                  {"Radishrudder-Weight-Versions", "4"},
+                  {"Radishrudder-Response-Signature", "s"}};
+  const direct::EndpointAnswer answer = CallCodec::DecodeAnswer(head, "i-1");
+  ASSERT_TRUE(answer.load);
+  EXPECT_EQ(answer.load->running, 3U);
+  EXPECT_EQ(answer.load->waiting, 1U);
+  EXPECT_EQ(answer.load->capacity, 8U);
+  EXPECT_EQ(answer.version, 4U);
+  EXPECT_TRUE(answer.has_proof);
+}
+
+TEST(CallCodecTest, OwnAnswerSaysWhenToReturn) {
+  const exchange::AnswerHead head =
+      CallCodec::EncodeOwnAnswer(503, "id-1", std::chrono::milliseconds(450));
+  EXPECT_EQ(http::FindHeader(head.headers, "Retry-After"), "0.450");
+  EXPECT_EQ(http::FindHeader(head.headers, "Radishrudder-Attempt-Id"), "id-1");
+}
+
+struct StoreCase {
+  const char* name;
+  exchange::FetchedAnswer answer;
+  bool decoded;
+  std::size_t items;
+  bool history_gone;
+};
+
+class StoreTest : public testing::TestWithParam<StoreCase> {};
+
+TEST_P(StoreTest, IsDecodedWholeOrNotAtAll) {
+  std::string problem;
+  const auto answer = StoreCodec::Decode(GetParam().answer, problem);
+  EXPECT_EQ(answer.has_value(), GetParam().decoded) << problem;
+  EXPECT_EQ(problem.empty(), GetParam().decoded);
+  if (answer) {
+    EXPECT_EQ(answer->items.size(), GetParam().items);
+    EXPECT_EQ(answer->history_gone, GetParam().history_gone);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    StoreTest,
+    testing::Values(
+        StoreCase{"Page",
+                  {200, {}, R"({"items":[{"key":"a","value":"bm9kZS0x",
+                   "revision":3}],"has_more":true,"at":9})"},
+                  true,
+                  1,
+                  false},
+        StoreCase{"Events",
+                  {200, {}, R"({"events":[{"key":"a","value":"","revision":3},
+                   {"key":"b","revision":4,"tombstone":true}],"at":4})"},
+                  true,
+                  2,
+                  false},
+        StoreCase{"Gone", {410, {}, ""}, true, 0, true},
+        StoreCase{"Busy", {503, {}, ""}, false, 0, false},
+        StoreCase{"CutOff",
+                  {200, {}, R"({"items":[{"key":"a")"},
+                  false,
+                  0,
+                  false},
+        StoreCase{"NoRevision", {200, {}, R"({"items":[]})"}, false, 0, false},
+        StoreCase{"NotBase64",
+                  {200, {}, R"({"items":[{"key":"a","value":"?",
+                   "revision":3}],"at":9})"},
+                  false,
+                  0,
+                  false}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(StoreCodecTest, DecodesTheValue) {
+  std::string problem;
+  const auto answer = StoreCodec::Decode(
+      {200, {}, R"({"items":[{"key":"a","value":"bm9kZS0xMg==",
+                   "revision":3}],"at":9})"},
+      problem);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->items[0].value, "node-12");
+  EXPECT_EQ(answer->revision, 9U);
+}
+
+TEST(StoreCodecTest, EscapesKeys) {
+  EXPECT_EQ(StoreCodec::EncodePage("servers/", {"servers/a&b"}).target,
+            "/kv-range?prefix=servers/&after=servers/a%26b");
+  EXPECT_EQ(StoreCodec::EncodeWatch("op/", {7, std::chrono::milliseconds(900)})
+                .target,
+            "/kv-watch?prefix=op/&after=7&wait_ms=900");
+}
+
+TEST(EndpointCodecTest, OrderNamesVersionAndPrecondition) {
+  const exchange::FetchRequest request =
+      EndpointCodec::EncodeOrder({{"m", 3}, 5});
+  EXPECT_EQ(request.target, "/order");
+  EXPECT_EQ(request.body,
+            R"({"model":"m","operation":"start","precondition":5,)"
+            R"("start_mode":"queue","version":3})");
+}
+
+constexpr char kSettings[] = R"({
+  "node": "edge-1", "ip": "10.1.0.40", "zone": "z-a", "region": "r",
+  "zones": {"z-a": "r", "z-b": "q"}, "internal_ports": [7700, 7715],
+  "listen": {"front": "10.1.0.40:8005", "ready": "10.1.0.40:8002"},
+  "limits": {"link_mbps": 8}, "unknown": 1,
+  "bounds": {"grace_s": 6, "revoke_ms": 4000},
+  "platform": {"address": "10.200.1.7:8007"}})";
+
+TEST(SettingsTest, AreDecoded) {
+  kernel::Findings findings;
+  const Settings settings = ParseSettings("node.json", kSettings, findings);
+  EXPECT_TRUE(findings.Empty()) << kernel::Format(findings);
+  EXPECT_EQ(settings.peers_address, "10.1.0.40:7700");
+  EXPECT_EQ(settings.metrics_address, "10.1.0.40:7701");
+  EXPECT_EQ(settings.regions.at("z-b"), "q");
+  EXPECT_EQ(settings.link_bytes_per_second, 1e6);
+  EXPECT_EQ(settings.stop_time, std::chrono::seconds(6));
+  EXPECT_EQ(settings.key_removal, std::chrono::milliseconds(4000));
+  EXPECT_EQ(settings.version_time, std::chrono::milliseconds(8000));
+}
+
+TEST(SettingsTest, AllThatIsMissingIsReportedAtOnce) {
+  kernel::Findings findings;
+  ParseSettings("node.json", R"({"node": 5, "zone": "z"})", findings);
+  std::string text = kernel::Format(findings);
+  for (const char* pointer : {"/node", "/ip", "/region", "/zones",
+                              "/internal_ports", "/platform/address"}) {
+    EXPECT_NE(text.find(std::string("at ") + pointer), std::string::npos)
+        << pointer << "\n"
+        << text;
+  }
+}
+
+}  // namespace
+}  // namespace radishrudder::platform
--- /dev/null
+++ b/tests/staging/stager_fleet.cc
@@ -0,0 +1,225 @@
+#include "tests/staging/stager_fleet.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace radishrudder::staging {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kPieces = 16;
+constexpr std::uint32_t kPieceBytes = 1024;
+constexpr milliseconds kStep{5};
+constexpr milliseconds kNetworkDelay{5};
+constexpr milliseconds kLoadTime{300};
+constexpr char kModel[] = "draft";
+
+}  // namespace
+
+StagerFleet::StagerFleet(std::size_t instances, std::uint64_t seed)
+    : m_random(seed) {
+  for (std::size_t i = 0; i < instances; ++i) {
+    m_hosts.push_back(std::make_unique<Host>());
+    Host& host = *m_hosts.back();
+    host.name = "10.0.0." + std::to_string(i);
+    host.endpoint.version = 1;
+    for (std::uint32_t piece = 0; piece < kPieces; ++piece) {
+      host.endpoint.staged[piece] = PieceOf(1, piece);
+    }
+    MakeStager(host);
+  }
+  ListPeers();
+}
+
+std::string StagerFleet::PieceOf(std::uint64_t version, std::uint32_t index) {
+  std::string piece =
+      std::to_string(version) + "/" + std::to_string(index) + "/";
+  piece.resize(kPieceBytes, 'x');
+  return piece;
+}
+
+void StagerFleet::MakeStager(Host& host) {
+  StagerSettings settings;
+  settings.transfer.self = {host.name, m_random.Next()};
+  settings.transfer.data_centre = "a";
+  settings.transfer.region = "a";
+  settings.transfer.store_region = "a";
+  settings.transfer.patience = 0.25;
+  settings.transfer.longest_source_rest = milliseconds(800);
+  host.stager = std::make_unique<Stager>(
+      std::move(settings), kernel::Random(m_random.Next()), m_now);
+}
+
+std::size_t StagerFleet::Add() {
+  m_hosts.push_back(std::make_unique<Host>());
+  Host& host = *m_hosts.back();
+  host.name = "10.0.0." + std::to_string(m_hosts.size() - 1);
+  MakeStager(host);
+  ListPeers();
+  return m_hosts.size() - 1;
+}
+
+void StagerFleet::ListPeers() {
+  std::vector<weights::TransferPeer> peers;
+  for (const auto& host : m_hosts) {
+    peers.push_back(
+        {.instance = host->name, .data_centre = "a", .region = "a"});
+  }
+  for (const auto& host : m_hosts) {
+    host->stager->OnPeers(m_now, peers);
+    Take(*host);
+  }
+}
+
+void StagerFleet::Declare(std::uint64_t version, bool just_now) {
+  for (const auto& host : m_hosts) {
+    host->stager->OnDeclared(m_now, {kModel, version}, just_now);
+    Take(*host);
+  }
+}
+
+void StagerFleet::RestartStager(std::size_t index, std::uint64_t declared) {
+  MakeStager(*m_hosts[index]);
+  ListPeers();
+  m_hosts[index]->stager->OnDeclared(m_now, {kModel, declared},
+                                     /*just_now=*/false);
+  Take(*m_hosts[index]);
+}
+
+void StagerFleet::Run(milliseconds time) {
+  const kernel::Time end = m_now + time;
+  while (m_now < end) {
+    Step();
+  }
+}
+
+bool StagerFleet::RunUntilAll(std::uint64_t version, milliseconds limit) {
+  const kernel::Time end = m_now + limit;
+  const auto runs = [version](const auto& host) {
+    return host->endpoint.version == version;
+  };
+  while (m_now < end && !std::ranges::all_of(m_hosts, runs)) {
+    Step();
+  }
+  return std::ranges::all_of(m_hosts, runs);
+}
+
+bool StagerFleet::LoadedWhole(std::size_t index, std::uint64_t version) const {
+  const auto& loaded = m_hosts[index]->endpoint.loaded;
+  if (loaded.empty()) {
+    return false;
+  }
+  for (std::uint32_t piece = 0; piece < kPieces; ++piece) {
+    const auto found = loaded.back().find(piece);
+    if (found == loaded.back().end() ||
+        found->second != PieceOf(version, piece)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void StagerFleet::Step() {
+  m_now += kStep;
+  while (!m_network.empty() && m_network.front().at <= m_now) {
+    const Delivery delivery = std::move(m_network.front());
+    m_network.pop_front();
+    for (const auto& host : m_hosts) {
+      if (host->name == delivery.to) {
+        host->stager->OnMessage(m_now, delivery.message);
+        Take(*host);
+      }
+    }
+  }
+  for (const auto& host : m_hosts) {
+    StepEndpoint(host->endpoint);
+    host->stager->OnTick(m_now);
+    Take(*host);
+  }
+}
+
+void StagerFleet::StepEndpoint(FakeEndpoint& endpoint) {
+  if (endpoint.load_ends && *endpoint.load_ends <= m_now) {
+    endpoint.load_ends.reset();
+    endpoint.busy = false;
+    endpoint.version = endpoint.loading;
+  }
+}
+
+void StagerFleet::Take(Host& host) {
+  for (StagerOutput& output : host.stager->TakeOutputs()) {
+    std::visit([&](auto& item) { Carry(host, item); }, output);
+  }
+}
+
+void StagerFleet::Carry(Host& host, wire::Send& output) {
+  m_network.push_back(
+      {m_now + kNetworkDelay, output.to, std::move(output.message)});
+}
+
+void StagerFleet::Carry(Host& host, FetchPieceList& output) {
+  if (!m_origin_up) {
+    host.stager->OnPieceList(m_now, output.version, std::nullopt);
+    return;
+  }
+  PieceList list{.piece_bytes = kPieceBytes};
+  for (std::uint32_t i = 0; i < kPieces; ++i) {
+    list.digests.push_back(weights::Sha256(PieceOf(output.version.number, i)));
+  }
+  host.stager->OnPieceList(m_now, output.version, std::move(list));
+}
+
+void StagerFleet::Carry(Host& host, FetchPiece& output) {
+  std::string bytes;
+  if (m_origin_up) {
+    ++m_origin_pieces;
+    bytes = PieceOf(output.version.number, output.index);
+    if (m_spoil_every > 0 && m_origin_pieces % m_spoil_every == 0) {
+      bytes.back() = '!';
+    }
+  }
+  host.stager->OnPiece(m_now, output.version, output.index, std::move(bytes));
+}
+
+void StagerFleet::Carry(Host& host, StagePiece& output) {
+  host.endpoint.staged[output.index] = std::move(output.bytes);
+  host.stager->OnStaged(m_now, output.version, output.index, true);
+}
+
+void StagerFleet::Carry(Host& host, ReadStaged& output) {
+  const auto found = host.endpoint.staged.find(output.index);
+  host.stager->OnStagedRead(
+      m_now, output.version, output.index,
+      found == host.endpoint.staged.end() ? std::string() : found->second);
+}
+
+void StagerFleet::Carry(Host& host, AskReport&) {
+  const FakeEndpoint& endpoint = host.endpoint;
+  host.stager->OnReport(m_now, {.reachable = true,
+                                .started = endpoint.started,
+                                .model = kModel,
+                                .version = endpoint.version,
+                                .busy = endpoint.busy,
+                                .orders = endpoint.orders});
+}
+
+void StagerFleet::Carry(Host& host, OrderLoad& output) {
+  FakeEndpoint& endpoint = host.endpoint;
+  endpoint.order_times.push_back(m_now);
+  if (endpoint.busy || output.expected_orders != endpoint.orders) {
+    host.stager->OnOrderResult(m_now, OrderResult::kUnfit);
+    return;
+  }
+  ++endpoint.orders;
+  endpoint.busy = true;
+  endpoint.loading = output.version.number;
+  endpoint.loaded.push_back(endpoint.staged);
+  endpoint.load_ends = m_now + kLoadTime;
+  host.stager->OnOrderResult(m_now, endpoint.answers_orders
+                                        ? OrderResult::kBegun
+                                        : OrderResult::kUnanswered);
+}
+
+}  // namespace radishrudder::staging
