staging, exchange: fewer chunks on the way to one instance, resets on giving up

Four neighbours with one request each leave at most a second, and cost no time by the table in docs/design/transfer.md. A connection whose call is given up is reset, which drops what still waits to be sent. Ruled out: sending again after the deadline, for both attempts left before it.

--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -112,6 +112,10 @@
   // A version has seconds to spread: silence counts soon, and the origin is
   // asked again soon.
   static constexpr double kTransferPatience = 0.25;
+  // Chunks on their way to one instance delay its calls on a link that became
+  // narrow: few at once. docs/design/transfer.md has what that costs.
+  static constexpr std::uint32_t kNeighbours = 4;
+  static constexpr std::uint32_t kRequestsPerNeighbour = 1;
   static constexpr std::chrono::milliseconds kLongestOriginRest{800};
   static constexpr std::chrono::milliseconds kListTimeout{1500};
   static constexpr std::uint64_t kFirstVersion = 1;
@@ -216,6 +220,8 @@
     kernel::Random incarnation(kernel::SystemEntropy());
     transfer.longest_source_rest = kLongestOriginRest;
     transfer.patience = kTransferPatience;
+    transfer.neighbours = kNeighbours;
+    transfer.requests_per_neighbour = kRequestsPerNeighbour;
     transfer.self = {m_settings.ip, incarnation.Next()};
     transfer.data_centre = m_settings.data_centre;
     transfer.region = m_settings.region;
--- a/source/radishrudder/exchange/endpoint_pool.cc
+++ b/source/radishrudder/exchange/endpoint_pool.cc
@@ -74,10 +74,15 @@
 
   // Ends the exchange without telling the listener.
   void Close() {
+    std::error_code ignored;
+    if (m_listener != nullptr && m_open) {
+      // A reset also drops what has not reached the endpoint yet, and ends its
+      // work at once.
+      m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     m_listener = nullptr;
     m_open = false;
     m_timer.cancel();
-    std::error_code ignored;
     m_socket.close(ignored);
   }
 
--- a/tests/exchange/endpoint_pool_test.cc
+++ b/tests/exchange/endpoint_pool_test.cc
@@ -163,6 +163,23 @@
   EXPECT_FALSE(recorder.Done());
 }
 
+// Bytes that a narrow or cut link still holds must not reach the endpoint long
+// after the caller has left.
+TEST_F(PoolTest, CancelResetsTheConnection) {
+  ScriptedPeer peer(m_context, {});
+  Recorder recorder;
+  const auto id =
+      m_pool.Start(peer.Address(), "GET / HTTP/1.1\r\n\r\n", false, recorder);
+  while (peer.Requests().empty()) {
+    m_context.run_one();
+  }
+  m_pool.Cancel(id);
+  while (!peer.LastEnd()) {
+    m_context.run_one();
+  }
+  EXPECT_EQ(peer.LastEnd(), asio::error::connection_reset);
+}
+
 TEST_F(PoolTest, FetcherAnswersOnceAfterItsTimeLimit) {
   ScriptedPeer silent(m_context, {});
   Fetcher fetcher(m_context, m_pool);
--- a/tests/exchange/scripted_peer.h
+++ b/tests/exchange/scripted_peer.h
@@ -37,6 +37,8 @@
   }
   std::size_t Connections() const { return m_connections; }
   const std::vector<std::string>& Requests() const { return m_requests; }
+  // How the last connection that ended did.
+  std::error_code LastEnd() const { return m_last_end; }
 
  private:
   struct Connection {
@@ -64,6 +66,7 @@
         asio::buffer(connection->buffer),
         [this, connection](std::error_code error, std::size_t size) {
           if (error) {
+            m_last_end = error;
             return;
           }
           connection->incoming.append(connection->buffer.data(), size);
@@ -99,6 +102,7 @@
   std::size_t m_next = 0;
   std::size_t m_connections = 0;
   std::vector<std::string> m_requests;
+  std::error_code m_last_end;
 };
 
 }  // namespace radishrudder::exchange
