--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -10,6 +10,9 @@
 
 enum class Level { kDebug, kInfo, kWarning, kError };
 
+// Returns the level of that name; kInfo for any other text.
+Level ParseLevel(std::string_view name);
+
 // A kind of log event. Numbers never change their meaning; docs/events.md
 // lists them and a test compares it with the code.
 struct Event {
--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -323,7 +323,7 @@
 
   void TakeOutputs() {
     for (staging::StagerOutput& output : m_stager->TakeOutputs()) {
-      std::visit([this](auto& item) { Carry(item); }, output);
+      std::visit([this](auto& item) { this->Carry(item); }, output);
     }
   }
 
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -139,7 +139,7 @@
   // Carries out what the core decided.
   void TakeOutputs() {
     for (direct::Output& output : m_core.TakeOutputs()) {
-      std::visit([this](auto& item) { Carry(item); }, output);
+      std::visit([this](auto& item) { this->Carry(item); }, output);
     }
   }
 
--- a/source/radishrudder/daemon/node_settings.cc
+++ b/source/radishrudder/daemon/node_settings.cc
@@ -10,19 +10,6 @@
 constexpr std::int64_t kMaximumThreads = 64;
 constexpr std::int64_t kMaximumDrainMilliseconds = 3'600'000;
 
-logging::Level ParseLevel(std::string_view text) {
-  if (text == "debug") {
-    return logging::Level::kDebug;
-  }
-  if (text == "warning") {
-    return logging::Level::kWarning;
-  }
-  if (text == "error") {
-    return logging::Level::kError;
-  }
-  return logging::Level::kInfo;
-}
-
 Option Text(std::string name, std::string help) {
   Option option;
   option.name = std::move(name);
@@ -86,7 +73,7 @@
   node.drain_limit =
       std::chrono::milliseconds(values.Integer("drain-limit-milliseconds"));
   node.threads = static_cast<std::size_t>(values.Integer("threads"));
-  node.log_level = ParseLevel(values.Text("log-level"));
+  node.log_level = logging::ParseLevel(values.Text("log-level"));
   return node;
 }
 
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -4,6 +4,19 @@
 
 namespace radishrudder::logging {
 
+Level ParseLevel(std::string_view name) {
+  if (name == "debug") {
+    return Level::kDebug;
+  }
+  if (name == "warning") {
+    return Level::kWarning;
+  }
+  if (name == "error") {
+    return Level::kError;
+  }
+  return Level::kInfo;
+}
+
 std::span<const Event> Catalogue() {
   static constexpr std::array kEvents{
       kProcessStarted,    kProcessDraining,   kProcessStopped,
