transport: streams are gone before the server shuts down

Cause: gRPC ends its callback threads when the last server or channel that is not shut down lets go of them. Stop shut the server down first, so a client stream's channel could be the last one, and it was given up in OnDone, on one of those threads: the thread then joined itself, freed its queue, went on polling it and freed it again (double-free in grpc_cq_internal_unref, both frees by the same thread). Conclusion: Stop waits until nothing of its streams is left, then shuts the server down.

--- a/source/radishrudder/transport/peer_stream.h
+++ b/source/radishrudder/transport/peer_stream.h
@@ -42,6 +42,8 @@
                      std::optional<wire::ProcessKey> peer,
                      std::vector<wire::Envelope> unsent)>
       on_end;
+  // Nothing of the stream is left, its call and channel included.
+  std::function<void()> on_gone;
 };
 
 using ServerReactor = grpc::ServerBidiReactor<wire::Envelope, wire::Envelope>;
@@ -65,6 +67,9 @@
         m_greeting(std::move(greeting)),
         m_events(std::move(events)) {}
 
+  // Runs after the derived stream has let go of its call and channel.
+  ~ReactorStream() override { m_events.on_gone(); }
+
   // Starts the stream, which keeps itself alive until its end.
   void Open() {
     m_self = this->shared_from_this();
--- a/source/radishrudder/transport/peer_transport.cc
+++ b/source/radishrudder/transport/peer_transport.cc
@@ -60,6 +60,7 @@
     {
       const std::lock_guard lock(m_mutex);
       m_streams.insert(stream);
+      ++m_alive;
     }
     stream->Open();
     return stream.get();
@@ -111,13 +112,19 @@
     for (const std::shared_ptr<PeerStream>& stream : streams) {
       stream->Close();
     }
+    streams.clear();
+    {
+      // gRPC ends its threads with the last server or channel that is not shut
+      // down. That must not happen on one of these threads, so the server has
+      // to outlive all streams.
+      std::unique_lock lock(m_mutex);
+      m_all_gone.wait_for(lock, kShutdownLimit,
+                          [this] { return m_alive == 0; });
+    }
     if (m_server) {
       m_server->Shutdown(std::chrono::system_clock::now() + kShutdownLimit);
       m_server->Wait();
     }
-    std::unique_lock lock(m_mutex);
-    m_all_ended.wait_for(lock, kShutdownLimit,
-                         [this] { return m_streams.empty(); });
   }
 
  private:
@@ -145,7 +152,8 @@
                 std::optional<wire::ProcessKey> peer,
                 std::vector<wire::Envelope> unsent) {
               HandleEnd(stream, target, std::move(peer), std::move(unsent));
-            }};
+            },
+            [this] { HandleGone(); }};
   }
 
   bool Stopped() const {
@@ -183,7 +191,12 @@
     }
     const std::lock_guard lock(m_mutex);
     m_streams.erase(stream);
-    m_all_ended.notify_all();
+  }
+
+  void HandleGone() {
+    const std::lock_guard lock(m_mutex);
+    --m_alive;
+    m_all_gone.notify_all();
   }
 
   // Requires the lock.
@@ -215,6 +228,7 @@
         Greeting(), m_settings.maximum_queued_bytes,
         Events(std::string(instance)));
     m_streams.insert(stream);
+    ++m_alive;
     m_by_instance.emplace(instance, stream);
     const std::unique_ptr<wire::Peer::Stub> stub =
         wire::Peer::NewStub(ChannelTo(address->second));
@@ -242,9 +256,11 @@
   std::uint16_t m_port = 0;
 
   mutable std::mutex m_mutex;
-  std::condition_variable m_all_ended;
+  std::condition_variable m_all_gone;
   bool m_stopped = false;
   std::set<std::shared_ptr<PeerStream>> m_streams;
+  // Streams not yet destroyed, also those that have ended.
+  std::size_t m_alive = 0;
   std::map<std::string, std::shared_ptr<PeerStream>, std::less<>> m_by_instance;
   std::map<std::string, std::string, std::less<>> m_addresses;
 };
--- a/tests/transport/peer_transport_test.cc
+++ b/tests/transport/peer_transport_test.cc
@@ -139,6 +139,22 @@
   EXPECT_EQ(a.lost[0], (wire::ProcessKey{"b", 1}));
 }
 
+// The last channel of a process used to be given up on a thread of gRPC, which
+// then waited for itself and freed its queue twice.
+TEST(PeerTransportTest, StopsAgainAndAgainWithOpenStreams) {
+  constexpr int kRounds = 30;
+  for (int round = 0; round < kRounds; ++round) {
+    Recorder a("a");
+    Recorder b("b");
+    ASSERT_FALSE(a.Transport().Start());
+    ASSERT_FALSE(b.Transport().Start());
+    a.Transport().SetAddress("b", AddressOf(b.Transport()));
+    ASSERT_TRUE(a.Transport().Send("b", Part(1)));
+    ASSERT_TRUE(
+        b.WaitFor([](const Recorder& r) { return r.messages.size() == 1; }));
+  }
+}
+
 TEST(PeerTransportTest, FullQueueRefusesMessages) {
   constexpr std::size_t kQueueBytes = 1000;
   Recorder a("a", kQueueBytes);
