weights: an origin that returns is asked about once for a chunk

Meanwhile all 27 instances stand in for one another, each with its own place in its list of upstreams, and the rest after failures never held: where no store exists, the origin was asked under the store's name while it rested. When it returned it sent 100 pieces for 40 that were missing, and 79 fetches timed out on its full link. Ruled out: the origin's own slowness (18 pieces per half second are its link). Change: no store, no second source; after a standstill the first to ask are the right ones again; own duties before those of others; one fetch at a time while the sources fail, longer rests outside the origin's region; standing in is slower while the sources fail. Failed fetches are logged.

--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -218,6 +218,7 @@
     staging::StagerSettings settings = m_settings.stager;
     weights::TransferSettings& transfer = settings.transfer;
     kernel::Random incarnation(kernel::SystemEntropy());
+    transfer.has_store = false;
     transfer.longest_source_rest = kLongestOriginRest;
     transfer.patience = kTransferPatience;
     transfer.neighbours = kNeighbours;
@@ -338,6 +339,8 @@
         kOriginTimeout,
         [this, version](std::optional<exchange::FetchedAnswer> answer) {
           std::optional<staging::PieceList> list;
+          TellIfFailed("list of version " + std::to_string(version.number),
+                       answer);
           if (answer && answer->status == kOk) {
             kernel::Findings findings;
             list = Platform::DecodePieceList(version, answer->body, findings);
@@ -354,6 +357,9 @@
         Platform::Endpoint::EncodePiece(fetch.version, fetch.index),
         kOriginTimeout,
         [this, fetch](std::optional<exchange::FetchedAnswer> answer) {
+          TellIfFailed("piece " + std::to_string(fetch.index) + " of version " +
+                           std::to_string(fetch.version.number),
+                       answer);
           m_stager->OnPiece(kernel::Now(), fetch.version, fetch.index,
                             BodyOf(std::move(answer)));
           TakeOutputs();
@@ -414,6 +420,18 @@
                   {"detail", output.detail}});
   }
 
+  static void TellIfFailed(
+      std::string_view target,
+      const std::optional<exchange::FetchedAnswer>& answer) {
+    if (!answer || answer->status != kOk) {
+      logging::Log(
+          logging::kHttpFailed,
+          {{"target", std::string(target)},
+           {"problem", answer ? "status " + std::to_string(answer->status)
+                              : "no answer"}});
+    }
+  }
+
   static std::string BodyOf(std::optional<exchange::FetchedAnswer> answer) {
     return answer && answer->status == kOk ? std::move(answer->body)
                                            : std::string();
--- a/include/radishrudder/weights/source_schedule.h
+++ b/include/radishrudder/weights/source_schedule.h
@@ -15,10 +15,12 @@
 // origin rests.
 class SourceSchedule {
  public:
-  // No rest is longer than `longest_rest`, but for jitter.
+  // No rest is longer than `longest_rest`, but for jitter. Without a store,
+  // nothing stands in for the origin.
   explicit SourceSchedule(
-      kernel::Duration longest_rest = std::chrono::seconds(16))
-      : m_longest_rest(longest_rest) {}
+      kernel::Duration longest_rest = std::chrono::seconds(16),
+      bool has_store = true)
+      : m_longest_rest(longest_rest), m_has_store(has_store) {}
 
   // Returns the source to use now, or nothing while both rest.
   std::optional<Source> Choose(kernel::Time now) const;
@@ -36,6 +38,7 @@
   };
 
   kernel::Duration m_longest_rest;
+  bool m_has_store;
   std::array<State, 2> m_states;
   std::optional<kernel::Time> m_failing_since;
 };
--- a/include/radishrudder/weights/transfer.h
+++ b/include/radishrudder/weights/transfer.h
@@ -77,6 +77,8 @@
   // Factor of the times after which silence counts as failure: 1 suits
   // versions that have minutes to spread.
   double patience = 1;
+  // Whether the store stands in for the origin.
+  bool has_store = true;
   // Longest rest of a source that fails again and again.
   kernel::Duration longest_source_rest = std::chrono::seconds(16);
   // Time between two inventories to the same neighbours.
--- a/source/radishrudder/weights/chunk_scheduler.cc
+++ b/source/radishrudder/weights/chunk_scheduler.cc
@@ -15,6 +15,7 @@
 constexpr std::chrono::milliseconds kInventoryGrace(500);
 constexpr std::chrono::milliseconds kSilentRest(1000);
 constexpr std::chrono::milliseconds kRefusedRest(250);
+constexpr int kStandInFactorWithoutSources = 4;
 constexpr double kAllowedDebtChunks = 4;
 // Stands for the origin and the store in a list of upstreams.
 constexpr std::string_view kOutsideName = "";
@@ -36,6 +37,11 @@
   for (std::size_t i = m_duties.size(); i > 1; --i) {
     std::swap(m_duties[i - 1], m_duties[m_context.random.Below(i)]);
   }
+  // What others stand in for comes last, so that two seldom do the same.
+  std::stable_sort(m_duties.begin(), m_duties.end(),
+                   [this](std::uint32_t one, std::uint32_t other) {
+                     return m_version.ranks[one] < m_version.ranks[other];
+                   });
 }
 
 bool ChunkScheduler::Settled(kernel::Time now) const {
@@ -126,7 +132,12 @@
 bool ChunkScheduler::IsOnDuty(kernel::Time now, std::uint32_t index) const {
   const std::uint32_t rank = m_version.ranks[index];
   const auto quiet = now - m_version.last_progress;
-  return rank <= 1 || quiet >= m_version.timing.stall * (rank - 1);
+  // Where the sources fail for all, nobody gains from others that stand in.
+  const auto patience =
+      m_context.sources.FailedFor(now, kernel::Duration::zero())
+          ? m_version.timing.stall * kStandInFactorWithoutSources
+          : m_version.timing.stall;
+  return rank <= 1 || quiet >= patience * (rank - 1);
 }
 
 void ChunkScheduler::RunDuties(kernel::Time now) {
@@ -223,8 +234,12 @@
 
 void ChunkScheduler::FetchOutside(kernel::Time now, std::uint32_t index) {
   const std::optional<Source> source = m_context.sources.Choose(now);
+  // One fetch tells whether a source that failed is back.
+  const bool failed =
+      m_context.sources.FailedFor(now, kernel::Duration::zero());
+  const std::size_t maximum = failed ? 1 : kMaximumFetches;
   if (!source || !m_context.budgets.MayFetch(now) ||
-      m_version.requests.CountOf(RequestKind::kOutside) >= kMaximumFetches) {
+      m_version.requests.CountOf(RequestKind::kOutside) >= maximum) {
     return;
   }
   const Chunk& chunk = m_version.manifest->chunks[index];
--- a/source/radishrudder/weights/source_schedule.cc
+++ b/source/radishrudder/weights/source_schedule.cc
@@ -16,7 +16,8 @@
 
 std::optional<Source> SourceSchedule::Choose(kernel::Time now) const {
   for (const Source source : {Source::kOrigin, Source::kStore}) {
-    if (now >= m_states[IndexOf(source)].rests_until) {
+    const bool exists = source != Source::kStore || m_has_store;
+    if (exists && now >= m_states[IndexOf(source)].rests_until) {
       return source;
     }
   }
@@ -55,7 +56,10 @@
 }
 
 kernel::Time SourceSchedule::NextChoice() const {
-  return std::min(m_states[0].rests_until, m_states[1].rests_until);
+  const kernel::Time origin = m_states[IndexOf(Source::kOrigin)].rests_until;
+  return m_has_store
+             ? std::min(origin, m_states[IndexOf(Source::kStore)].rests_until)
+             : origin;
 }
 
 }  // namespace radishrudder::weights
--- a/source/radishrudder/weights/transfer_context.cc
+++ b/source/radishrudder/weights/transfer_context.cc
@@ -17,6 +17,8 @@
 
 // Bytes that a link may be ahead of its rate.
 constexpr double kBurstBytes = 64.0 * 1024;
+// Outside the origin's region, its return is learned from that region.
+constexpr int kFarRestFactor = 4;
 constexpr std::string_view kDefaultSelector = "rarest-first";
 
 }  // namespace
@@ -29,7 +31,10 @@
       selector(FindSelector(settings.selector)),
       duties(settings.self.instance, settings.region, settings.store_region),
       budgets(settings.instance_link_bytes_per_second, kBurstBytes, now),
-      sources(settings.longest_source_rest) {
+      sources(duties.InStoreRegion()
+                  ? settings.longest_source_rest
+                  : settings.longest_source_rest * kFarRestFactor,
+              settings.has_store) {
   if (!selector) {
     selector = FindSelector(kDefaultSelector);
   }
--- a/source/radishrudder/weights/version_transfer.cc
+++ b/source/radishrudder/weights/version_transfer.cc
@@ -331,6 +331,10 @@
   m_version.present.Set(index);
   m_version.deferred.Clear(index);
   m_version.requests.Remove(index);
+  if (now - m_version.last_progress >= m_version.timing.stall) {
+    // It goes on after a standstill: the first to ask are the right ones again.
+    m_version.attempts.clear();
+  }
   m_version.attempts.erase(index);
   m_version.last_progress = now;
   m_version.progress.chunks_present =
--- a/tests/staging/stager_fleet.cc
+++ b/tests/staging/stager_fleet.cc
@@ -47,6 +47,7 @@
   settings.transfer.region = "a";
   settings.transfer.store_region = "a";
   settings.transfer.patience = 0.25;
+  settings.transfer.has_store = false;
   settings.transfer.longest_source_rest = milliseconds(800);
   host.stager = std::make_unique<Stager>(
       std::move(settings), kernel::Random(m_random.Next()), m_now);
--- a/tests/weights/parts_test.cc
+++ b/tests/weights/parts_test.cc
@@ -118,6 +118,17 @@
   EXPECT_TRUE(trust.IsTrusted(kStart + std::chrono::hours(1), "steady"));
 }
 
+// Seen on the platform, which has no store: while the origin rested, it was
+// asked under the store's name.
+TEST(SourceScheduleTest, WithoutAStoreNothingIsAskedWhileTheOriginRests) {
+  SourceSchedule sources(std::chrono::seconds(16), /*has_store=*/false);
+  kernel::Random random(1);
+  const kernel::Time now{std::chrono::hours(1)};
+  sources.OnFailure(now, Source::kOrigin, random);
+  EXPECT_EQ(sources.Choose(now), std::nullopt);
+  EXPECT_EQ(sources.Choose(sources.NextChoice()), Source::kOrigin);
+}
+
 TEST(SourceScheduleTest, StoreIsUsedWhileTheOriginRests) {
   SourceSchedule sources;
   kernel::Random random(1);
--- a/tests/weights/transfer_fault_test.cc
+++ b/tests/weights/transfer_fault_test.cc
@@ -82,6 +82,51 @@
             kMaximumCopiesWithFaults);
 }
 
+// Seen on the platform with two versions in quick succession: the origin was
+// gone for some seconds, and when it came back it was asked by all instances at
+// once, often for the same chunks.
+TEST(TransferReturnTest, OriginThatReturnsSendsEachChunkAboutOnce) {
+  constexpr double kOriginRate = 38.7 * kChunkBytes;
+  constexpr double kFluidFactor = 1.5;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    TransferFleet fleet(seed);
+    fleet.origin_link_bytes_per_second = kOriginRate;
+    fleet.settings.origin_bytes_per_second = kOriginRate;
+    fleet.settings.instance_link_bytes_per_second = 26.7 * kChunkBytes;
+    fleet.settings.patience = 0.25;
+    fleet.settings.has_store = false;
+    fleet.settings.longest_source_rest = std::chrono::milliseconds(800);
+    fleet.settings.neighbours = 4;
+    fleet.settings.requests_per_neighbour = 1;
+    for (int i = 0; i < 27; ++i) {
+      fleet.Add("r" + std::to_string(i % 3 + 1) + "-" + std::to_string(i));
+    }
+    fleet.TellPeers();
+    const std::string bytes = MakeBytes(seed);
+    const std::string digest = fleet.Publish("model.bin", bytes, kChunkBytes);
+    bool up = true;
+    fleet.served = [&up](const auto&, Source source) {
+      return up && source == Source::kOrigin;
+    };
+    fleet.WantEverywhere({digest});
+    ASSERT_TRUE(fleet.Run(seconds(5), [&] {
+      return fleet.Copies(Source::kOrigin, digest) > 0.4;
+    }));
+    up = false;
+    fleet.Run(std::chrono::milliseconds(5600), [] { return false; });
+    up = true;
+    const kernel::Time back = fleet.Now();
+    EXPECT_TRUE(fleet.RunToCompletion(seconds(10), digest));
+    // The rest of the chunks over the link, and one rest of the source.
+    const double limit = kFluidFactor * 0.6 * kChunks / 38.7 + 0.8;
+    const double took =
+        std::chrono::duration<double>(fleet.Now() - back).count();
+    EXPECT_LE(took, limit) << "seed " << seed;
+    EXPECT_LE(fleet.Copies(Source::kOrigin, digest), kMaximumCopiesWithFaults)
+        << "seed " << seed;
+  }
+}
+
 TEST_P(TransferFaultTest, StoreStandsInForTheOriginWithinItsLimit) {
   // The store answers two chunks a second at most, and refuses the others.
   std::uint64_t refused = 0;
--- a/tests/weights/transfer_fleet.cc
+++ b/tests/weights/transfer_fleet.cc
@@ -120,6 +120,7 @@
 void TransferFleet::Handle(const std::string& instance,
                            const FetchChunk& output) {
   std::string bytes;
+  kernel::Duration delay = 2 * kLatency;
   if (served(instance, output.source)) {
     bytes = m_published.at(output.manifest_digest)
                 .bytes.substr(output.offset, output.size);
@@ -127,8 +128,16 @@
     if (corrupted("origin")) {
       Corrupt(bytes);
     }
+    if (origin_link_bytes_per_second > 0 && output.source == Source::kOrigin) {
+      m_origin_link_free =
+          std::max(m_origin_link_free, m_now) +
+          std::chrono::duration_cast<kernel::Duration>(
+              std::chrono::duration<double>(output.size /
+                                            origin_link_bytes_per_second));
+      delay += m_origin_link_free - m_now;
+    }
   }
-  At(2 * kLatency, instance,
+  At(delay, instance,
      [this, output, bytes = std::move(bytes)](Transfer& core) {
        core.OnChunkFetched(m_now, output.manifest_digest, output.index,
                            output.source, bytes);
--- a/tests/weights/transfer_fleet.h
+++ b/tests/weights/transfer_fleet.h
@@ -49,6 +49,8 @@
   std::uint64_t Sent(const std::string& from) const;
   kernel::Time Now() const { return m_now; }
 
+  // Of the link that all fetches from the origin share; 0: no limit.
+  double origin_link_bytes_per_second = 0;
   TransferSettings settings;  // Those shared by all instances added later.
   // Whether a message is lost.
   std::function<bool(const std::string& from, const std::string& to)> lost =
@@ -92,6 +94,7 @@
   void Step(kernel::Time time);
 
   kernel::Random m_random;
+  kernel::Time m_origin_link_free{};
   kernel::Time m_now{std::chrono::hours(1)};
   std::map<std::string, Node> m_nodes;
   std::set<std::string> m_dead;
