staging: the first of two versions serves while the second cannot come

Change: a superseded version of which half the pieces are here is completed, and loaded in the last half of its own turns unless the newest is here by then.

--- a/source/radishrudder/staging/stager.cc
+++ b/source/radishrudder/staging/stager.cc
@@ -2,20 +2,16 @@
 
 #include <algorithm>
 #include <charconv>
-#include <map>
 #include <utility>
 
 #include "radishrudder/kernel/findings.h"
-#include "radishrudder/kernel/hash.h"
-#include "source/radishrudder/staging/stage_area.h"
+#include "source/radishrudder/staging/stager_state.h"
 
 namespace radishrudder::staging {
 namespace {
 
 using std::chrono::milliseconds;
 
-// Writes and reads of the staging area at once.
-constexpr std::size_t kParallelStaging = 4;
 // Time between two reports of the endpoint: while it loads, while a version is
 // on its way, and otherwise.
 constexpr milliseconds kReportWhileLoading{100};
@@ -30,13 +26,15 @@
 constexpr milliseconds kListRetry{250};
 // Pieces of the origin that do not match a list before the list is doubted.
 constexpr std::uint32_t kRejectionsToDoubtList = 6;
-// After an order that did not begin, and after one that began without effect.
-constexpr milliseconds kOrderRetry{300};
-constexpr milliseconds kLoadWithoutEffect{1000};
-constexpr milliseconds kOrderAnswerTimeout{1500};
+// After an order that did not begin.
+constexpr milliseconds kRefusedOrderRetry{300};
+// Share of a superseded version's pieces from which on it is completed.
+constexpr double kInterimShare = 0.5;
 // Time between two looks at what can go on.
 constexpr milliseconds kStep{50};
 
+}  // namespace
+
 std::string FileOf(const VersionName& version) {
   return version.model + "/" + std::to_string(version.number);
 }
@@ -67,271 +65,70 @@
   return manifest;
 }
 
-}  // namespace
-
-struct Stager::State {
-  enum class Phase { kStaging, kWaitingForTurn, kChecking, kOrdered, kLoading };
-
-  State(StagerSettings given, kernel::Random source, kernel::Time now)
-      : settings(std::move(given)),
-        random(source),
-        transfer(settings.transfer, kernel::Random(random.Next()), now) {}
-
-  void Advance(kernel::Time now);
-  void AskReportIfDue(kernel::Time now);
-  void SeekList(kernel::Time now);
-  void AdoptList(kernel::Time now, const weights::Manifest& manifest);
-  void ForwardList();
-  std::vector<std::string> OrderOfInstances() const;
-  std::size_t RankOfSelf() const;
-  bool Runs() const;
-  void ReadOwnStage();
-  void Stage();
-  void Check(kernel::Time now);
-  void TakeTransferOutputs(kernel::Time now);
-  kernel::Time TurnOf() const;
-  void Tell(Progress::Kind kind, std::string detail = {});
-  const weights::Digest& DigestOf(std::uint32_t index) const {
-    return manifest->chunks[index].digest;
-  }
-
-  StagerSettings settings;
-  kernel::Random random;
-  weights::Transfer transfer;
-  std::vector<StagerOutput> outputs;
-  std::vector<weights::TransferPeer> peers;
-
-  std::optional<VersionName> target;
-  kernel::Time declared_at{};
-  bool just_declared = false;
-  std::optional<weights::Manifest> manifest;  // Of the target.
-  std::string manifest_text;
-  std::string manifest_digest;
-  bool list_asked = false;
-  kernel::Time next_list{};
-  std::uint32_t rejections = 0;
-  bool wanted = false;  // The transfer knows of the target.
-  // Pieces read from the own staging area before that, by index.
-  std::map<std::uint32_t, std::string> own_pieces;
-  kernel::Time last_tick{};
-  bool complete = false;  // All pieces are here.
-
-  StageArea area;
-  Phase phase = Phase::kStaging;
-  kernel::Time phase_began{};
-  kernel::Time retry_order_at{};
-  std::optional<EndpointReport> report;
-  bool report_asked = false;
-  kernel::Time next_report{};
-  bool told_running = false;
-};
-
-bool Stager::State::Runs() const {
-  return report && report->reachable && target &&
-         report->model == target->model && report->version == target->number;
-}
-
-void Stager::State::Tell(Progress::Kind kind, std::string detail) {
-  outputs.emplace_back(
-      Progress{kind, target.value_or(VersionName()), std::move(detail)});
+void Stager::State::Tell(Progress::Kind kind,
+                         const DeclaredVersion& version,
+                         std::string detail) {
+  outputs.emplace_back(Progress{kind, version.name, std::move(detail)});
 }
 
-std::vector<std::string> Stager::State::OrderOfInstances() const {
-  std::vector<std::string> names{settings.transfer.self.instance};
-  for (const weights::TransferPeer& peer : peers) {
-    if (peer.alive && peer.instance != names.front()) {
-      names.push_back(peer.instance);
-    }
-  }
-  std::vector<std::string> ordered;
-  for (const std::size_t index :
-       kernel::RendezvousOrder(FileOf(*target), names)) {
-    ordered.push_back(names[index]);
+DeclaredVersion* Stager::State::Find(const VersionName& version) {
+  if (newest && newest->name == version) {
+    return &*newest;
   }
-  return ordered;
+  return interim && interim->name == version ? &*interim : nullptr;
 }
 
-std::size_t Stager::State::RankOfSelf() const {
-  const std::vector<std::string> order = OrderOfInstances();
-  return static_cast<std::size_t>(
-      std::ranges::find(order, settings.transfer.self.instance) -
-      order.begin());
-}
-
-// Endpoints change one after the other, so that the others can serve; one that
-// serves nothing need not wait.
-kernel::Time Stager::State::TurnOf() const {
-  if (!report || report->version == 0) {
-    return declared_at;
-  }
-  // A version that is not new has used up an unknown part of its time.
-  const kernel::Time begin =
-      just_declared ? declared_at + settings.turn_begin : declared_at;
-  const std::size_t count = std::max<std::size_t>(peers.size(), 1);
-  const auto window = settings.turn_end - settings.turn_begin;
-  const double share =
-      static_cast<double>(RankOfSelf()) / static_cast<double>(count);
-  return begin + std::chrono::duration_cast<kernel::Duration>(window * share);
-}
-
-void Stager::State::AskReportIfDue(kernel::Time now) {
-  if (report_asked || now < next_report) {
-    return;
+DeclaredVersion* Stager::State::FindDigest(std::string_view manifest_digest) {
+  if (newest && newest->manifest &&
+      newest->manifest_digest == manifest_digest) {
+    return &*newest;
   }
-  report_asked = true;
-  outputs.emplace_back(AskReport{});
+  return interim && interim->manifest_digest == manifest_digest ? &*interim
+                                                                : nullptr;
 }
 
-void Stager::State::SeekList(kernel::Time now) {
-  // The others got the list long ago and will not send it again: one that
-  // comes without weights reads it at once.
-  const bool late = !just_declared && report->version == 0;
-  if (manifest || list_asked || (now < next_list && !late)) {
-    return;
+void Stager::State::AdoptList(const weights::Manifest& list) {
+  DeclaredVersion& version = *newest;
+  version.manifest = list;
+  version.manifest_text = weights::ToText(list);
+  version.manifest_digest = weights::IdentityOf(list);
+  version.rejections = 0;
+  if (!aims_at_interim) {
+    AimAt(version, /*is_interim=*/false);
   }
-  list_asked = true;
-  outputs.emplace_back(FetchPieceList{*target});
-}
-
-void Stager::State::AdoptList(kernel::Time now, const weights::Manifest& list) {
-  manifest = list;
-  manifest_text = weights::ToText(list);
-  manifest_digest = weights::IdentityOf(list);
-  rejections = 0;
-  area.Reset(list.chunks.size());
-  phase = Phase::kStaging;
-  Tell(Progress::Kind::kListKnown, manifest_digest);
+  Tell(Progress::Kind::kListKnown, version, version.manifest_digest);
   ForwardList();
 }
 
 void Stager::State::ForwardList() {
-  const std::vector<std::string> order = OrderOfInstances();
-  const std::size_t first = kListTreeWidth * RankOfSelf() + 1;
+  const std::vector<std::string> order = OrderOfInstances(newest->name);
+  const std::size_t first = kListTreeWidth * RankOfSelf(newest->name) + 1;
   for (std::size_t i = first;
        i < std::min(first + kListTreeWidth, order.size()); ++i) {
     wire::Send send;
     send.to = order[i];
     *send.message.mutable_from() = wire::ToMessage(settings.transfer.self);
-    send.message.mutable_manifest_data()->set_manifest_digest(manifest_digest);
-    send.message.mutable_manifest_data()->set_content(manifest_text);
+    wire::ManifestData& data = *send.message.mutable_manifest_data();
+    data.set_manifest_digest(newest->manifest_digest);
+    data.set_content(newest->manifest_text);
     outputs.emplace_back(std::move(send));
   }
 }
 
-// An endpoint that runs the target has its pieces staged: read from there,
-// they cost nothing and serve the others.
-void Stager::State::ReadOwnStage() {
-  while (area.InProgress() < kParallelStaging) {
-    const auto next = area.Next(StageArea::Piece::kMissing);
-    if (!next) {
-      return;
-    }
-    area.Set(*next, StageArea::Piece::kReading);
-    outputs.emplace_back(ReadStaged{*target, *next});
-  }
-}
-
-void Stager::State::Stage() {
-  for (std::uint32_t i = 0;
-       i < area.Size() && area.InProgress() < kParallelStaging; ++i) {
-    if (area.At(i) != StageArea::Piece::kMissing) {
-      continue;
-    }
-    const std::string_view bytes = transfer.ChunkBytes(manifest_digest, i);
-    if (!bytes.empty()) {
-      area.Set(i, StageArea::Piece::kWriting);
-      outputs.emplace_back(StagePiece{*target, i, std::string(bytes)});
-    }
-  }
-}
-
-void Stager::State::Check(kernel::Time now) {
-  while (area.InProgress() < kParallelStaging) {
-    const auto next = area.Next(StageArea::Piece::kWritten);
-    if (!next) {
-      return;
-    }
-    area.Set(*next, StageArea::Piece::kReading);
-    outputs.emplace_back(ReadStaged{*target, *next});
-  }
-}
-
-void Stager::State::Advance(kernel::Time now) {
-  AskReportIfDue(now);
-  if (!target || !report || !report->reachable) {
+void Stager::State::OnRejected(kernel::Time now,
+                               const weights::ChunkRejected& rejected) {
+  DeclaredVersion* version = FindDigest(rejected.manifest_digest);
+  if (version == nullptr) {
     return;
   }
-  SeekList(now);
-  if (!manifest) {
-    return;
-  }
-  const bool runs = Runs();
-  if (runs && !told_running) {
-    told_running = true;
-    phase = Phase::kStaging;
-    Tell(Progress::Kind::kRunning);
-  }
-  // Pieces that lie in the own staging area come first: only what is missing
-  // there is asked of others.
-  const bool own_first = (runs || !just_declared) && !wanted;
-  if (own_first) {
-    ReadOwnStage();
-    if (area.Next(StageArea::Piece::kMissing) || area.InProgress() > 0) {
-      return;
-    }
-  }
-  if (!wanted) {
-    wanted = true;
-    transfer.Want(now, {manifest_digest});
-    transfer.OnManifestFetched(now, manifest_digest, weights::Source::kOrigin,
-                               manifest_text);
-    for (auto& [index, bytes] : std::exchange(own_pieces, {})) {
-      transfer.OnChunkFetched(now, manifest_digest, index,
-                              weights::Source::kStore, std::move(bytes));
-    }
-  }
-  if (runs) {
-    return;
-  }
-  told_running = false;
-  if (phase == Phase::kOrdered && now - phase_began >= kOrderAnswerTimeout) {
-    phase = Phase::kStaging;
-  }
-  if (phase == Phase::kLoading && !report->busy &&
-      now - phase_began >= kLoadWithoutEffect) {
-    // What was ordered did not take effect: check all and order anew.
-    phase = Phase::kStaging;
-    retry_order_at = now + kOrderRetry;
-  }
-  if (phase == Phase::kOrdered || phase == Phase::kLoading) {
-    return;
-  }
-  Stage();
-  if (!area.AllWritten()) {
-    phase = Phase::kStaging;
-    return;
-  }
-  if (phase == Phase::kStaging) {
-    phase = Phase::kWaitingForTurn;
-    Tell(Progress::Kind::kStaged);
-  }
-  if (phase == Phase::kWaitingForTurn) {
-    if (now < TurnOf() || now < retry_order_at || report->busy) {
-      return;
-    }
-    phase = Phase::kChecking;
-    area.BeginCheck(now);
-  }
-  if (now - *area.CheckBegan() > settings.check_lifetime) {
-    area.BeginCheck(now);
-  }
-  Check(now);
-  if (area.AllChecked()) {
-    phase = Phase::kOrdered;
-    phase_began = now;
-    Tell(Progress::Kind::kOrdered,
-         "replaces " + std::to_string(report->version));
-    outputs.emplace_back(OrderLoad{*target, report->orders});
+  Tell(Progress::Kind::kPieceRejected, *version,
+       rejected.sender + " piece " + std::to_string(rejected.index));
+  if (rejected.sender == "origin" &&
+      ++version->rejections >= kRejectionsToDoubtList && !aims_at_interim &&
+      version == &*newest) {
+    version->manifest.reset();
+    version->wanted = false;
+    version->next_list = now;
   }
 }
 
@@ -343,24 +140,42 @@
         outputs.emplace_back(std::move(*send));
       }
     } else if (const auto* fetch = std::get_if<weights::FetchChunk>(&output)) {
-      outputs.emplace_back(FetchPiece{*target, fetch->index});
-    } else if (std::holds_alternative<weights::VersionComplete>(output)) {
-      complete = true;
-      Tell(Progress::Kind::kComplete);
+      if (const auto* version = FindDigest(fetch->manifest_digest)) {
+        outputs.emplace_back(FetchPiece{version->name, fetch->index});
+      }
+    } else if (const auto* done =
+                   std::get_if<weights::VersionComplete>(&output)) {
+      if (auto* version = FindDigest(done->manifest_digest)) {
+        version->complete = true;
+        Tell(Progress::Kind::kComplete, *version);
+      }
     } else if (const auto* rejected =
                    std::get_if<weights::ChunkRejected>(&output)) {
-      Tell(Progress::Kind::kPieceRejected,
-           rejected->sender + " piece " + std::to_string(rejected->index));
-      if (rejected->sender == "origin" &&
-          ++rejections >= kRejectionsToDoubtList) {
-        manifest.reset();
-        wanted = false;
-        next_list = now;
-      }
+      OnRejected(now, *rejected);
     }
   }
 }
 
+// What the newest version becomes when another one is declared: if much of it
+// is here already, it may have to serve until the other comes.
+void Stager::State::Supersede() {
+  if (!newest || aims_at_interim) {
+    return;
+  }
+  const bool new_here =
+      newest->just_declared && newest->wanted && !RunsNewest();
+  const weights::TransferProgress progress =
+      new_here ? transfer.Progress(newest->manifest_digest)
+               : weights::TransferProgress();
+  if (progress.chunks_total > 0 &&
+      progress.chunks_present >= progress.chunks_total * kInterimShare) {
+    interim = std::exchange(newest, std::nullopt);
+    interim_done = false;
+  } else if (RunsNewest()) {
+    interim.reset();
+  }
+}
+
 Stager::Stager(StagerSettings settings, kernel::Random random, kernel::Time now)
     : m_state(std::make_unique<State>(std::move(settings), random, now)) {}
 
@@ -370,24 +185,23 @@
                         const VersionName& version,
                         bool just_now) {
   State& state = *m_state;
-  if (state.target && (version.model != state.target->model ||
-                       version.number <= state.target->number)) {
+  if (state.newest && (version.model != state.newest->name.model ||
+                       version.number <= state.newest->name.number)) {
     return;
   }
-  state.target = version;
-  state.declared_at = now;
-  state.just_declared = just_now;
-  state.manifest.reset();
-  state.list_asked = false;
-  state.wanted = false;
-  state.complete = false;
+  state.Supersede();
+  state.newest.emplace();
+  DeclaredVersion& newest = *state.newest;
+  newest.name = version;
+  newest.declared_at = now;
+  newest.just_declared = just_now;
+  if (!state.aims_at_interim) {
+    state.AimAt(newest, /*is_interim=*/false);
+  }
   state.told_running = false;
-  state.own_pieces.clear();
-  state.area.Reset(0);
-  state.phase = State::Phase::kStaging;
-  state.Tell(Progress::Kind::kDeclared);
-  const std::size_t rank = state.RankOfSelf();
-  state.next_list =
+  state.Tell(Progress::Kind::kDeclared, newest);
+  const std::size_t rank = state.RankOfSelf(version);
+  newest.next_list =
       rank == 0 ? now
                 : now + std::min<milliseconds>(
                             kListPatience + kListPatienceARank *
@@ -409,9 +223,9 @@
     kernel::Findings findings;
     const auto list = weights::ParseManifest(
         message.from().instance(), message.manifest_data().content(), findings);
-    if (list && state.target && !state.manifest &&
-        VersionOf(list->file) == state.target) {
-      state.AdoptList(now, *list);
+    if (list && state.newest && !state.newest->manifest &&
+        VersionOf(list->file) == state.newest->name) {
+      state.AdoptList(*list);
     }
   } else {
     state.transfer.OnMessage(now, message);
@@ -425,14 +239,15 @@
                          const VersionName& version,
                          std::optional<PieceList> list) {
   State& state = *m_state;
-  if (version != state.target) {
+  if (!state.newest || version != state.newest->name) {
     return;
   }
-  state.list_asked = false;
+  DeclaredVersion& newest = *state.newest;
+  newest.list_asked = false;
   if (!list || list->digests.empty() || list->piece_bytes == 0) {
-    state.next_list = now + kListRetry;
-  } else if (!state.manifest) {
-    state.AdoptList(now, ManifestOf(version, *list));
+    newest.next_list = now + kListRetry;
+  } else if (!newest.manifest) {
+    state.AdoptList(ManifestOf(version, *list));
   }
   OnTick(now);
 }
@@ -442,8 +257,9 @@
                      std::uint32_t index,
                      std::string bytes) {
   State& state = *m_state;
-  if (version == state.target && state.manifest) {
-    state.transfer.OnChunkFetched(now, state.manifest_digest, index,
+  const DeclaredVersion* found = state.Find(version);
+  if (found != nullptr && found->manifest) {
+    state.transfer.OnChunkFetched(now, found->manifest_digest, index,
                                   weights::Source::kOrigin, std::move(bytes));
   }
   OnTick(now);
@@ -454,7 +270,8 @@
                       std::uint32_t index,
                       bool stored) {
   State& state = *m_state;
-  if (version == state.target && index < state.area.Size() &&
+  if (state.newest && version == state.Aim().name &&
+      index < state.area.Size() &&
       state.area.At(index) == StageArea::Piece::kWriting) {
     state.area.Set(index, stored ? StageArea::Piece::kWritten
                                  : StageArea::Piece::kMissing);
@@ -467,21 +284,24 @@
                           std::uint32_t index,
                           std::string bytes) {
   State& state = *m_state;
-  if (version != state.target || index >= state.area.Size() ||
+  if (!state.newest || version != state.Aim().name ||
+      index >= state.area.Size() ||
       state.area.At(index) != StageArea::Piece::kReading) {
     return;
   }
-  const bool right = weights::Sha256(bytes) == state.DigestOf(index);
-  if (!state.wanted) {
+  DeclaredVersion& aim = state.Aim();
+  const bool right = weights::Sha256(bytes) == aim.DigestOf(index);
+  if (!aim.wanted) {
     // What is wrong here comes from the others later.
     state.area.Set(
         index, right ? StageArea::Piece::kChecked : StageArea::Piece::kWritten);
     if (right) {
-      state.own_pieces.emplace(index, std::move(bytes));
+      aim.own_pieces.emplace(index, std::move(bytes));
     }
   } else {
     if (!right) {
-      state.Tell(Progress::Kind::kRepaired, "piece " + std::to_string(index));
+      state.Tell(Progress::Kind::kRepaired, aim,
+                 "piece " + std::to_string(index));
     }
     state.area.Set(
         index, right ? StageArea::Piece::kChecked : StageArea::Piece::kMissing);
@@ -501,16 +321,18 @@
     state.report = report;
   }
   if (restarted) {
-    state.Tell(Progress::Kind::kEndpointRestarted);
+    if (state.newest) {
+      state.Tell(Progress::Kind::kEndpointRestarted, *state.newest);
+    }
     state.told_running = false;
     state.phase = State::Phase::kStaging;
     state.area.Reset(state.area.Size());
   }
   const bool loading = state.phase == State::Phase::kOrdered ||
                        state.phase == State::Phase::kLoading;
-  state.next_report = now + (loading         ? kReportWhileLoading
-                             : !state.Runs() ? kReportWhileStaging
-                                             : kReportAtRest);
+  state.next_report = now + (loading               ? kReportWhileLoading
+                             : !state.RunsNewest() ? kReportWhileStaging
+                                                   : kReportAtRest);
   OnTick(now);
 }
 
@@ -530,9 +352,9 @@
       break;
     case OrderResult::kUnfit:
     case OrderResult::kFailed:
-      state.Tell(Progress::Kind::kOrderRefused);
+      state.Tell(Progress::Kind::kOrderRefused, state.Aim());
       state.phase = State::Phase::kStaging;
-      state.retry_order_at = now + kOrderRetry;
+      state.retry_order_at = now + kRefusedOrderRetry;
       break;
   }
   OnTick(now);
@@ -555,7 +377,7 @@
   if (!state.report_asked) {
     next = std::min(next, state.next_report);
   }
-  if (state.target && !state.Runs()) {
+  if (state.newest && !state.RunsNewest()) {
     next = std::min(next, state.last_tick + kStep);
   }
   return next;
@@ -567,22 +389,25 @@
 
 std::string Stager::Explain(kernel::Time now) const {
   const State& state = *m_state;
-  if (!state.target) {
+  if (!state.newest) {
     return "no version is declared";
   }
-  std::string text = FileOf(*state.target) + ": ";
+  std::string text = FileOf(state.newest->name) + ": ";
   if (!state.report || !state.report->reachable) {
     return text + "the endpoint does not answer";
   }
-  if (state.Runs()) {
+  if (state.RunsNewest()) {
     return text + "runs";
   }
-  if (!state.manifest) {
+  if (!state.newest->manifest) {
     return text + "waits for the list of its pieces";
   }
-  const auto progress = state.transfer.Progress(state.manifest_digest);
+  const auto progress = state.transfer.Progress(state.newest->manifest_digest);
   text += std::to_string(progress.chunks_present) + " of " +
           std::to_string(progress.chunks_total) + " pieces here";
+  if (state.aims_at_interim) {
+    text += "; " + FileOf(state.interim->name) + " meanwhile";
+  }
   switch (state.phase) {
     case State::Phase::kStaging:
       return text + ", being staged";
--- a/tests/staging/stager_test.cc
+++ b/tests/staging/stager_test.cc
@@ -101,6 +101,34 @@
   ExpectAllLoaded(3);
 }
 
+// Seen on the platform: the first of two versions was nearly here when the
+// second was declared and the origin went away. Until it came back, neither was
+// loaded, and what ran was too old to serve.
+TEST_P(StagerTest, FirstOfTwoVersionsServesWhileTheSecondCannotCome) {
+  m_fleet.Declare(2, /*just_now=*/true);
+  m_fleet.Run(milliseconds(2000));
+  m_fleet.SetOrigin(false);
+  m_fleet.Declare(3, /*just_now=*/true);
+  ASSERT_TRUE(m_fleet.RunUntilAll(2, milliseconds(5000)));
+  ExpectAllLoaded(2);
+  m_fleet.SetOrigin(true);
+  ASSERT_TRUE(m_fleet.RunUntilAll(3, milliseconds(4000)));
+  ExpectAllLoaded(3);
+}
+
+// The turns of the second version begin before those of the first that is left
+// out: no endpoint loads twice while the origin answers.
+TEST_P(StagerTest, FirstOfTwoVersionsIsLeftOutIfTheSecondComes) {
+  m_fleet.Declare(2, /*just_now=*/true);
+  m_fleet.Run(milliseconds(2000));
+  m_fleet.Declare(3, /*just_now=*/true);
+  ASSERT_TRUE(m_fleet.RunUntilAll(3, milliseconds(8000)));
+  ExpectAllLoaded(3);
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    EXPECT_EQ(m_fleet.Endpoint(i).order_times.size(), 1U);
+  }
+}
+
 // An order without an answer may have begun: the report decides, and a second
 // order would be refused by its precondition.
 TEST_P(StagerTest, UnansweredOrderIsReadBack) {
--- a/tests/weights/transfer_fleet.cc
+++ b/tests/weights/transfer_fleet.cc
@@ -129,19 +129,17 @@
       Corrupt(bytes);
     }
     if (origin_link_bytes_per_second > 0 && output.source == Source::kOrigin) {
-      m_origin_link_free =
-          std::max(m_origin_link_free, m_now) +
-          std::chrono::duration_cast<kernel::Duration>(
-              std::chrono::duration<double>(output.size /
-                                            origin_link_bytes_per_second));
+      m_origin_link_free = std::max(m_origin_link_free, m_now) +
+                           std::chrono::duration_cast<kernel::Duration>(
+                               std::chrono::duration<double>(
+                                   output.size / origin_link_bytes_per_second));
       delay += m_origin_link_free - m_now;
     }
   }
-  At(delay, instance,
-     [this, output, bytes = std::move(bytes)](Transfer& core) {
-       core.OnChunkFetched(m_now, output.manifest_digest, output.index,
-                           output.source, bytes);
-     });
+  At(delay, instance, [this, output, bytes = std::move(bytes)](Transfer& core) {
+    core.OnChunkFetched(m_now, output.manifest_digest, output.index,
+                        output.source, bytes);
+  });
 }
 
 void TransferFleet::Handle(const std::string& instance,
