--- a/include/radishrudder/dissemination/store_reader.h
+++ b/include/radishrudder/dissemination/store_reader.h
@@ -35,6 +35,9 @@
 struct WholePrefix {
   std::vector<StoreItem> items{};
   std::uint64_t revision = 0;
+  // The store could not be read before, for so long that the time for what it
+  // newly holds begins only now.
+  bool after_outage = false;
 };
 // What changed, in order.
 struct PrefixChanges {
@@ -66,6 +69,8 @@
   // After a failure; doubled by each further one.
   std::chrono::milliseconds first_retry{60};
   std::chrono::milliseconds longest_retry{500};
+  // Failures in a row for this long are an outage.
+  std::chrono::milliseconds outage{1000};
 };
 
 // Follows all keys of one prefix in a store that can only be read: reads them
@@ -108,6 +113,8 @@
   kernel::BootTime m_read_began{};
   std::vector<StoreItem> m_items;  // Of the pages read so far.
   std::uint64_t m_revision = 0;
+  kernel::Time m_failing_since{};  // Where there are failures.
+  bool m_after_outage = false;     // Told with the next whole prefix.
   std::uint32_t m_failures = 0;
   std::vector<StoreOutput> m_outputs;
 };
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -238,7 +238,7 @@
   void OnOperatorNews(dissemination::StoreOutput output) {
     if (auto* whole = std::get_if<dissemination::WholePrefix>(&output)) {
       for (const dissemination::StoreItem& item : whole->items) {
-        OnOperatorItem(item, /*just_now=*/false);
+        OnOperatorItem(item, /*just_now=*/whole->after_outage);
       }
     } else if (auto* changes =
                    std::get_if<dissemination::PrefixChanges>(&output)) {
--- a/source/radishrudder/dissemination/store_reader.cc
+++ b/source/radishrudder/dissemination/store_reader.cc
@@ -48,7 +48,8 @@
     return;
   }
   m_phase = Phase::kWatching;
-  m_outputs.emplace_back(WholePrefix{std::exchange(m_items, {}), m_revision});
+  m_outputs.emplace_back(WholePrefix{std::exchange(m_items, {}), m_revision,
+                                     std::exchange(m_after_outage, false)});
   m_outputs.emplace_back(PrefixConfirmed{m_read_began});
 }
 
@@ -57,6 +58,7 @@
                             std::uint64_t revision) {
   OnAnswered(now);
   m_revision = std::max(m_revision, revision);
+  m_after_outage = false;
   m_next = items.empty() ? now : now + m_settings.pause;
   if (!items.empty()) {
     m_outputs.emplace_back(PrefixChanges{std::move(items)});
@@ -74,6 +76,7 @@
 void StoreReader::OnFailed(kernel::Time now) {
   m_asked = false;
   if (m_failures == 0) {
+    m_failing_since = now;
     m_outputs.emplace_back(StoreLost{});
   }
   const auto retry = std::min<std::chrono::milliseconds>(
@@ -91,6 +94,8 @@
   m_asked = false;
   if (m_failures > 0) {
     m_failures = 0;
+    m_after_outage =
+        m_after_outage || now - m_failing_since >= m_settings.outage;
     m_outputs.emplace_back(StoreRegained{});
   }
 }
--- a/tests/dissemination/store_reader_test.cc
+++ b/tests/dissemination/store_reader_test.cc
@@ -32,9 +32,12 @@
   void ReadWhole(std::uint64_t revision) {
     ASSERT_TRUE(Ask<ReadPage>());
     m_reader.OnPage(m_now, {{"k", "v", revision, false}}, false, revision);
-    ASSERT_TRUE(Last<WholePrefix>());
+    const auto whole = Last<WholePrefix>();
+    ASSERT_TRUE(whole);
+    m_whole = *whole;
   }
 
+  WholePrefix m_whole;  // The last one read.
   StoreReader m_reader{StoreReaderSettings{}, kernel::Random(3)};
   kernel::Time m_now{std::chrono::hours(1)};
   kernel::BootTime m_boot{std::chrono::hours(2)};
@@ -86,6 +89,24 @@
   EXPECT_EQ(Ask<WatchChanges>()->revision, 40U);
 }
 
+// Seen on the platform: two versions were declared while the store could not be
+// read by anyone. When it came back, they were taken for as old as the outage.
+TEST_F(StoreReaderTest, TellsThatAnOutageCameBefore) {
+  for (const milliseconds outage : {milliseconds(300), milliseconds(4000)}) {
+    ReadWhole(5);
+    EXPECT_FALSE(m_whole.after_outage);
+    ASSERT_TRUE(Ask<WatchChanges>());
+    m_reader.OnFailed(m_now);
+    Pass(outage);
+    ASSERT_TRUE(Ask<WatchChanges>());
+    m_reader.OnHistoryGone(m_now);
+    ReadWhole(40);
+    EXPECT_EQ(m_whole.after_outage, outage > milliseconds(1000));
+    ASSERT_TRUE(Ask<WatchChanges>());
+    m_reader.OnHistoryGone(m_now);
+  }
+}
+
 TEST_F(StoreReaderTest, ChangesInQuickSuccessionComeTogether) {
   ReadWhole(5);
   ASSERT_TRUE(Ask<WatchChanges>());
