--- a/apps/radishrudder/command.cc
+++ b/apps/radishrudder/command.cc
@@ -54,7 +54,7 @@
 
 std::vector<Command> AllCommands() {
   return {CheckCommand(),    DiffCommand(),   EventsCommand(), ExplainCommand(),
-          ManifestCommand(), ReportCommand(), StatusCommand()};
+          ManifestCommand(), ReportCommand(), StatusCommand(), TraceCommand()};
 }
 
 int RunProgram(int argc, const char* const* argv) {
--- a/apps/radishrudder/command.h
+++ b/apps/radishrudder/command.h
@@ -28,6 +28,7 @@
 Command ManifestCommand();
 Command ReportCommand();
 Command StatusCommand();
+Command TraceCommand();
 
 // Returns all commands in order of name.
 std::vector<Command> AllCommands();
