direct: calls that wait past the time of their version are withdrawn

Change: an attempt on an outdated version that has shown no event half a second after the grace is cancelled; the call goes elsewhere or is answered. Test: CallThatHasNotBegunIsWithdrawnSoonAfterTheGrace.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -65,7 +65,7 @@
   kBroken,         // An attempt ended without a whole answer.
   kInvalidAnswer,  // What came is not the endpoint's answer to this request.
   kTimeout,
-  kDraining,
+  kOutdated,  // Waited at an endpoint until its version was out of force.
 };
 std::string_view ToText(Reason reason);
 
--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -36,6 +36,9 @@
   // The same for a version that was declared at an unknown time before this
   // process read it.
   std::chrono::milliseconds old_version_grace{3000};
+  // Calls sent during the grace that have not begun so long after it are
+  // withdrawn: they wait at an endpoint and would begin on the older version.
+  std::chrono::milliseconds version_slack{500};
 };
 
 enum class AnswerVerdict { kMine, kForeign, kReject };
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -46,8 +46,8 @@
       return "invalid-answer";
     case Reason::kTimeout:
       return "timeout";
-    case Reason::kDraining:
-      return "draining";
+    case Reason::kOutdated:
+      return "outdated";
   }
   return "none";
 }
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -148,6 +148,7 @@
   attempt.incarnation = pick.incarnation;
   attempt.started = now;
   attempt.progress = now;
+  attempt.model_version = pick.model_version;
   call.attempt = std::move(attempt);
   SendAttempt send{.call = call.id};
   send.address = pick.address;
@@ -157,15 +158,7 @@
   if (call.begun && call.version) {
     send.expected_version = call.version;
   } else if (pool.RequiredVersion() > 0 && pool.Engine()) {
-    const ListedEndpoint* listed = nullptr;
-    for (const ListedEndpoint& endpoint : endpoints) {
-      if (endpoint.id == pick.id) {
-        listed = &endpoint;
-      }
-    }
-    if (listed != nullptr) {
-      send.expected_version = listed->model_version;
-    }
+    send.expected_version = pick.model_version;
   }
   send.last_event_id =
       call.begun ? call.events.LastId() : call.request->last_event_id;
@@ -229,6 +222,29 @@
   Emit(ReplyPart{call.id, std::move(events)});
 }
 
+bool Entry::State::IsOutdated(kernel::Time now, const Call& call) {
+  const CurrentAttempt& attempt = *call.attempt;
+  const ServicePool& pool = Pool(call.service);
+  return attempt.sent && !attempt.event_seen && !attempt.answer &&
+         call.route.MayRepeat() && attempt.model_version > 0 &&
+         attempt.model_version < pool.RequiredVersion() &&
+         now >= pool.RequiredSince() + settings.version_slack;
+}
+
+void Entry::State::Withdraw(kernel::Time now, Call& call, Reason reason) {
+  Emit(CancelAttempt{call.id});
+  Tell(now, call, Note::Kind::kAttemptFailed, 0, reason);
+  Pool(call.service).OnAbandoned(now, RunOf(*call.attempt));
+  call.may_have_run = true;
+  call.excluded.push_back(call.attempt->endpoint);
+  call.attempt.reset();
+  if (MayTryAgain(now, call)) {
+    StartAttempt(now, call, /*only_with_room=*/true);
+  } else {
+    GiveUp(now, call, reason);
+  }
+}
+
 void Entry::State::CheckTime(kernel::Time now, Call& call) {
   const CurrentAttempt& attempt = *call.attempt;
   if (now >= call.deadline + kDeadlineSlack) {
@@ -240,6 +256,10 @@
     GiveUp(now, call, Reason::kTimeout);
     return;
   }
+  if (IsOutdated(now, call)) {
+    Withdraw(now, call, Reason::kOutdated);
+    return;
+  }
   if (!attempt.sent || !call.route.MayRepeat() ||
       call.attempts >= call.route.maximum_attempts) {
     return;
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -19,7 +19,8 @@
 struct CurrentAttempt {
   std::string endpoint{};
   std::uint64_t incarnation = 0;
-  bool sent = false;  // Bytes may have left.
+  bool sent = false;                // Bytes may have left.
+  std::uint64_t model_version = 0;  // Of the endpoint when it was chosen.
   kernel::Time started{};
   kernel::Duration first_byte{};
   kernel::Time progress{};  // Its start, or the last whole event.
@@ -71,6 +72,10 @@
   bool IsTooLate(kernel::Time now, const Call& call) const;
   void TakeStreamData(kernel::Time now, Call& call, std::string_view data);
   void CheckTime(kernel::Time now, Call& call);
+  // Whether an attempt could still begin on a version that is out of force.
+  bool IsOutdated(kernel::Time now, const Call& call);
+  // Ends an attempt that has shown nothing, and makes another where it may.
+  void Withdraw(kernel::Time now, Call& call, Reason reason);
   bool IsStream(const Call& call) const;
   // Whether the runner's own failure may be followed by another attempt.
   bool MayRepeatAfter(kernel::Time now, Call& call, int status);
--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -17,7 +17,7 @@
 constexpr double kPlainQueueFactor = 2;
 // An endpoint that owes answers and sends nothing for so long gets no more
 // calls until it does: events of running calls come several times as often.
-constexpr std::chrono::milliseconds kSilence{500};
+constexpr std::chrono::milliseconds kSilence{400};
 // One call tries it again this long after it was last seen silent.
 constexpr std::chrono::milliseconds kTryAgain{2000};
 // Capacity of endpoints that state none.
@@ -61,6 +61,7 @@
 void ServicePool::RequireVersion(kernel::Time now, std::uint64_t version) {
   if (version > m_required_version) {
     m_required_version = version;
+    m_required_since = now;
     Refresh(now);
   }
 }
@@ -76,6 +77,7 @@
   if (found != m_listed.end()) {
     pick.id = found->first;
     pick.address = found->second.address;
+    pick.model_version = found->second.model_version;
   }
   return pick;
 }
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -24,6 +24,7 @@
   std::string id{};  // Empty: none.
   std::string address{};
   std::uint64_t incarnation = 0;
+  std::uint64_t model_version = 0;
   routing::NoRoute reason = routing::NoRoute::kNone;
 };
 
@@ -45,6 +46,8 @@
   // Endpoints with an older version of the model get no more calls.
   void RequireVersion(kernel::Time now, std::uint64_t version);
   std::uint64_t RequiredVersion() const { return m_required_version; }
+  // When it was last raised.
+  kernel::Time RequiredSince() const { return m_required_since; }
 
   Pick Choose(kernel::Time now, const PickNeeds& needs);
   // The load that an endpoint had just now.
@@ -99,6 +102,7 @@
   std::map<std::string, ListedEndpoint, std::less<>> m_listed;
   std::map<std::string, Waiting, std::less<>> m_waiting;
   std::uint64_t m_required_version = 0;
+  kernel::Time m_required_since{};
 };
 
 }  // namespace radishrudder::direct
--- a/source/radishrudder/staging/stager.cc
+++ b/source/radishrudder/staging/stager.cc
@@ -333,6 +333,7 @@
   const bool loading = state.phase == State::Phase::kOrdered ||
                        state.phase == State::Phase::kLoading;
   state.next_report = now + (loading               ? kReportWhileLoading
+                             : !report.reachable   ? kReportWhileUnreachable
                              : !state.RunsNewest() ? kReportWhileStaging
                                                    : kReportAtRest);
   OnTick(now);
--- a/tests/direct/entry_admission_test.cc
+++ b/tests/direct/entry_admission_test.cc
@@ -157,6 +157,33 @@
   EXPECT_EQ(sent.front().expected_version, 2U);
 }
 
+// Seen in a hunt (scale-1 of sb-quotes, VERSION): calls sent within the grace
+// waited at full endpoints and began after it.
+TEST_F(VersionTest, CallThatHasNotBegunIsWithdrawnSoonAfterTheGrace) {
+  BeginModel();
+  EarnRetries();
+  m_entry.OnVersionDeclared(m_now, "draft", 2, /*just_now=*/true);
+  Pass(milliseconds(6400));
+  m_entry.OnConfirmed(m_boot);
+  const CallId waits = Call();
+  const CallId runs = Call();
+  for (const CallId call : {waits, runs}) {
+    m_entry.OnSending(m_now, call);
+  }
+  m_entry.OnAnswerHead(m_now, runs, Good(runs, 200));
+  m_entry.OnAnswerBody(m_now, runs, "id: 1\ndata: a\n\n");
+  m_entry.TakeOutputs();
+  Pass(milliseconds(100));
+  Pass(milliseconds(400));
+  EXPECT_TRUE(Take<CancelAttempt>().empty());
+  Pass(milliseconds(150));
+  const auto withdrawn = Take<CancelAttempt>();
+  ASSERT_EQ(withdrawn.size(), 1U);
+  EXPECT_EQ(withdrawn.front().call, waits);
+  // Nothing runs the new version yet, and whether it ran is not known.
+  EXPECT_EQ(WholeStatus(), 502);
+}
+
 // Seen on a day on which an entry restarted long after the declaration and
 // took it as new.
 TEST_F(VersionTest, DeclarationOfUnknownAgeHasLittleGrace) {
