--- a/apps/radishrudder/trace.cc
+++ b/apps/radishrudder/trace.cc
@@ -23,7 +23,8 @@
   if (!timeline.Knows(id) && findings.Items().empty()) {
     findings.Error({"\"" + id + "\"", 0, 0, ""},
                    "no record has this id: the call was answered with success, "
-                   "was left out (see lines_left_out), or never arrived",
+                   "was left out (see lines_left_out), never arrived, or its "
+                   "process was killed (see 101 process-started)",
                    "an attempt id of these logs");
   }
   std::cout << timeline.DescribeClocks() << timeline.Describe(id);
