direct: a silent endpoint is tried more and more seldom

Trace of that one: a call sent at 21.04 s to an endpoint whose link is squeezed from 19 to 26 s arrives at 25.27 s, after its caller's deadline at 24.24 s: four seconds of chunks stand on the link. Five or six such calls are found each time, one above what is allowed; each entry tries each silent endpoint about every four seconds. Change: each try without an answer doubles the time to the next, up to 8 s. Test: SilentEndpointIsTriedMoreAndMoreSeldom fails without the doubling. The cause, chunks before live calls on a link that became narrow, stays open.

--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -18,8 +18,11 @@
 // An endpoint that owes answers and sends nothing for so long gets no more
 // calls until it does: events of running calls come several times as often.
 constexpr std::chrono::milliseconds kSilence{400};
-// One call tries it again this long after it was last seen silent.
+// One call tries it again this long after it was last seen silent; doubled by
+// each try without an answer, for a call can be stuck on the way to it until
+// after its caller has left.
 constexpr std::chrono::milliseconds kTryAgain{2000};
+constexpr std::uint32_t kMaximumDoublings = 2;
 // Capacity of endpoints that state none.
 constexpr std::uint32_t kDefaultSlots = 4;
 
@@ -110,6 +113,7 @@
     waiting.since = now;
   }
   if (waiting.unheard) {
+    ++waiting.tries;
     OnTick(now);
   }
 }
@@ -151,6 +155,7 @@
   if (found != m_waiting.end()) {
     found->second.since = now;
     found->second.unheard = false;
+    found->second.tries = 0;
   }
 }
 
@@ -164,7 +169,8 @@
     Waiting& waiting = item->second;
     if (waiting.attempts > 0 && now - waiting.since >= kSilence) {
       waiting.unheard = true;
-      waiting.next_try = now + kTryAgain;
+      waiting.next_try =
+          now + kTryAgain * (1U << std::min(waiting.tries, kMaximumDoublings));
     }
     const bool left_out = IsLeftOut(now, waiting);
     changed = changed || left_out != waiting.left_out;
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -85,6 +85,7 @@
     // from `next_try` on.
     bool unheard = false;
     kernel::Time next_try{};
+    std::uint32_t tries = 0;  // Since it was heard last.
     bool left_out = false;
   };
 
--- a/tests/direct/entry_attempts_test.cc
+++ b/tests/direct/entry_attempts_test.cc
@@ -226,6 +226,34 @@
   EXPECT_TRUE(Take<SendAttempt>().empty());
 }
 
+// Seen in hunts (scale-2 of both sites, GONE): calls that tried an endpoint
+// behind a squeezed link were stuck on the way until their callers had left.
+TEST_F(AttemptsTest, SilentEndpointIsTriedMoreAndMoreSeldom) {
+  Begin(Route(RouteKind::kOnce, false), 1);
+  std::vector<milliseconds> tries;
+  for (milliseconds passed{0}; passed < milliseconds(30000);
+       passed += milliseconds(100)) {
+    m_entry.OnConfirmed(m_boot);
+    const CallId call = Call("key-1", "/a/b", milliseconds(700));
+    if (!Take<SendAttempt>().empty()) {
+      m_entry.OnSending(m_now, call);
+      tries.push_back(passed);
+    }
+    Pass(milliseconds(100));
+  }
+  // Those of the first moments came before it was known to be silent.
+  const auto rests = [&tries](milliseconds least) {
+    std::size_t count = 0;
+    for (std::size_t i = 1; i < tries.size(); ++i) {
+      count += tries[i] - tries[i - 1] >= least ? 1 : 0;
+    }
+    return count;
+  };
+  EXPECT_GE(rests(milliseconds(2000)), 3U);
+  EXPECT_GE(rests(milliseconds(4000)), 2U);
+  EXPECT_GE(rests(milliseconds(8000)), 1U);
+}
+
 // Seen on a day on which a machine stood still for seconds: what it wakes up
 // to is handled before its timers are.
 TEST_F(AttemptsTest, NothingIsSentAgainAfterTheDeadline) {
