dissemination, serving: log how old a version's declaration can be

Record 405 named the version only, so it could not be told whether the entry read the declaration late, counted its grace period from the wrong moment, or had a call queued at an endpoint.

A reader now says with each change when its preceding read was confirmed, and 405 of entries has maximum_age_ms and grace_ms. No decision changes.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +45,16 @@
   std::chrono::milliseconds withdrawal_delay{500};
 };
 
+// A declaration of a model version, as read from the store.
+struct VersionDeclaration {
+  std::string_view model{};
+  std::uint64_t version = 0;
+  // The store did not contain the declaration at this time. Nothing: unknown.
+  std::optional<kernel::Time> absent_at{};
+  bool just_now =
+      false;  // Declared now rather than at an unknown earlier time.
+};
+
 // What to do with the head of a response: use it, skip the response because it
 // belongs to another request on the same connection, or close the connection.
 enum class ResponseVerdict { kAccept, kSkip, kReject };
@@ -61,12 +72,12 @@
   // A response of the store showed that the configuration was current when the
   // request was sent, at `requested_at`.
   void OnConfigurationConfirmed(kernel::BootTime requested_at);
-  // A version of a model was declared, either now or at an unknown earlier
-  // time; calls move to it after the grace period.
-  void OnVersionDeclared(kernel::Time now,
-                         std::string_view model,
-                         std::uint64_t version,
-                         bool just_now);
+  // A version of a model was declared; calls move to it after the grace period.
+  // Returns the end of the grace period, or nothing if the version is not newer
+  // than a known one.
+  std::optional<kernel::Time> OnVersionDeclared(
+      kernel::Time now,
+      const VersionDeclaration& declaration);
   // The list of endpoints changed; `endpoints` is the complete new list.
   void OnEndpoints(kernel::Time now, std::vector<ListedEndpoint> endpoints);
 
--- a/include/radishrudder/dissemination/store_reader.h
+++ b/include/radishrudder/dissemination/store_reader.h
@@ -36,6 +36,10 @@
 struct PrefixSnapshot {
   std::vector<StoreItem> items{};
   std::uint64_t revision = 0;
+  // Time at which the preceding read was confirmed; see `PrefixConfirmed`.
+  // Items that were not delivered before were stored later. Nothing: the first
+  // read.
+  std::optional<kernel::BootTime> previously_confirmed{};
   // True if the store was unreachable for at least the outage threshold before
   // this read. No process could read the items stored during the outage, so
   // the age of such items counts from this read.
@@ -44,6 +48,8 @@
 // Delivers changed keys, in the order of their changes.
 struct PrefixChanges {
   std::vector<StoreItem> items{};
+  // Time at which the preceding read was confirmed: the changes are newer.
+  std::optional<kernel::BootTime> previously_confirmed{};
 };
 // Confirms that every change that the store held at `requested_at`, the time
 // the request was sent, has been delivered.
@@ -109,6 +115,7 @@
   enum class Phase { kReading, kWatching };
 
   void OnResponse(kernel::Time now);
+  void Confirm(kernel::BootTime requested_at);
 
   StoreReaderSettings m_settings;
   kernel::Random m_random;
@@ -117,6 +124,7 @@
   kernel::Time m_next_request{};
   kernel::BootTime m_request_started_at{};
   kernel::BootTime m_read_started_at{};
+  std::optional<kernel::BootTime> m_confirmed_at;
   std::vector<StoreItem> m_read_items;  // From the pages read so far.
   std::uint64_t m_revision = 0;
   kernel::Time m_failing_since{};  // Valid if requests are failing.
--- a/include/radishrudder/kernel/boot_time.h
+++ b/include/radishrudder/kernel/boot_time.h
@@ -13,10 +13,15 @@
 
 BootTime BootTimeNow();
 
+// Returns a boot time as a `Time` that is comparable with `Now`.
+inline Time ToTime(BootTime time) {
+  return Time(std::chrono::duration_cast<Duration>(time));
+}
+
 // Returns the boot time as a `Time`, for deadlines that also advance while the
 // machine is suspended. Not comparable with times of the steady clock.
 inline Time Now() {
-  return Time(std::chrono::duration_cast<Duration>(BootTimeNow()));
+  return ToTime(BootTimeNow());
 }
 
 }  // namespace radishrudder::kernel
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -241,12 +241,14 @@
   void OnOperatorOutput(dissemination::StoreOutput output) {
     if (auto* snapshot = std::get_if<dissemination::PrefixSnapshot>(&output)) {
       for (const dissemination::StoreItem& item : snapshot->items) {
-        OnOperatorItem(item, /*just_now=*/snapshot->after_outage);
+        OnOperatorItem(item, snapshot->previously_confirmed,
+                       /*just_now=*/snapshot->after_outage);
       }
     } else if (auto* changes =
                    std::get_if<dissemination::PrefixChanges>(&output)) {
       for (const dissemination::StoreItem& item : changes->items) {
-        OnOperatorItem(item, /*just_now=*/true);
+        OnOperatorItem(item, changes->previously_confirmed,
+                       /*just_now=*/true);
       }
     } else if (const auto* confirmed =
                    std::get_if<dissemination::PrefixConfirmed>(&output)) {
@@ -258,7 +260,9 @@
     TakeOutputs();
   }
 
-  void OnOperatorItem(const dissemination::StoreItem& item, bool just_now) {
+  void OnOperatorItem(const dissemination::StoreItem& item,
+                      std::optional<kernel::BootTime> previously_confirmed,
+                      bool just_now) {
     kernel::Findings findings;
     if (item.removed) {
       return;
@@ -280,17 +284,46 @@
       }
     } else if (Platform::IsVersion(item.key)) {
       if (const auto version = Platform::DecodeVersion(item.value, findings)) {
-        m_core.OnVersionDeclared(kernel::Now(), version->model, version->number,
-                                 just_now);
-        logging::Log(logging::kVersionDeclared,
-                     {{"model", version->model},
-                      {"version", std::to_string(version->number)},
-                      {"revision", std::to_string(item.revision)}});
+        OnVersion(*version, item.revision, previously_confirmed, just_now);
       }
     }
     m_journal.LogFindings(findings);
   }
 
+  void OnVersion(const staging::VersionId& version,
+                 std::uint64_t revision,
+                 std::optional<kernel::BootTime> previously_confirmed,
+                 bool just_now) {
+    const kernel::Time now = kernel::Now();
+    direct::VersionDeclaration declaration{.model = version.model,
+                                           .version = version.number,
+                                           .just_now = just_now};
+    if (previously_confirmed) {
+      declaration.absent_at = kernel::ToTime(*previously_confirmed);
+    }
+    const auto required_at = m_core.OnVersionDeclared(now, declaration);
+    const auto milliseconds = [](std::optional<kernel::Duration> duration) {
+      return duration
+                 ? std::to_string(
+                       std::chrono::duration_cast<std::chrono::milliseconds>(
+                           *duration)
+                           .count())
+                 : std::string();
+    };
+    logging::Log(
+        logging::kVersionDeclared,
+        {{"model", version.model},
+         {"version", std::to_string(version.number)},
+         {"revision", std::to_string(revision)},
+         {"maximum_age_ms",
+          milliseconds(declaration.absent_at
+                           ? std::optional(now - *declaration.absent_at)
+                           : std::nullopt)},
+         {"grace_ms",
+          milliseconds(required_at ? std::optional(*required_at - now)
+                                   : std::nullopt)}});
+  }
+
   void ApplyBounds() {
     const direct::CallerLimits& caller_limits =
         m_core.Configurations().Current().caller_limits;
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -70,18 +70,19 @@
   m_state->age.OnConfigurationConfirmed(requested_at);
 }
 
-void Entry::OnVersionDeclared(kernel::Time now,
-                              std::string_view model,
-                              std::uint64_t version,
-                              bool just_now) {
-  auto& versions = m_state->declared[std::string(model)];
-  if (!versions.empty() && versions.back().version >= version) {
-    return;
+std::optional<kernel::Time> Entry::OnVersionDeclared(
+    kernel::Time now,
+    const VersionDeclaration& declaration) {
+  auto& versions = m_state->declared[std::string(declaration.model)];
+  if (!versions.empty() && versions.back().version >= declaration.version) {
+    return std::nullopt;
   }
   const EntrySettings& settings = m_state->settings;
   versions.push_back(
-      {version, now + (just_now ? settings.version_switch_grace
-                                : settings.undated_version_grace)});
+      {declaration.version,
+       now + (declaration.just_now ? settings.version_switch_grace
+                                   : settings.undated_version_grace)});
+  return versions.back().required_at;
 }
 
 void Entry::OnEndpoints(kernel::Time now,
--- a/source/radishrudder/dissemination/store_reader.cc
+++ b/source/radishrudder/dissemination/store_reader.cc
@@ -51,9 +51,9 @@
   }
   m_phase = Phase::kWatching;
   m_outputs.emplace_back(PrefixSnapshot{std::exchange(m_read_items, {}),
-                                        m_revision,
+                                        m_revision, m_confirmed_at,
                                         std::exchange(m_after_outage, false)});
-  m_outputs.emplace_back(PrefixConfirmed{m_read_started_at});
+  Confirm(m_read_started_at);
 }
 
 void StoreReader::OnChanges(kernel::Time now,
@@ -64,9 +64,14 @@
   m_after_outage = false;
   m_next_request = items.empty() ? now : now + m_settings.next_watch_delay;
   if (!items.empty()) {
-    m_outputs.emplace_back(PrefixChanges{std::move(items)});
+    m_outputs.emplace_back(PrefixChanges{std::move(items), m_confirmed_at});
   }
-  m_outputs.emplace_back(PrefixConfirmed{m_request_started_at});
+  Confirm(m_request_started_at);
+}
+
+void StoreReader::Confirm(kernel::BootTime requested_at) {
+  m_confirmed_at = requested_at;
+  m_outputs.emplace_back(PrefixConfirmed{requested_at});
 }
 
 void StoreReader::OnHistoryDiscarded(kernel::Time now) {
--- a/tests/direct/entry_admission_test.cc
+++ b/tests/direct/entry_admission_test.cc
@@ -131,6 +131,9 @@
     m_entry.OnConfigurationConfirmed(m_boot);
     List(1, 1);
   }
+  static VersionDeclaration Declaration(bool just_now) {
+    return {.model = "draft", .version = 2, .just_now = just_now};
+  }
   void List(std::uint64_t first, std::uint64_t second) {
     std::vector<ListedEndpoint> listed{MakeEndpoint("1"), MakeEndpoint("2")};
     listed[0].model_version = first;
@@ -141,7 +144,7 @@
 
 TEST_F(VersionTest, OlderVersionServesOnlyDuringGracePeriod) {
   StartWithModel();
-  m_entry.OnVersionDeclared(m_now, "draft", 2, /*just_now=*/true);
+  m_entry.OnVersionDeclared(m_now, Declaration(/*just_now=*/true));
   AdvanceTime(milliseconds(6000));
   m_entry.OnConfigurationConfirmed(m_boot);
   Call();
@@ -165,7 +168,7 @@
 TEST_F(VersionTest, WithdrawsQueuedCallAfterGracePeriod) {
   StartWithModel();
   EarnRetries();
-  m_entry.OnVersionDeclared(m_now, "draft", 2, /*just_now=*/true);
+  m_entry.OnVersionDeclared(m_now, Declaration(/*just_now=*/true));
   AdvanceTime(milliseconds(6400));
   m_entry.OnConfigurationConfirmed(m_boot);
   const CallId waits = Call();
@@ -192,7 +195,7 @@
 // and grant the full grace period.
 TEST_F(VersionTest, DeclarationOfUnknownAgeHasShortGracePeriod) {
   StartWithModel();
-  m_entry.OnVersionDeclared(m_now, "draft", 2, /*just_now=*/false);
+  m_entry.OnVersionDeclared(m_now, Declaration(/*just_now=*/false));
   AdvanceTime(milliseconds(3100));
   m_entry.OnConfigurationConfirmed(m_boot);
   Call();
