--- a/tests/direct/entry_admission_test.cc
+++ b/tests/direct/entry_admission_test.cc
@@ -202,6 +202,54 @@
   EXPECT_TRUE(TakeOutputsOf<SendAttempt>().empty());
 }
 
+// How an entry comes to read a declaration long after it was acknowledged.
+struct LateReading {
+  const char* name;
+  // From the last confirmed read without the declaration to the reading of it;
+  // nothing: the process had read nothing before.
+  std::optional<milliseconds> absent_for;
+};
+
+class LateReadingTest : public VersionTest,
+                        public testing::WithParamInterface<LateReading> {};
+
+// Guards against calls on the previous version after the limit for the switch
+// (VERSION on sb-quotes-grown): an entry that is suspended, cut off, refused by
+// the store or restarted reads the declaration late. It may have been
+// acknowledged right after the last read without it, but its grace period was
+// counted from the late reading.
+TEST_P(LateReadingTest, GracePeriodStartsWhenDeclarationMayHaveBeenMade) {
+  StartWithModel();
+  VersionDeclaration declaration = Declaration(/*just_now=*/true);
+  if (GetParam().absent_for) {
+    declaration.absent_at = m_now - *GetParam().absent_for;
+  }
+  const EntrySettings settings;
+  milliseconds wait = settings.undated_version_grace;
+  if (GetParam().absent_for) {
+    wait =
+        std::max(wait, settings.version_switch_grace - *GetParam().absent_for);
+  }
+  m_entry.OnVersionDeclared(m_now, declaration);
+  AdvanceTime(wait - milliseconds(100));
+  m_entry.OnConfigurationConfirmed(m_boot);
+  Call();
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(), 1U);
+  AdvanceTime(milliseconds(200));
+  m_entry.OnConfigurationConfirmed(m_boot);
+  Call();
+  EXPECT_TRUE(TakeOutputsOf<SendAttempt>().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    LateReadingTest,
+    testing::Values(LateReading{"WatchInterval", milliseconds(900)},
+                    LateReading{"Suspended", milliseconds(5200)},
+                    LateReading{"RefusedByTheStore", milliseconds(9000)},
+                    LateReading{"FirstReadAfterFailures", std::nullopt}),
+    [](const auto& test) { return test.param.name; });
+
 TEST_F(VersionTest, EndpointWithoutModelGetsNoCalls) {
   StartWithModel();
   List(0, 0);
