direct, peers: date a declared version by what was read before it

Cause: the grace period for older versions was the full one, counted from the reading, whenever the declaration arrived by a watch or after a second of failures. The reader may have been suspended, cut off, refused by the store or restarted; the declaration may be as old as its last complete read. Class: the age of a fact was taken from how it arrived, not from a bound that is known.

Change: a reader says when its earlier items were complete.

Why it works: the bound holds however the reading came to be late.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -33,12 +33,11 @@
   // maximum that the budget holds.
   double retry_budget_ratio = 0.15;
   double maximum_saved_retries = 8;
-  // After a version is declared, calls may still start on an older version for
-  // this long.
+  // Calls may still start on an older version for this long after the latest
+  // time at which the newer one was not declared yet.
   std::chrono::milliseconds version_switch_grace{6500};
-  // The same, counted from when this process first reads the declaration, for a
-  // version that was declared at an unknown earlier time.
-  std::chrono::milliseconds undated_version_grace{3000};
+  // Minimum grace period after the reading of a declaration, however old it is.
+  std::chrono::milliseconds minimum_version_grace{3000};
   // Calls that were sent during the grace period and have not started this long
   // after its end are withdrawn: they are queued at an endpoint and would start
   // on the older version.
@@ -49,10 +48,9 @@
 struct VersionDeclaration {
   std::string_view model{};
   std::uint64_t version = 0;
-  // The store did not contain the declaration at this time. Nothing: unknown.
+  // Latest time at which the store is known not to have contained the
+  // declaration. Nothing: it may have been declared at any time.
   std::optional<kernel::Time> absent_at{};
-  bool just_now =
-      false;  // Declared now rather than at an unknown earlier time.
 };
 
 // What to do with the head of a response: use it, skip the response because it
@@ -78,6 +76,11 @@
   std::optional<kernel::Time> OnVersionDeclared(
       kernel::Time now,
       const VersionDeclaration& declaration);
+  // A known version turns out to have been declared after `absent_at`, which is
+  // later than known before. Returns the new end of the grace period, or
+  // nothing if it does not change.
+  std::optional<kernel::Time> OnVersionDated(
+      const VersionDeclaration& declaration);
   // The list of endpoints changed; `endpoints` is the complete new list.
   void OnEndpoints(kernel::Time now, std::vector<ListedEndpoint> endpoints);
 
--- a/include/radishrudder/dissemination/store_reader.h
+++ b/include/radishrudder/dissemination/store_reader.h
@@ -36,25 +36,25 @@
 struct PrefixSnapshot {
   std::vector<StoreItem> items{};
   std::uint64_t revision = 0;
-  // Time at which the preceding read was confirmed; see `PrefixConfirmed`.
-  // Items that were not delivered before were stored later. Nothing: the first
-  // read.
-  std::optional<kernel::BootTime> previously_confirmed{};
-  // True if the store was unreachable for at least the outage threshold before
-  // this read. No process could read the items stored during the outage, so
-  // the age of such items counts from this read.
-  bool after_outage = false;
+  // Latest time at which the items delivered earlier were complete: items that
+  // are new in this snapshot were stored later. Nothing: the first read.
+  std::optional<kernel::BootTime> previously_complete_at{};
 };
 // Delivers changed keys, in the order of their changes.
 struct PrefixChanges {
   std::vector<StoreItem> items{};
-  // Time at which the preceding read was confirmed: the changes are newer.
-  std::optional<kernel::BootTime> previously_confirmed{};
+  // Latest time at which the items delivered earlier were complete. The changes
+  // were made at any later time: the process may have been suspended, cut off
+  // or refused meanwhile.
+  std::optional<kernel::BootTime> previously_complete_at{};
 };
 // Confirms that every change that the store held at `requested_at`, the time
 // the request was sent, has been delivered.
 struct PrefixConfirmed {
   kernel::BootTime requested_at{};
+  // Not before `requested_at`: a watch that ends without changes covers its
+  // whole wait.
+  kernel::BootTime complete_at{};
 };
 // The first request after a successful one failed.
 struct StoreUnreachable {};
@@ -79,8 +79,6 @@
   // Backoff after the first failure; doubles with each consecutive failure.
   std::chrono::milliseconds initial_backoff{60};
   std::chrono::milliseconds maximum_backoff{500};
-  // Consecutive failures over at least this time count as an outage.
-  std::chrono::milliseconds outage_threshold{1000};
 };
 
 // Tracks all keys of one prefix of a store through read requests alone: reads
@@ -115,20 +113,20 @@
   enum class Phase { kReading, kWatching };
 
   void OnResponse(kernel::Time now);
-  void Confirm(kernel::BootTime requested_at);
+  // The items were complete at `complete_at`, not before `requested_at`.
+  void Confirm(kernel::BootTime requested_at, kernel::BootTime complete_at);
 
   StoreReaderSettings m_settings;
   kernel::Random m_random;
   Phase m_phase = Phase::kReading;
   bool m_request_in_progress = false;
   kernel::Time m_next_request{};
+  kernel::Time m_request_sent{};
   kernel::BootTime m_request_started_at{};
   kernel::BootTime m_read_started_at{};
-  std::optional<kernel::BootTime> m_confirmed_at;
+  std::optional<kernel::BootTime> m_complete_at;
   std::vector<StoreItem> m_read_items;  // From the pages read so far.
   std::uint64_t m_revision = 0;
-  kernel::Time m_failing_since{};  // Valid if requests are failing.
-  bool m_after_outage = false;     // Reported with the next `PrefixSnapshot`.
   std::uint32_t m_consecutive_failures = 0;
   std::vector<StoreOutput> m_outputs;
 };
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -120,6 +120,9 @@
 inline constexpr Event kStagedChunkRepaired{
     408, Level::kWarning, "staged-chunk-repaired",
     "A staged chunk was corrupt when read back and is rewritten."};
+inline constexpr Event kVersionDated{
+    409, Level::kInfo, "version-dated",
+    "Reports of peers show that a version was declared later than assumed."};
 inline constexpr Event kCallFailed{501, Level::kWarning, "call-failed",
                                    "A call ended without a complete response."};
 inline constexpr Event kCallRefused{502, Level::kInfo, "call-refused",
--- /dev/null
+++ b/include/radishrudder/peers/peer_report.h
@@ -0,0 +1,42 @@
+#ifndef RADISHRUDDER_PEERS_PEER_REPORT_H_
+#define RADISHRUDDER_PEERS_PEER_REPORT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishrudder::peers {
+
+// When the sender read the declaration of a model version. Ages are relative to
+// the sending of the report.
+struct DeclarationReport {
+  std::string model{};
+  std::uint64_t version = 0;
+  std::chrono::milliseconds read_age{0};
+  // Age of the sender's latest complete read without the declaration. Nothing:
+  // it had read nothing before.
+  std::optional<std::chrono::milliseconds> absent_age{};
+};
+
+// What one entry tells another. Both the request and the response of an
+// exchange are a report.
+struct PeerReport {
+  std::string address{};  // "IP:PORT" at which the sender takes reports.
+  std::vector<std::string> peers{};  // Addresses of others that it knows.
+  // Age of the sender's latest complete read of the operator's documents.
+  // Nothing: it has read none.
+  std::optional<std::chrono::milliseconds> store_age{};
+  std::vector<DeclarationReport> declarations{};
+};
+
+// Encodes a report as JSON.
+std::string ToText(const PeerReport& report);
+// Returns nothing if the text is no report. Unknown members are ignored.
+std::optional<PeerReport> ParsePeerReport(std::string_view text);
+
+}  // namespace radishrudder::peers
+
+#endif  // RADISHRUDDER_PEERS_PEER_REPORT_H_
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -20,6 +20,8 @@
 #include "radishrudder/kernel/boot_time.h"
 #include "radishrudder/logging/events.h"
 #include "radishrudder/metrics/metrics.h"
+#include "radishrudder/peers/peer_exchange.h"
+#include "radishrudder/peers/peer_report.h"
 #include "radishrudder/serving/call_journal.h"
 #include "radishrudder/serving/call_session.h"
 #include "radishrudder/serving/store_follower.h"
@@ -50,6 +52,8 @@
   std::string readiness_address{};
   std::string metrics_address{};
   std::string store_address{};
+  std::string peers_address{};            // Empty: takes no peers' reports.
+  std::vector<std::string> peer_seeds{};  // Addresses of some other entries.
   // Time from SIGTERM until the platform kills the process.
   std::chrono::milliseconds stop_timeout{8000};
 };
@@ -103,6 +107,15 @@
             [this](dissemination::StoreOutput output) {
               OnEndpointOutput(std::move(output));
             }),
+        m_peer_server(
+            context,
+            [this](const exchange::ReceivedRequest& request,
+                   const std::shared_ptr<exchange::CallerExchange>& peer) {
+              AnswerPeer(request, *peer);
+            }),
+        m_peers({.address = m_settings.peers_address,
+                 .seeds = m_settings.peer_seeds},
+                kernel::Random(random.Next())),
         m_tick(context) {}
 
   std::error_code Start() {
@@ -113,6 +126,9 @@
     if (!error && !m_settings.metrics_address.empty()) {
       error = m_metrics_server.Listen(m_settings.metrics_address);
     }
+    if (!error && !m_settings.peers_address.empty()) {
+      error = m_peer_server.Listen(m_settings.peers_address);
+    }
     if (!error) {
       m_operator_follower.Start();
       m_endpoint_follower.Start();
@@ -147,7 +163,12 @@
   using Session = CallSession<typename Platform::Calls, EntryProcess>;
 
   static constexpr int kOk = 200;
+  static constexpr int kBadRequest = 400;
+  static constexpr int kNotFound = 404;
   static constexpr int kUnavailable = 503;
+  static constexpr std::string_view kPeersPath = "/peers";
+  // A peer that answers later tells nothing while a decision is due.
+  static constexpr std::chrono::milliseconds kPeerTimeout{500};
   static constexpr std::chrono::milliseconds kTickInterval{25};
   static constexpr std::chrono::milliseconds kMaintenanceInterval{250};
   // The platform may take this long to route callers elsewhere after the
@@ -241,18 +262,17 @@
   void OnOperatorOutput(dissemination::StoreOutput output) {
     if (auto* snapshot = std::get_if<dissemination::PrefixSnapshot>(&output)) {
       for (const dissemination::StoreItem& item : snapshot->items) {
-        OnOperatorItem(item, snapshot->previously_confirmed,
-                       /*just_now=*/snapshot->after_outage);
+        OnOperatorItem(item, snapshot->previously_complete_at);
       }
     } else if (auto* changes =
                    std::get_if<dissemination::PrefixChanges>(&output)) {
       for (const dissemination::StoreItem& item : changes->items) {
-        OnOperatorItem(item, changes->previously_confirmed,
-                       /*just_now=*/true);
+        OnOperatorItem(item, changes->previously_complete_at);
       }
     } else if (const auto* confirmed =
                    std::get_if<dissemination::PrefixConfirmed>(&output)) {
       m_core.OnConfigurationConfirmed(confirmed->requested_at);
+      m_peers.OnStoreRead(kernel::ToTime(confirmed->complete_at));
     } else {
       LogStoreState(output, Platform::kOperatorPrefix,
                     m_operator_follower.Problem());
@@ -261,8 +281,7 @@
   }
 
   void OnOperatorItem(const dissemination::StoreItem& item,
-                      std::optional<kernel::BootTime> previously_confirmed,
-                      bool just_now) {
+                      std::optional<kernel::BootTime> absent_at) {
     kernel::Findings findings;
     if (item.removed) {
       return;
@@ -284,44 +303,103 @@
       }
     } else if (Platform::IsVersion(item.key)) {
       if (const auto version = Platform::DecodeVersion(item.value, findings)) {
-        OnVersion(*version, item.revision, previously_confirmed, just_now);
+        OnVersion(*version, item.revision, absent_at);
       }
     }
     m_journal.LogFindings(findings);
   }
 
+  // `absent_at`: latest time at which the store was known not to contain the
+  // declaration.
   void OnVersion(const staging::VersionId& version,
                  std::uint64_t revision,
-                 std::optional<kernel::BootTime> previously_confirmed,
-                 bool just_now) {
+                 std::optional<kernel::BootTime> absent_at) {
     const kernel::Time now = kernel::Now();
     direct::VersionDeclaration declaration{.model = version.model,
-                                           .version = version.number,
-                                           .just_now = just_now};
-    if (previously_confirmed) {
-      declaration.absent_at = kernel::ToTime(*previously_confirmed);
+                                           .version = version.number};
+    if (absent_at) {
+      declaration.absent_at = kernel::ToTime(*absent_at);
     }
     const auto required_at = m_core.OnVersionDeclared(now, declaration);
-    const auto milliseconds = [](std::optional<kernel::Duration> duration) {
-      return duration
-                 ? std::to_string(
-                       std::chrono::duration_cast<std::chrono::milliseconds>(
-                           *duration)
-                           .count())
-                 : std::string();
-    };
-    logging::Log(
-        logging::kVersionDeclared,
-        {{"model", version.model},
-         {"version", std::to_string(version.number)},
-         {"revision", std::to_string(revision)},
-         {"maximum_age_ms",
-          milliseconds(declaration.absent_at
-                           ? std::optional(now - *declaration.absent_at)
-                           : std::nullopt)},
-         {"grace_ms",
-          milliseconds(required_at ? std::optional(*required_at - now)
-                                   : std::nullopt)}});
+    logging::Log(logging::kVersionDeclared,
+                 {{"model", version.model},
+                  {"version", std::to_string(version.number)},
+                  {"revision", std::to_string(revision)},
+                  {"maximum_age_ms",
+                   absent_at ? Milliseconds(now - *declaration.absent_at)
+                             : std::string()},
+                  {"grace_ms", required_at ? Milliseconds(*required_at - now)
+                                           : std::string()}});
+    if (required_at) {
+      m_peers.OnDeclarationRead(now, version.model, version.number,
+                                declaration.absent_at);
+      TakePeerOutputs();
+    }
+  }
+
+  static std::string Milliseconds(kernel::Duration duration) {
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+            .count());
+  }
+
+  void TakePeerOutputs() {
+    for (peers::PeerOutput& output : m_peers.TakeOutputs()) {
+      std::visit([this](auto& item) { this->Execute(item); }, output);
+    }
+  }
+
+  void Execute(const peers::ExchangeReports& output) {
+    const kernel::Time sent_at = kernel::Now();
+    m_fetcher.Fetch(output.address,
+                    {.method = "POST",
+                     .target = std::string(kPeersPath),
+                     .body = peers::ToText(m_peers.MakeReport(sent_at))},
+                    kPeerTimeout,
+                    [this, sent_at, address = output.address](
+                        std::optional<exchange::FetchedAnswer> response) {
+                      std::optional<peers::PeerReport> report;
+                      if (response && response->status == kOk) {
+                        report = peers::ParsePeerReport(response->body);
+                      }
+                      m_peers.OnResponse(kernel::Now(), sent_at, address,
+                                         report);
+                      TakePeerOutputs();
+                    });
+  }
+  void Execute(const peers::DeclarationDated& output) {
+    const auto required_at =
+        m_core.OnVersionDated({.model = output.model,
+                               .version = output.version,
+                               .absent_at = output.absent_at});
+    if (required_at) {
+      const kernel::Time now = kernel::Now();
+      logging::Log(logging::kVersionDated,
+                   {{"model", output.model},
+                    {"version", std::to_string(output.version)},
+                    {"maximum_age_ms", Milliseconds(now - output.absent_at)},
+                    {"grace_ms", Milliseconds(*required_at - now)},
+                    {"reports", std::to_string(output.reports)},
+                    {"store_lost_by_all", output.after_outage ? "yes" : "no"}});
+    }
+  }
+
+  void AnswerPeer(const exchange::ReceivedRequest& request,
+                  exchange::CallerExchange& peer) {
+    if (request.head.target != kPeersPath) {
+      peer.Reply({kNotFound, {}}, "");
+      return;
+    }
+    const auto report = peers::ParsePeerReport(request.body);
+    if (!report) {
+      logging::Log(logging::kMessageRejected,
+                   {{"bytes", std::to_string(request.body.size())}});
+      peer.Reply({kBadRequest, {}}, "");
+      return;
+    }
+    m_peers.OnRequest(*report);
+    peer.Reply({kOk, {{"Content-Type", "application/json"}}},
+               peers::ToText(m_peers.MakeReport(kernel::Now())));
   }
 
   void ApplyBounds() {
@@ -409,9 +487,12 @@
     const kernel::Time now = kernel::Now();
     m_core.OnTick(now);
     TakeOutputs();
+    m_peers.OnTick(now);
+    TakePeerOutputs();
     if (now >= m_next_maintenance) {
       m_next_maintenance = now + kMaintenanceInterval;
       m_callers.CheckTimes(now);
+      m_peer_server.CheckTimes(now);
       m_pool.CloseIdle(now);
       m_store_pool.CloseIdle(now);
       if (m_list.OnTick(now)) {
@@ -467,6 +548,8 @@
   direct::EndpointList m_list{direct::EndpointListSettings{}};
   StoreFollower<typename Platform::Store> m_operator_follower;
   StoreFollower<typename Platform::Store> m_endpoint_follower;
+  exchange::CallerServer m_peer_server;
+  peers::PeerExchange m_peers;
   asio::steady_timer m_tick;
   kernel::Time m_next_maintenance{};
   std::optional<kernel::Time> m_stop_started;
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -78,11 +78,31 @@
     return std::nullopt;
   }
   const EntrySettings& settings = m_state->settings;
-  versions.push_back(
-      {declaration.version,
-       now + (declaration.just_now ? settings.version_switch_grace
-                                   : settings.undated_version_grace)});
-  return versions.back().required_at;
+  kernel::Time required_at = now + settings.minimum_version_grace;
+  if (declaration.absent_at) {
+    required_at = std::max(
+        required_at, *declaration.absent_at + settings.version_switch_grace);
+  }
+  versions.push_back({declaration.version, required_at});
+  return required_at;
+}
+
+std::optional<kernel::Time> Entry::OnVersionDated(
+    const VersionDeclaration& declaration) {
+  const auto versions = m_state->declared.find(declaration.model);
+  if (versions == m_state->declared.end() || !declaration.absent_at) {
+    return std::nullopt;
+  }
+  const kernel::Time required_at =
+      *declaration.absent_at + m_state->settings.version_switch_grace;
+  for (State::DeclaredVersion& known : versions->second) {
+    if (known.version == declaration.version &&
+        known.required_at < required_at) {
+      known.required_at = required_at;
+      return required_at;
+    }
+  }
+  return std::nullopt;
 }
 
 void Entry::OnEndpoints(kernel::Time now,
--- a/source/radishrudder/dissemination/store_reader.cc
+++ b/source/radishrudder/dissemination/store_reader.cc
@@ -19,6 +19,7 @@
   }
   m_request_in_progress = true;
   m_next_request = kNoTickNeeded;
+  m_request_sent = now;
   m_request_started_at = boot_now;
   if (m_phase == Phase::kWatching) {
     m_outputs.emplace_back(WatchChanges{m_revision, m_settings.watch_wait});
@@ -51,9 +52,8 @@
   }
   m_phase = Phase::kWatching;
   m_outputs.emplace_back(PrefixSnapshot{std::exchange(m_read_items, {}),
-                                        m_revision, m_confirmed_at,
-                                        std::exchange(m_after_outage, false)});
-  Confirm(m_read_started_at);
+                                        m_revision, m_complete_at});
+  Confirm(m_read_started_at, m_read_started_at);
 }
 
 void StoreReader::OnChanges(kernel::Time now,
@@ -61,17 +61,23 @@
                             std::uint64_t revision) {
   OnResponse(now);
   m_revision = std::max(m_revision, revision);
-  m_after_outage = false;
-  m_next_request = items.empty() ? now : now + m_settings.next_watch_delay;
-  if (!items.empty()) {
-    m_outputs.emplace_back(PrefixChanges{std::move(items), m_confirmed_at});
+  const bool unchanged = items.empty();
+  m_next_request = unchanged ? now : now + m_settings.next_watch_delay;
+  if (!unchanged) {
+    m_outputs.emplace_back(PrefixChanges{std::move(items), m_complete_at});
   }
-  Confirm(m_request_started_at);
+  // The store ends a watch without changes only after its whole wait.
+  const bool waited =
+      unchanged && now - m_request_sent >= m_settings.watch_wait;
+  Confirm(m_request_started_at,
+          waited ? m_request_started_at + m_settings.watch_wait
+                 : m_request_started_at);
 }
 
-void StoreReader::Confirm(kernel::BootTime requested_at) {
-  m_confirmed_at = requested_at;
-  m_outputs.emplace_back(PrefixConfirmed{requested_at});
+void StoreReader::Confirm(kernel::BootTime requested_at,
+                          kernel::BootTime complete_at) {
+  m_complete_at = complete_at;
+  m_outputs.emplace_back(PrefixConfirmed{requested_at, complete_at});
 }
 
 void StoreReader::OnHistoryDiscarded(kernel::Time now) {
@@ -84,7 +90,6 @@
 void StoreReader::OnRequestFailed(kernel::Time now) {
   m_request_in_progress = false;
   if (m_consecutive_failures == 0) {
-    m_failing_since = now;
     m_outputs.emplace_back(StoreUnreachable{});
   }
   const auto backoff = std::min<std::chrono::milliseconds>(
@@ -104,8 +109,6 @@
   m_request_in_progress = false;
   if (m_consecutive_failures > 0) {
     m_consecutive_failures = 0;
-    m_after_outage =
-        m_after_outage || now - m_failing_since >= m_settings.outage_threshold;
     m_outputs.emplace_back(StoreRecovered{});
   }
 }
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -27,11 +27,11 @@
       kInstanceSuspected, kTransferStarted,   kChunkCorrupted,
       kTransferComplete,  kChunkFetchStarted, kVersionDeclared,
       kPieceListKnown,    kVersionStaged,     kStagedChunkRepaired,
-      kCallFailed,        kCallRefused,       kAttemptFailed,
-      kAttemptRefused,    kCallAnswered,      kOrderSent,
-      kOrderRefused,      kVersionRunning,    kEndpointRestarted,
-      kPeerConnected,     kPeerLost,          kMessageRejected,
-      kHttpFailed};
+      kVersionDated,      kCallFailed,        kCallRefused,
+      kAttemptFailed,     kAttemptRefused,    kCallAnswered,
+      kOrderSent,         kOrderRefused,      kVersionRunning,
+      kEndpointRestarted, kPeerConnected,     kPeerLost,
+      kMessageRejected,   kHttpFailed};
   return kEvents;
 }
 
--- a/tests/direct/entry_admission_test.cc
+++ b/tests/direct/entry_admission_test.cc
@@ -131,8 +131,8 @@
     m_entry.OnConfigurationConfirmed(m_boot);
     List(1, 1);
   }
-  static VersionDeclaration Declaration(bool just_now) {
-    return {.model = "draft", .version = 2, .just_now = just_now};
+  static VersionDeclaration Declaration(std::optional<kernel::Time> absent_at) {
+    return {.model = "draft", .version = 2, .absent_at = absent_at};
   }
   void List(std::uint64_t first, std::uint64_t second) {
     std::vector<ListedEndpoint> listed{MakeEndpoint("1"), MakeEndpoint("2")};
@@ -144,7 +144,7 @@
 
 TEST_F(VersionTest, OlderVersionServesOnlyDuringGracePeriod) {
   StartWithModel();
-  m_entry.OnVersionDeclared(m_now, Declaration(/*just_now=*/true));
+  m_entry.OnVersionDeclared(m_now, Declaration(m_now));
   AdvanceTime(milliseconds(6000));
   m_entry.OnConfigurationConfirmed(m_boot);
   Call();
@@ -168,7 +168,7 @@
 TEST_F(VersionTest, WithdrawsQueuedCallAfterGracePeriod) {
   StartWithModel();
   EarnRetries();
-  m_entry.OnVersionDeclared(m_now, Declaration(/*just_now=*/true));
+  m_entry.OnVersionDeclared(m_now, Declaration(m_now));
   AdvanceTime(milliseconds(6400));
   m_entry.OnConfigurationConfirmed(m_boot);
   const CallId waits = Call();
@@ -195,7 +195,7 @@
 // and grant the full grace period.
 TEST_F(VersionTest, DeclarationOfUnknownAgeHasShortGracePeriod) {
   StartWithModel();
-  m_entry.OnVersionDeclared(m_now, Declaration(/*just_now=*/false));
+  m_entry.OnVersionDeclared(m_now, Declaration(std::nullopt));
   AdvanceTime(milliseconds(3100));
   m_entry.OnConfigurationConfirmed(m_boot);
   Call();
@@ -220,12 +220,12 @@
 // counted from the late reading.
 TEST_P(LateReadingTest, GracePeriodStartsWhenDeclarationMayHaveBeenMade) {
   StartWithModel();
-  VersionDeclaration declaration = Declaration(/*just_now=*/true);
+  VersionDeclaration declaration = Declaration(std::nullopt);
   if (GetParam().absent_for) {
     declaration.absent_at = m_now - *GetParam().absent_for;
   }
   const EntrySettings settings;
-  milliseconds wait = settings.undated_version_grace;
+  milliseconds wait = settings.minimum_version_grace;
   if (GetParam().absent_for) {
     wait =
         std::max(wait, settings.version_switch_grace - *GetParam().absent_for);
@@ -250,6 +250,23 @@
                     LateReading{"FirstReadAfterFailures", std::nullopt}),
     [](const auto& test) { return test.param.name; });
 
+// An entry that was cut off while the version was declared must not refuse
+// calls earlier than others do once a peer has told it when that was.
+TEST_F(VersionTest, LaterBoundExtendsGracePeriod) {
+  StartWithModel();
+  m_entry.OnVersionDeclared(m_now, Declaration(m_now - milliseconds(5000)));
+  EXPECT_TRUE(m_entry.OnVersionDated(Declaration(m_now - milliseconds(1000))));
+  EXPECT_FALSE(m_entry.OnVersionDated(Declaration(m_now - milliseconds(2000))));
+  AdvanceTime(milliseconds(5400));
+  m_entry.OnConfigurationConfirmed(m_boot);
+  Call();
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(), 1U);
+  AdvanceTime(milliseconds(200));
+  m_entry.OnConfigurationConfirmed(m_boot);
+  Call();
+  EXPECT_TRUE(TakeOutputsOf<SendAttempt>().empty());
+}
+
 TEST_F(VersionTest, EndpointWithoutModelGetsNoCalls) {
   StartWithModel();
   List(0, 0);
--- a/tests/dissemination/store_reader_test.cc
+++ b/tests/dissemination/store_reader_test.cc
@@ -90,22 +90,45 @@
   EXPECT_EQ(TickAndTakeRequest<WatchChanges>()->revision, 40U);
 }
 
-// Guards against wrong ages after an outage: two versions were declared while
-// no process could read the store, and after it recovered their age was counted
-// from the time of the outage.
-TEST_F(StoreReaderTest, ReportsPrecedingOutage) {
+// Guards against wrong ages of what is read after an absence: changes of which
+// nothing is known but that they are newer than the last complete read counted
+// as made at the time of the reading.
+TEST_F(StoreReaderTest, ReportsWhenEarlierItemsWereComplete) {
   for (const milliseconds outage : {milliseconds(300), milliseconds(4000)}) {
+    m_reader = StoreReader(StoreReaderSettings{}, kernel::Random(3));
+    const kernel::BootTime first_read = m_boot;
     ReadSnapshot(5);
-    EXPECT_FALSE(m_last_snapshot.after_outage);
+    EXPECT_FALSE(m_last_snapshot.previously_complete_at);
     ASSERT_TRUE(TickAndTakeRequest<WatchChanges>());
     m_reader.OnRequestFailed(m_now);
     AdvanceTime(outage);
     ASSERT_TRUE(TickAndTakeRequest<WatchChanges>());
     m_reader.OnHistoryDiscarded(m_now);
+    const kernel::BootTime second_read = m_boot;
     ReadSnapshot(40);
-    EXPECT_EQ(m_last_snapshot.after_outage, outage > milliseconds(1000));
+    EXPECT_EQ(m_last_snapshot.previously_complete_at, first_read);
     ASSERT_TRUE(TickAndTakeRequest<WatchChanges>());
-    m_reader.OnHistoryDiscarded(m_now);
+    AdvanceTime(outage);
+    m_reader.OnChanges(m_now, {{"k", "w", 41, false}}, 41);
+    EXPECT_EQ(TakeLast<PrefixChanges>()->previously_complete_at, second_read);
+  }
+}
+
+// A watch without changes shows that there were none during its wait; if it
+// ends sooner, it shows no more than its request does.
+TEST_F(StoreReaderTest, WatchWithoutChangesCoversItsWait) {
+  for (const milliseconds duration :
+       {milliseconds(400), milliseconds(1000), milliseconds(7000)}) {
+    m_reader = StoreReader(StoreReaderSettings{}, kernel::Random(3));
+    ReadSnapshot(5);
+    ASSERT_TRUE(TickAndTakeRequest<WatchChanges>());
+    const kernel::BootTime requested_at = m_boot;
+    AdvanceTime(duration);
+    m_reader.OnChanges(m_now, {}, 5);
+    EXPECT_EQ(TakeLast<PrefixConfirmed>()->complete_at,
+              duration < milliseconds(1000)
+                  ? requested_at
+                  : requested_at + milliseconds(1000));
   }
 }
 
--- /dev/null
+++ b/tests/peers/peer_report_test.cc
@@ -0,0 +1,50 @@
+#include "radishrudder/peers/peer_report.h"
+
+#include <gtest/gtest.h>
+
+namespace radishrudder::peers {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST(PeerReportTest, ParsesWhatItWrites) {
+  const PeerReport report{
+      .address = "10.0.0.1:80",
+      .peers = {"10.0.0.2:80"},
+      .store_age = milliseconds(20),
+      .declarations = {{"draft", 4, milliseconds(30), milliseconds(900)},
+                       {"draft", 3, milliseconds(70), std::nullopt}}};
+  const auto parsed = ParsePeerReport(ToText(report));
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ(parsed->address, report.address);
+  EXPECT_EQ(parsed->peers, report.peers);
+  EXPECT_EQ(parsed->store_age, report.store_age);
+  ASSERT_EQ(parsed->declarations.size(), 2U);
+  EXPECT_EQ(parsed->declarations[0].model, "draft");
+  EXPECT_EQ(parsed->declarations[0].version, 4U);
+  EXPECT_EQ(parsed->declarations[0].read_age, milliseconds(30));
+  EXPECT_EQ(parsed->declarations[0].absent_age, milliseconds(900));
+  EXPECT_FALSE(parsed->declarations[1].absent_age);
+}
+
+// Anything may arrive at the port for peers; it must not end the process.
+class InvalidReportTest : public testing::TestWithParam<const char*> {};
+
+TEST_P(InvalidReportTest, IsRejected) {
+  EXPECT_FALSE(ParsePeerReport(GetParam()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    InvalidReportTest,
+    testing::Values("",
+                    "[]",
+                    "{}",
+                    R"({"address":1,"peers":[],"declarations":[]})",
+                    R"({"address":"a","peers":[1],"declarations":[]})",
+                    R"({"address":"a","peers":[],"declarations":[{}]})",
+                    R"({"address":"a","peers":[],"declarations":[],)"
+                    R"("storeMs":"x"})"));
+
+}  // namespace
+}  // namespace radishrudder::peers
