peers: versions in between and suspended entries do not extend a grace

A bound is now that of the first version which the asker has not known. An outage for all needs requests that failed for a second, here and at the others; a gap without failures is no evidence. The contact threshold covers two watches and the delay between them (2.2 s).

--- a/include/radishrudder/dissemination/store_reader.h
+++ b/include/radishrudder/dissemination/store_reader.h
@@ -39,6 +39,9 @@
   // Latest time at which the items delivered earlier were complete: items that
   // are new in this snapshot were stored later. Nothing: the first read.
   std::optional<kernel::BootTime> previously_complete_at{};
+  // How long requests had failed before this response; zero: the preceding one
+  // succeeded.
+  kernel::Duration failed_for{};
 };
 // Delivers changed keys, in the order of their changes.
 struct PrefixChanges {
@@ -47,6 +50,9 @@
   // were made at any later time: the process may have been suspended, cut off
   // or refused meanwhile.
   std::optional<kernel::BootTime> previously_complete_at{};
+  // How long requests had failed before this response; zero: the preceding one
+  // succeeded.
+  kernel::Duration failed_for{};
 };
 // Confirms that every change that the store held at `requested_at`, the time
 // the request was sent, has been delivered.
@@ -128,6 +134,8 @@
   std::vector<StoreItem> m_read_items;  // From the pages read so far.
   std::uint64_t m_revision = 0;
   std::uint32_t m_consecutive_failures = 0;
+  kernel::Time m_failing_since{};   // Valid if requests are failing.
+  kernel::Duration m_failed_for{};  // Before the latest response.
   std::vector<StoreOutput> m_outputs;
 };
 
--- a/include/radishrudder/peers/peer_exchange.h
+++ b/include/radishrudder/peers/peer_exchange.h
@@ -38,8 +38,11 @@
   // One peer is contacted this often, so that the processes know each other.
   std::chrono::milliseconds acquaintance_interval{2000};
   // A process that reads a declaration later than this after its preceding
-  // complete read has missed some time: it asks all peers.
-  std::chrono::milliseconds contact_threshold{1500};
+  // complete read has missed some time: it asks all peers. Two watches and the
+  // delay between them take 2.1 s.
+  std::chrono::milliseconds contact_threshold{2200};
+  // Requests that fail for at least this long count as a loss of the store.
+  std::chrono::milliseconds loss_threshold{1000};
   std::chrono::milliseconds question_interval{300};
   // The peers' reports are evaluated this long after the reading at the latest.
   std::chrono::milliseconds decision_time{1000};
@@ -55,11 +58,15 @@
 
   // The items read from the store were complete at that time.
   void OnStoreRead(kernel::Time complete_at);
+  // Requests to the store began to fail.
+  void OnStoreLost(kernel::Time now);
   // `absent_at`: the preceding complete read; nothing: there was none.
+  // `failed_for`: how long requests had failed before the reading.
   void OnDeclarationRead(kernel::Time now,
                          std::string_view model,
                          std::uint64_t version,
-                         std::optional<kernel::Time> absent_at);
+                         std::optional<kernel::Time> absent_at,
+                         kernel::Duration failed_for);
   void OnTick(kernel::Time now);
   PeerReport MakeReport(kernel::Time now) const;
   // A peer sent its report on its own.
@@ -84,12 +91,17 @@
     std::uint64_t version = 0;
     kernel::Time read_at{};
     std::optional<kernel::Time> absent_at{};
+    bool store_lost = false;
+    // The version that this process knew before; 0: none. Another one may have
+    // been declared in between.
+    std::uint64_t previous_version = 0;
   };
   // What a peer's report says of a declaration.
   struct Evidence {
     std::optional<kernel::Time> absent_at{};
     std::optional<kernel::Time> read_at{};
-    // The peer had read the store shortly before; absent: it cannot tell.
+    // True: the peer had read the store shortly before. False: its requests had
+    // failed. Nothing: it cannot tell, for example after a suspension.
     std::optional<bool> in_contact{};
   };
   // A declaration whose age is being asked for.
@@ -104,6 +116,9 @@
   Evidence EvidenceOf(kernel::Time sent_at,
                       const Declaration& declaration,
                       const PeerReport& report) const;
+  // `gap`: time without a complete read.
+  std::optional<bool> InContact(std::chrono::milliseconds gap,
+                                bool store_lost) const;
   void RaiseBound(Question& question,
                   kernel::Time absent_at,
                   bool after_outage);
@@ -115,6 +130,7 @@
   kernel::Random m_random;
   std::map<std::string, Peer, std::less<>> m_peers;
   std::optional<kernel::Time> m_store_complete_at;
+  std::optional<kernel::Time> m_store_lost_at;
   std::vector<Declaration> m_declarations;  // Oldest first.
   std::vector<Question> m_questions;
   kernel::Time m_next_acquaintance{};
--- a/include/radishrudder/peers/peer_report.h
+++ b/include/radishrudder/peers/peer_report.h
@@ -19,6 +19,8 @@
   // Age of the sender's latest complete read without the declaration. Nothing:
   // it had read nothing before.
   std::optional<std::chrono::milliseconds> absent_age{};
+  // Its requests to the store failed for a time before it read the declaration.
+  bool store_lost = false;
 };
 
 // What one entry tells another. Both the request and the response of an
@@ -29,6 +31,7 @@
   // Age of the sender's latest complete read of the operator's documents.
   // Nothing: it has read none.
   std::optional<std::chrono::milliseconds> store_age{};
+  bool store_lost = false;  // Its requests have been failing for a time.
   std::vector<DeclarationReport> declarations{};
 };
 
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -262,18 +262,23 @@
   void OnOperatorOutput(dissemination::StoreOutput output) {
     if (auto* snapshot = std::get_if<dissemination::PrefixSnapshot>(&output)) {
       for (const dissemination::StoreItem& item : snapshot->items) {
-        OnOperatorItem(item, snapshot->previously_complete_at);
+        OnOperatorItem(item, snapshot->previously_complete_at,
+                       snapshot->failed_for);
       }
     } else if (auto* changes =
                    std::get_if<dissemination::PrefixChanges>(&output)) {
       for (const dissemination::StoreItem& item : changes->items) {
-        OnOperatorItem(item, changes->previously_complete_at);
+        OnOperatorItem(item, changes->previously_complete_at,
+                       changes->failed_for);
       }
     } else if (const auto* confirmed =
                    std::get_if<dissemination::PrefixConfirmed>(&output)) {
       m_core.OnConfigurationConfirmed(confirmed->requested_at);
       m_peers.OnStoreRead(kernel::ToTime(confirmed->complete_at));
     } else {
+      if (std::holds_alternative<dissemination::StoreUnreachable>(output)) {
+        m_peers.OnStoreLost(kernel::Now());
+      }
       LogStoreState(output, Platform::kOperatorPrefix,
                     m_operator_follower.Problem());
     }
@@ -281,7 +286,8 @@
   }
 
   void OnOperatorItem(const dissemination::StoreItem& item,
-                      std::optional<kernel::BootTime> absent_at) {
+                      std::optional<kernel::BootTime> absent_at,
+                      kernel::Duration store_failed_for) {
     kernel::Findings findings;
     if (item.removed) {
       return;
@@ -303,7 +309,7 @@
       }
     } else if (Platform::IsVersion(item.key)) {
       if (const auto version = Platform::DecodeVersion(item.value, findings)) {
-        OnVersion(*version, item.revision, absent_at);
+        OnVersion(*version, item.revision, absent_at, store_failed_for);
       }
     }
     m_journal.LogFindings(findings);
@@ -313,7 +319,8 @@
   // declaration.
   void OnVersion(const staging::VersionId& version,
                  std::uint64_t revision,
-                 std::optional<kernel::BootTime> absent_at) {
+                 std::optional<kernel::BootTime> absent_at,
+                 kernel::Duration store_failed_for) {
     const kernel::Time now = kernel::Now();
     direct::VersionDeclaration declaration{.model = version.model,
                                            .version = version.number};
@@ -332,7 +339,7 @@
                                            : std::string()}});
     if (required_at) {
       m_peers.OnDeclarationRead(now, version.model, version.number,
-                                declaration.absent_at);
+                                declaration.absent_at, store_failed_for);
       TakePeerOutputs();
     }
   }
@@ -384,6 +391,11 @@
     }
   }
 
+  static void LogRejectedReport(std::string_view body) {
+    logging::Log(logging::kMessageRejected,
+                 {{"bytes", std::to_string(body.size())}});
+  }
+
   void AnswerPeer(const exchange::ReceivedRequest& request,
                   exchange::CallerExchange& peer) {
     if (request.head.target != kPeersPath) {
@@ -392,8 +404,7 @@
     }
     const auto report = peers::ParsePeerReport(request.body);
     if (!report) {
-      logging::Log(logging::kMessageRejected,
-                   {{"bytes", std::to_string(request.body.size())}});
+      LogRejectedReport(request.body);
       peer.Reply({kBadRequest, {}}, "");
       return;
     }
--- a/source/radishrudder/dissemination/store_reader.cc
+++ b/source/radishrudder/dissemination/store_reader.cc
@@ -52,7 +52,8 @@
   }
   m_phase = Phase::kWatching;
   m_outputs.emplace_back(PrefixSnapshot{std::exchange(m_read_items, {}),
-                                        m_revision, m_complete_at});
+                                        m_revision, m_complete_at,
+                                        m_failed_for});
   Confirm(m_read_started_at, m_read_started_at);
 }
 
@@ -64,7 +65,8 @@
   const bool unchanged = items.empty();
   m_next_request = unchanged ? now : now + m_settings.next_watch_delay;
   if (!unchanged) {
-    m_outputs.emplace_back(PrefixChanges{std::move(items), m_complete_at});
+    m_outputs.emplace_back(
+        PrefixChanges{std::move(items), m_complete_at, m_failed_for});
   }
   // The store ends a watch without changes only after its whole wait.
   const bool waited =
@@ -90,6 +92,7 @@
 void StoreReader::OnRequestFailed(kernel::Time now) {
   m_request_in_progress = false;
   if (m_consecutive_failures == 0) {
+    m_failing_since = now;
     m_outputs.emplace_back(StoreUnreachable{});
   }
   const auto backoff = std::min<std::chrono::milliseconds>(
@@ -107,6 +110,11 @@
 
 void StoreReader::OnResponse(kernel::Time now) {
   m_request_in_progress = false;
+  // A history that was discarded meanwhile is read again in further requests.
+  if (m_phase == Phase::kWatching || m_consecutive_failures > 0) {
+    m_failed_for = m_consecutive_failures > 0 ? now - m_failing_since
+                                              : kernel::Duration::zero();
+  }
   if (m_consecutive_failures > 0) {
     m_consecutive_failures = 0;
     m_outputs.emplace_back(StoreRecovered{});
--- a/source/radishrudder/peers/peer_exchange.cc
+++ b/source/radishrudder/peers/peer_exchange.cc
@@ -42,13 +42,27 @@
 
 void PeerExchange::OnStoreRead(kernel::Time complete_at) {
   m_store_complete_at = complete_at;
+  m_store_lost_at.reset();
+}
+
+void PeerExchange::OnStoreLost(kernel::Time now) {
+  m_store_lost_at = now;
 }
 
 void PeerExchange::OnDeclarationRead(kernel::Time now,
                                      std::string_view model,
                                      std::uint64_t version,
-                                     std::optional<kernel::Time> absent_at) {
-  m_declarations.push_back({std::string(model), version, now, absent_at});
+                                     std::optional<kernel::Time> absent_at,
+                                     kernel::Duration failed_for) {
+  std::uint64_t previous_version = 0;
+  for (const Declaration& known : m_declarations) {
+    if (known.model == model) {
+      previous_version = std::max(previous_version, known.version);
+    }
+  }
+  m_declarations.push_back({std::string(model), version, now, absent_at,
+                            failed_for >= m_settings.loss_threshold,
+                            previous_version});
   if (m_declarations.size() > kMaximumDeclarations) {
     m_declarations.erase(m_declarations.begin());
   }
@@ -104,10 +118,13 @@
   if (m_store_complete_at) {
     report.store_age = AgeAt(now, *m_store_complete_at);
   }
+  report.store_lost =
+      m_store_lost_at && now - *m_store_lost_at >= m_settings.loss_threshold;
   for (const Declaration& declaration : m_declarations) {
     DeclarationReport item{.model = declaration.model,
                            .version = declaration.version,
-                           .read_age = AgeAt(now, declaration.read_at)};
+                           .read_age = AgeAt(now, declaration.read_at),
+                           .store_lost = declaration.store_lost};
     if (declaration.absent_at) {
       item.absent_age = AgeAt(now, *declaration.absent_at);
     }
@@ -159,27 +176,41 @@
     kernel::Time sent_at,
     const Declaration& declaration,
     const PeerReport& report) const {
-  Evidence evidence;
+  // Calls may run on any older version, so the bound is that of the first
+  // version which this process had not known, if there were several.
+  const DeclarationReport* first = nullptr;
   for (const DeclarationReport& known : report.declarations) {
-    if (known.model != declaration.model ||
-        known.version != declaration.version) {
-      continue;
+    if (known.model == declaration.model &&
+        known.version > declaration.previous_version &&
+        (first == nullptr || known.version < first->version)) {
+      first = &known;
     }
-    evidence.read_at = sent_at - known.read_age;
-    if (known.absent_age) {
-      evidence.absent_at = sent_at - *known.absent_age;
-      evidence.in_contact =
-          *known.absent_age - known.read_age <= m_settings.contact_threshold;
+  }
+  Evidence evidence;
+  if (first == nullptr) {
+    if (report.store_age) {
+      evidence.absent_at = sent_at - *report.store_age;
+      evidence.in_contact = InContact(*report.store_age, report.store_lost);
     }
     return evidence;
   }
-  if (report.store_age) {
-    evidence.absent_at = sent_at - *report.store_age;
-    evidence.in_contact = *report.store_age <= m_settings.contact_threshold;
+  evidence.read_at = sent_at - first->read_age;
+  if (first->absent_age) {
+    evidence.absent_at = sent_at - *first->absent_age;
+    evidence.in_contact =
+        InContact(*first->absent_age - first->read_age, first->store_lost);
   }
   return evidence;
 }
 
+std::optional<bool> PeerExchange::InContact(milliseconds gap,
+                                            bool store_lost) const {
+  if (gap <= m_settings.contact_threshold) {
+    return true;
+  }
+  return store_lost ? std::optional(false) : std::nullopt;
+}
+
 void PeerExchange::RaiseBound(Question& question,
                               kernel::Time absent_at,
                               bool after_outage) {
@@ -205,6 +236,9 @@
 }
 
 void PeerExchange::Decide(Question& question) {
+  if (!question.declaration.store_lost) {
+    return;
+  }
   std::size_t without_store = 0;
   kernel::Time first_read = question.declaration.read_at;
   for (const auto& [address, evidence] : question.answers) {
--- a/source/radishrudder/peers/peer_report.cc
+++ b/source/radishrudder/peers/peer_report.cc
@@ -11,20 +11,36 @@
 // Limits of a report from another process.
 constexpr std::size_t kMaximumPeers = 256;
 constexpr std::size_t kMaximumDeclarations = 64;
+constexpr std::size_t kMaximumAddressLength = 64;
+constexpr std::uint64_t kMaximumAgeMilliseconds = 86'400'000;
 
-std::optional<milliseconds> ParseAge(const Json& object, const char* name) {
-  const auto found = object.find(name);
-  if (found == object.end()) {
+// Returns nothing and sets `valid` to false if the number is not an age.
+std::optional<milliseconds> ToAge(const Json& number, bool& valid) {
+  if (!number.is_number_unsigned() ||
+      number.get<std::uint64_t>() > kMaximumAgeMilliseconds) {
+    valid = false;
     return std::nullopt;
   }
-  return milliseconds(found->get<std::uint32_t>());
+  return milliseconds(number.get<std::int64_t>());
 }
 
-DeclarationReport ParseDeclaration(const Json& object) {
-  return {.model = object.at("model").get<std::string>(),
-          .version = object.at("version").get<std::uint64_t>(),
-          .read_age = milliseconds(object.at("readMs").get<std::uint32_t>()),
-          .absent_age = ParseAge(object, "absentMs")};
+std::optional<milliseconds> ParseAge(const Json& object,
+                                     const char* name,
+                                     bool& valid) {
+  const auto found = object.find(name);
+  return found == object.end() ? std::nullopt : ToAge(*found, valid);
+}
+
+DeclarationReport ParseDeclaration(const Json& object, bool& valid) {
+  DeclarationReport declaration{
+      .model = object.at("model").get<std::string>(),
+      .version = object.at("version").get<std::uint64_t>(),
+      .read_age = ToAge(object.at("readMs"), valid).value_or(milliseconds(0)),
+      .absent_age = ParseAge(object, "absentMs", valid),
+      .store_lost = object.value("storeLost", false)};
+  valid = valid && (!declaration.absent_age ||
+                    *declaration.absent_age >= declaration.read_age);
+  return declaration;
 }
 
 }  // namespace
@@ -34,11 +50,13 @@
   if (report.store_age) {
     text["storeMs"] = report.store_age->count();
   }
+  text["storeLost"] = report.store_lost;
   Json& declarations = text["declarations"] = Json::array();
   for (const DeclarationReport& declaration : report.declarations) {
     Json item{{"model", declaration.model},
               {"version", declaration.version},
-              {"readMs", declaration.read_age.count()}};
+              {"readMs", declaration.read_age.count()},
+              {"storeLost", declaration.store_lost}};
     if (declaration.absent_age) {
       item["absentMs"] = declaration.absent_age->count();
     }
@@ -50,18 +68,19 @@
 std::optional<PeerReport> ParsePeerReport(std::string_view text) {
   try {
     const Json document = Json::parse(text);
+    bool valid = true;
     PeerReport report{
         .address = document.at("address").get<std::string>(),
         .peers = document.at("peers").get<std::vector<std::string>>(),
-        .store_age = ParseAge(document, "storeMs")};
+        .store_age = ParseAge(document, "storeMs", valid),
+        .store_lost = document.value("storeLost", false)};
     for (const Json& item : document.at("declarations")) {
-      report.declarations.push_back(ParseDeclaration(item));
-    }
-    if (report.peers.size() > kMaximumPeers ||
-        report.declarations.size() > kMaximumDeclarations) {
-      return std::nullopt;
+      report.declarations.push_back(ParseDeclaration(item, valid));
     }
-    return report;
+    valid = valid && report.address.size() <= kMaximumAddressLength &&
+            report.peers.size() <= kMaximumPeers &&
+            report.declarations.size() <= kMaximumDeclarations;
+    return valid ? std::optional(std::move(report)) : std::nullopt;
   } catch (const Json::exception&) {
     return std::nullopt;  // The caller logs the rejected message.
   }
