--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,18 +33,26 @@
   // maximum that the budget holds.
   double retry_budget_ratio = 0.15;
   double maximum_saved_retries = 8;
-  // After a version is declared, calls may still start on an older version for
-  // this long.
+  // Calls may still start on an older version for this long after the latest
+  // time at which the newer one was not declared yet.
   std::chrono::milliseconds version_switch_grace{6500};
-  // The same, counted from when this process first reads the declaration, for a
-  // version that was declared at an unknown earlier time.
-  std::chrono::milliseconds undated_version_grace{3000};
+  // Minimum grace period after the reading of a declaration, however old it is.
+  std::chrono::milliseconds minimum_version_grace{3000};
   // Calls that were sent during the grace period and have not started this long
   // after its end are withdrawn: they are queued at an endpoint and would start
   // on the older version.
   std::chrono::milliseconds withdrawal_delay{500};
 };
 
+// A declaration of a model version, as read from the store.
+struct VersionDeclaration {
+  std::string_view model{};
+  std::uint64_t version = 0;
+  // Latest time at which the store is known not to have contained the
+  // declaration. Nothing: it may have been declared at any time.
+  std::optional<kernel::Time> absent_at{};
+};
+
 // What to do with the head of a response: use it, skip the response because it
 // belongs to another request on the same connection, or close the connection.
 enum class ResponseVerdict { kAccept, kSkip, kReject };
@@ -61,12 +70,17 @@
   // A response of the store showed that the configuration was current when the
   // request was sent, at `requested_at`.
   void OnConfigurationConfirmed(kernel::BootTime requested_at);
-  // A version of a model was declared, either now or at an unknown earlier
-  // time; calls move to it after the grace period.
-  void OnVersionDeclared(kernel::Time now,
-                         std::string_view model,
-                         std::uint64_t version,
-                         bool just_now);
+  // A version of a model was declared; calls move to it after the grace period.
+  // Returns the end of the grace period, or nothing if the version is not newer
+  // than a known one.
+  std::optional<kernel::Time> OnVersionDeclared(
+      kernel::Time now,
+      const VersionDeclaration& declaration);
+  // A known version turns out to have been declared after `absent_at`, which is
+  // later than known before. Returns the new end of the grace period, or
+  // nothing if it does not change.
+  std::optional<kernel::Time> OnVersionDated(
+      const VersionDeclaration& declaration);
   // The list of endpoints changed; `endpoints` is the complete new list.
   void OnEndpoints(kernel::Time now, std::vector<ListedEndpoint> endpoints);
 
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -70,18 +70,39 @@
   m_state->age.OnConfigurationConfirmed(requested_at);
 }
 
-void Entry::OnVersionDeclared(kernel::Time now,
-                              std::string_view model,
-                              std::uint64_t version,
-                              bool just_now) {
-  auto& versions = m_state->declared[std::string(model)];
-  if (!versions.empty() && versions.back().version >= version) {
-    return;
+std::optional<kernel::Time> Entry::OnVersionDeclared(
+    kernel::Time now,
+    const VersionDeclaration& declaration) {
+  auto& versions = m_state->declared[std::string(declaration.model)];
+  if (!versions.empty() && versions.back().version >= declaration.version) {
+    return std::nullopt;
   }
   const EntrySettings& settings = m_state->settings;
-  versions.push_back(
-      {version, now + (just_now ? settings.version_switch_grace
-                                : settings.undated_version_grace)});
+  kernel::Time required_at = now + settings.minimum_version_grace;
+  if (declaration.absent_at) {
+    required_at = std::max(
+        required_at, *declaration.absent_at + settings.version_switch_grace);
+  }
+  versions.push_back({declaration.version, required_at});
+  return required_at;
+}
+
+std::optional<kernel::Time> Entry::OnVersionDated(
+    const VersionDeclaration& declaration) {
+  const auto versions = m_state->declared.find(declaration.model);
+  if (versions == m_state->declared.end() || !declaration.absent_at) {
+    return std::nullopt;
+  }
+  const kernel::Time required_at =
+      *declaration.absent_at + m_state->settings.version_switch_grace;
+  for (State::DeclaredVersion& known : versions->second) {
+    if (known.version == declaration.version &&
+        known.required_at < required_at) {
+      known.required_at = required_at;
+      return required_at;
+    }
+  }
+  return std::nullopt;
 }
 
 void Entry::OnEndpoints(kernel::Time now,
--- a/tests/direct/entry_admission_test.cc
+++ b/tests/direct/entry_admission_test.cc
@@ -131,6 +131,9 @@
     m_entry.OnConfigurationConfirmed(m_boot);
     List(1, 1);
   }
+  static VersionDeclaration Declaration(std::optional<kernel::Time> absent_at) {
+    return {.model = "draft", .version = 2, .absent_at = absent_at};
+  }
   void List(std::uint64_t first, std::uint64_t second) {
     std::vector<ListedEndpoint> listed{MakeEndpoint("1"), MakeEndpoint("2")};
     listed[0].model_version = first;
@@ -141,7 +144,7 @@
 
 TEST_F(VersionTest, OlderVersionServesOnlyDuringGracePeriod) {
   StartWithModel();
-  m_entry.OnVersionDeclared(m_now, "draft", 2, /*just_now=*/true);
+  m_entry.OnVersionDeclared(m_now, Declaration(m_now));
   AdvanceTime(milliseconds(6000));
   m_entry.OnConfigurationConfirmed(m_boot);
   Call();
@@ -165,7 +168,7 @@
 TEST_F(VersionTest, WithdrawsQueuedCallAfterGracePeriod) {
   StartWithModel();
   EarnRetries();
-  m_entry.OnVersionDeclared(m_now, "draft", 2, /*just_now=*/true);
+  m_entry.OnVersionDeclared(m_now, Declaration(m_now));
   AdvanceTime(milliseconds(6400));
   m_entry.OnConfigurationConfirmed(m_boot);
   const CallId waits = Call();
@@ -192,13 +195,78 @@
 // and grant the full grace period.
 TEST_F(VersionTest, DeclarationOfUnknownAgeHasShortGracePeriod) {
   StartWithModel();
-  m_entry.OnVersionDeclared(m_now, "draft", 2, /*just_now=*/false);
+  m_entry.OnVersionDeclared(m_now, Declaration(std::nullopt));
   AdvanceTime(milliseconds(3100));
   m_entry.OnConfigurationConfirmed(m_boot);
   Call();
   EXPECT_TRUE(TakeOutputsOf<SendAttempt>().empty());
 }
 
+// How an entry comes to read a declaration long after it was acknowledged.
+struct LateReading {
+  const char* name;
+  // From the last confirmed read without the declaration to the reading of it;
+  // nothing: the process had read nothing before.
+  std::optional<milliseconds> absent_for;
+};
+
+class LateReadingTest : public VersionTest,
+                        public testing::WithParamInterface<LateReading> {};
+
+// Guards against calls on the previous version after the limit for the switch
+// (VERSION on sb-quotes-grown): an entry that is suspended, cut off, refused by
+// the store or restarted reads the declaration late. It may have been
+// acknowledged right after the last read without it, but its grace period was
+// counted from the late reading.
+TEST_P(LateReadingTest, GracePeriodStartsWhenDeclarationMayHaveBeenMade) {
+  StartWithModel();
+  VersionDeclaration declaration = Declaration(std::nullopt);
+  if (GetParam().absent_for) {
+    declaration.absent_at = m_now - *GetParam().absent_for;
+  }
+  const EntrySettings settings;
+  milliseconds wait = settings.minimum_version_grace;
+  if (GetParam().absent_for) {
+    wait =
+        std::max(wait, settings.version_switch_grace - *GetParam().absent_for);
+  }
+  m_entry.OnVersionDeclared(m_now, declaration);
+  AdvanceTime(wait - milliseconds(100));
+  m_entry.OnConfigurationConfirmed(m_boot);
+  Call();
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(), 1U);
+  AdvanceTime(milliseconds(200));
+  m_entry.OnConfigurationConfirmed(m_boot);
+  Call();
+  EXPECT_TRUE(TakeOutputsOf<SendAttempt>().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    LateReadingTest,
+    testing::Values(LateReading{"WatchInterval", milliseconds(900)},
+                    LateReading{"Suspended", milliseconds(5200)},
+                    LateReading{"RefusedByTheStore", milliseconds(9000)},
+                    LateReading{"FirstReadAfterFailures", std::nullopt}),
+    [](const auto& test) { return test.param.name; });
+
+// An entry that was cut off while the version was declared must not refuse
+// calls earlier than others do once a peer has told it when that was.
+TEST_F(VersionTest, LaterBoundExtendsGracePeriod) {
+  StartWithModel();
+  m_entry.OnVersionDeclared(m_now, Declaration(m_now - milliseconds(5000)));
+  EXPECT_TRUE(m_entry.OnVersionDated(Declaration(m_now - milliseconds(1000))));
+  EXPECT_FALSE(m_entry.OnVersionDated(Declaration(m_now - milliseconds(2000))));
+  AdvanceTime(milliseconds(5400));
+  m_entry.OnConfigurationConfirmed(m_boot);
+  Call();
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(), 1U);
+  AdvanceTime(milliseconds(200));
+  m_entry.OnConfigurationConfirmed(m_boot);
+  Call();
+  EXPECT_TRUE(TakeOutputsOf<SendAttempt>().empty());
+}
+
 TEST_F(VersionTest, EndpointWithoutModelGetsNoCalls) {
   StartWithModel();
   List(0, 0);
