serving: records of calls name the prompt's parts and the events passed on

The logs could not tell which calls that broke had the part: they did not name parts, nor whether a broken call had passed on an event, which its cause never does.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -31,6 +31,9 @@
   std::string key{};  // Workspace key; empty: the request has none.
   std::optional<std::uint64_t> last_event_id{};
   std::string model{};
+  // Ids of the prompt's parts that other requests may share, in order. The last
+  // part belongs to the request or its session and is left out.
+  std::vector<std::string> prompt_parts{};
   double prompt_tokens = 0;          // 0: not stated.
   double maximum_answer_tokens = 0;  // 0: not stated.
   kernel::Time received_at{};        // When its first byte was read.
@@ -130,6 +133,8 @@
   std::chrono::milliseconds elapsed{0};
   std::chrono::milliseconds configuration_age{0};
   std::string detail{};
+  std::uint64_t events = 0;  // Passed on to the caller.
+  std::vector<std::string> prompt_parts{};
 };
 
 using Output = std::variant<SendAttempt,
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -91,6 +91,8 @@
   record.elapsed = ToMilliseconds(now - call.request->received_at);
   record.configuration_age = call.configuration_age;
   record.detail = call.detail;
+  record.events = call.events.EventsReturned();
+  record.prompt_parts = call.request->prompt_parts;
   Emit(std::move(record));
 }
 
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -38,6 +38,14 @@
          record.reason == direct::Reason::kNone && record.status < kFirstError;
 }
 
+std::string Join(const std::vector<std::string>& parts) {
+  std::string text;
+  for (const std::string& part : parts) {
+    text += (text.empty() ? "" : ",") + part;
+  }
+  return text;
+}
+
 }  // namespace
 
 CallJournal::CallJournal(std::string instance)
@@ -86,6 +94,8 @@
                 {"configuration_age_ms",
                  std::to_string(record.configuration_age.count())},
                 {"detail", record.detail},
+                {"events", std::to_string(record.events)},
+                {"prompt_parts", Join(record.prompt_parts)},
                 {"lines_left_out", std::to_string(suppressed_lines)}});
 }
 
--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -23,6 +23,7 @@
                 {"Radishrudder-Attempt-Id", "id-1"},
                 {"Radishrudder-Deadline-Ms", "1500"},
                 {"Radishrudder-Token-Usage", "1460,80"},
+                {"Radishrudder-Prompt-Prefix", "5c1e:800, 91bd:410,e440:250"},
                 {"Last-Event-Id", "12"},
                 {"Authorization", "Token secret"}}));
   EXPECT_EQ(request.path, "/a/b");
@@ -33,6 +34,15 @@
   EXPECT_EQ(request.maximum_answer_tokens, 80);
   EXPECT_EQ(request.last_event_id, 12U);
   EXPECT_EQ(request.key, "secret");
+  EXPECT_EQ(request.prompt_parts, (std::vector<std::string>{"5c1e", "91bd"}));
+}
+
+TEST(CallCodecTest, OnlyPartOfPromptIsNotShared) {
+  EXPECT_TRUE(
+      CallCodec::DecodeRequest(Received({{"Host", "h"}})).prompt_parts.empty());
+  EXPECT_TRUE(CallCodec::DecodeRequest(
+                  Received({{"Radishrudder-Prompt-Prefix", "5c1e:800"}}))
+                  .prompt_parts.empty());
 }
 
 struct ForwardCase {
