direct, peers: block prompt parts that crash endpoints

Cause: an entry judged endpoints, never requests. A call that broke off was tried at another endpoint, which it crashed as well, and nothing was remembered of it; each crash looked like one more endpoint that failed once and came back under another id. Class: a fault that the request carries is blamed on whoever serves it, and a limit that holds over all entries is left to each of them.

Change: CrashSuspects counts, per prompt part, the moments at which endpoints ended under calls with it; any answer clears its parts. A part that was never answered is blocked from the third moment on: calls with it are refused at once as not run, those in progress are withdrawn. Entries pass sightings and cleared parts on through their reports, at once when there is news. 506 names the part.

Why it works: a part that crashes endpoints is never answered, and every other part of the same prompts is, sooner or later at some entry; crashes that only hit by chance end with the first answer.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -71,7 +71,8 @@
   kBroken,         // An attempt ended before its response was complete.
   kInvalidAnswer,  // Not the endpoint's response to this request.
   kTimeout,
-  kOutdated,  // Queued at an endpoint until its version was superseded.
+  kOutdated,        // Queued at an endpoint until its version was superseded.
+  kCrashingPrompt,  // A part of its prompt crashes endpoints.
 };
 std::string_view ToText(Reason reason);
 
@@ -137,6 +138,11 @@
   std::vector<std::string> prompt_parts{};
 };
 
+// A part of prompts is blocked because it crashes endpoints, for the log.
+struct PartBlocked {
+  std::string part{};
+};
+
 using Output = std::variant<SendAttempt,
                             CancelAttempt,
                             SendResponse,
@@ -144,7 +150,8 @@
                             SendResponseBody,
                             FinishResponse,
                             AbortResponse,
-                            CallRecord>;
+                            CallRecord,
+                            PartBlocked>;
 
 // Why an attempt ended without a complete response.
 enum class AttemptFailure {
--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -7,12 +7,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "radishrudder/direct/call.h"
 #include "radishrudder/direct/configuration.h"
+#include "radishrudder/direct/crash_suspects.h"
 #include "radishrudder/direct/endpoint_list.h"
 #include "radishrudder/kernel/boot_time.h"
 #include "radishrudder/kernel/random.h"
@@ -42,6 +44,7 @@
   // after its end are withdrawn: they are queued at an endpoint and would start
   // on the older version.
   std::chrono::milliseconds withdrawal_delay{500};
+  CrashSuspectSettings crash_suspects{};
 };
 
 // A declaration of a model version, as read from the store.
@@ -97,6 +100,14 @@
   void OnResponseEnd(kernel::Time now, CallId call);
   void OnAttemptFailed(kernel::Time now, CallId call, AttemptFailure failure);
   void OnCallerDisconnected(kernel::Time now, CallId call);
+  // Another entry's evidence of prompt parts that crash endpoints.
+  void OnCrashEvidence(kernel::Time now,
+                       std::span<const PartEvidence> evidence);
+  // The evidence that other entries should know, and its revision, which
+  // increases with each change.
+  std::vector<PartEvidence> CrashEvidence(kernel::Time now) const;
+  std::uint64_t CrashEvidenceRevision() const;
+
   // Applies deadlines and timeouts; must be called every few tens of
   // milliseconds.
   void OnTick(kernel::Time now);
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -136,6 +136,9 @@
 inline constexpr Event kCallAnswered{
     505, Level::kInfo, "call-answered",
     "A call received its endpoint's response; successes are sampled."};
+inline constexpr Event kPromptPartBlocked{
+    506, Level::kWarning, "prompt-part-blocked",
+    "A part of prompts crashes endpoints; calls with it are refused."};
 inline constexpr Event kOrderSent{601, Level::kInfo, "order-sent",
                                   "The agent sent its endpoint an order."};
 inline constexpr Event kOrderRefused{602, Level::kWarning, "order-refused",
--- a/include/radishrudder/peers/peer_exchange.h
+++ b/include/radishrudder/peers/peer_exchange.h
@@ -46,6 +46,10 @@
   std::chrono::milliseconds question_interval{300};
   // The peers' reports are evaluated this long after the reading at the latest.
   std::chrono::milliseconds decision_time{1000};
+  // Urgent news is passed to this many random peers, and on by them, at most
+  // once in each interval.
+  std::size_t news_fan_out = 4;
+  std::chrono::milliseconds news_interval{250};
 };
 
 // Exchanges with the other entries what each has read from the store, so that
@@ -67,6 +71,8 @@
                          std::uint64_t version,
                          std::optional<kernel::Time> absent_at,
                          kernel::Duration failed_for);
+  // This process has learned something that all others should know soon.
+  void OnNews() { m_news = true; }
   void OnTick(kernel::Time now);
   PeerReport MakeReport(kernel::Time now) const;
   // A peer sent its report on its own.
@@ -112,6 +118,7 @@
   };
 
   void Learn(std::string_view address, bool seed);
+  void PassOnNews(kernel::Time now);
   void Contact(const std::string& address, Peer& peer);
   Evidence EvidenceOf(kernel::Time sent_at,
                       const Declaration& declaration,
@@ -134,6 +141,8 @@
   std::vector<Declaration> m_declarations;  // Oldest first.
   std::vector<Question> m_questions;
   kernel::Time m_next_acquaintance{};
+  bool m_news = false;
+  kernel::Time m_next_news{};
   std::vector<PeerOutput> m_outputs;
 };
 
--- a/include/radishrudder/peers/peer_report.h
+++ b/include/radishrudder/peers/peer_report.h
@@ -23,6 +23,19 @@
   bool store_lost = false;
 };
 
+// The end of an endpoint run while it worked on a prompt with a certain part.
+struct CrashReport {
+  std::string run{};
+  std::chrono::milliseconds age{0};
+};
+
+// What the sender knows of a prompt part that may crash endpoints.
+struct PartReport {
+  std::string part{};
+  std::vector<CrashReport> crashes{};
+  bool cleared = false;  // The part is innocent.
+};
+
 // What one entry tells another. Both the request and the response of an
 // exchange are a report.
 struct PeerReport {
@@ -33,6 +46,7 @@
   std::optional<std::chrono::milliseconds> store_age{};
   bool store_lost = false;  // Its requests have been failing for a time.
   std::vector<DeclarationReport> declarations{};
+  std::vector<PartReport> parts{};
 };
 
 // Encodes a report as JSON.
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -258,6 +258,10 @@
   void Execute(direct::CallRecord& output) {
     m_journal.Record(kernel::Now(), output);
   }
+  void Execute(direct::PartBlocked& output) {
+    logging::Log(logging::kPromptPartBlocked,
+                 {{"instance", m_settings.entry.name}, {"part", output.part}});
+  }
 
   void OnOperatorOutput(dissemination::StoreOutput output) {
     if (auto* snapshot = std::get_if<dissemination::PrefixSnapshot>(&output)) {
@@ -361,7 +365,7 @@
     m_fetcher.Fetch(output.address,
                     {.method = "POST",
                      .target = std::string(kPeersPath),
-                     .body = peers::ToText(m_peers.MakeReport(sent_at))},
+                     .body = peers::ToText(MakeReport(sent_at))},
                     kPeerTimeout,
                     [this, sent_at, address = output.address](
                         std::optional<exchange::FetchedAnswer> response) {
@@ -409,8 +413,45 @@
       return;
     }
     m_peers.OnRequest(*report);
+    MergeParts(*report);
     peer.Reply({kOk, {{"Content-Type", "application/json"}}},
-               peers::ToText(m_peers.MakeReport(kernel::Now())));
+               peers::ToText(MakeReport(kernel::Now())));
+  }
+
+  peers::PeerReport MakeReport(kernel::Time now) const {
+    peers::PeerReport report = m_peers.MakeReport(now);
+    for (const direct::PartEvidence& known : m_core.CrashEvidence(now)) {
+      peers::PartReport part{.part = known.part, .cleared = known.cleared};
+      for (const direct::CrashSighting& crash : known.crashes) {
+        part.crashes.push_back(
+            {crash.run, std::chrono::duration_cast<std::chrono::milliseconds>(
+                            now - crash.seen_at)});
+      }
+      report.parts.push_back(std::move(part));
+    }
+    return report;
+  }
+
+  void MergeParts(const peers::PeerReport& report) {
+    const kernel::Time now = kernel::Now();
+    std::vector<direct::PartEvidence> evidence;
+    for (const peers::PartReport& part : report.parts) {
+      direct::PartEvidence item{.part = part.part, .cleared = part.cleared};
+      for (const peers::CrashReport& crash : part.crashes) {
+        item.crashes.push_back({crash.run, now - crash.age});
+      }
+      evidence.push_back(std::move(item));
+    }
+    m_core.OnCrashEvidence(now, evidence);
+  }
+
+  // Lets the other entries know soon if the evidence has changed.
+  void PassOnEvidence() {
+    const std::uint64_t revision = m_core.CrashEvidenceRevision();
+    if (revision != m_told_evidence) {
+      m_told_evidence = revision;
+      m_peers.OnNews();
+    }
   }
 
   void ApplyBounds() {
@@ -498,6 +539,7 @@
     const kernel::Time now = kernel::Now();
     m_core.OnTick(now);
     TakeOutputs();
+    PassOnEvidence();
     m_peers.OnTick(now);
     TakePeerOutputs();
     if (now >= m_next_maintenance) {
@@ -561,6 +603,7 @@
   StoreFollower<typename Platform::Store> m_endpoint_follower;
   exchange::CallerServer m_peer_server;
   peers::PeerExchange m_peers;
+  std::uint64_t m_told_evidence = 0;  // Revision that peers were told of.
   asio::steady_timer m_tick;
   kernel::Time m_next_maintenance{};
   std::optional<kernel::Time> m_stop_started;
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -49,6 +49,8 @@
       return "timeout";
     case Reason::kOutdated:
       return "outdated";
+    case Reason::kCrashingPrompt:
+      return "crashing-prompt";
   }
   return "none";
 }
@@ -146,6 +148,12 @@
       return;
     }
   }
+  const std::string_view blocked =
+      state.crash_suspects.BlockedPart(now, request.prompt_parts);
+  if (!blocked.empty()) {
+    state.Refuse(now, request, id, kUnavailable, Reason::kCrashingPrompt);
+    return;
+  }
   Call call;
   call.id = id;
   call.route = *route;
@@ -187,6 +195,7 @@
 void Entry::OnTick(kernel::Time now) {
   State& state = *m_state;
   state.RequireVersions(now);
+  state.StopBlockedCalls(now);
   for (const auto& [service, pool] : state.pools) {
     pool->OnTick(now);
   }
@@ -202,6 +211,19 @@
   }
 }
 
+void Entry::OnCrashEvidence(kernel::Time now,
+                            std::span<const PartEvidence> evidence) {
+  m_state->crash_suspects.Merge(now, evidence);
+}
+
+std::vector<PartEvidence> Entry::CrashEvidence(kernel::Time now) const {
+  return m_state->crash_suspects.Evidence(now);
+}
+
+std::uint64_t Entry::CrashEvidenceRevision() const {
+  return m_state->crash_suspects.Revision();
+}
+
 void Entry::OnDrain() {
   m_state->draining = true;
 }
@@ -232,7 +254,9 @@
 }
 
 Entry::State::State(EntrySettings initial_settings, kernel::Random generator)
-    : settings(std::move(initial_settings)), random(generator) {}
+    : settings(std::move(initial_settings)),
+      random(generator),
+      crash_suspects(settings.crash_suspects) {}
 
 std::string Entry::State::ChooseService(const RouteRule& route) {
   std::uint64_t total = 0;
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -36,6 +36,12 @@
 // time do not all retry at the same time.
 constexpr milliseconds kMinimumRetryAfter{250};
 constexpr milliseconds kMaximumRetryAfter{900};
+// Retry-After for a prompt that crashes endpoints: the time that it is blocked
+// at least.
+constexpr milliseconds kCrashingPromptRetryAfter{30000};
+// Events of one attempt after which its prompt counts as harmless. An endpoint
+// that crashes on a prompt ends within two passes, one event each.
+constexpr std::uint64_t kHarmlessEvents = 4;
 
 bool IsSuccess(int status) {
   return status >= kFirstSuccess && status < kFirstRedirect;
@@ -52,7 +58,10 @@
 
 }  // namespace
 
-milliseconds Entry::State::DrawRetryAfter() {
+milliseconds Entry::State::RetryAfter(Reason reason) {
+  if (reason == Reason::kCrashingPrompt) {
+    return kCrashingPromptRetryAfter;
+  }
   const auto range = static_cast<std::uint64_t>(
       (kMaximumRetryAfter - kMinimumRetryAfter).count());
   return kMinimumRetryAfter +
@@ -66,7 +75,7 @@
                           Reason reason) {
   SendResponse reply{.call = id, .status = status};
   if (status == kUnavailable) {
-    reply.retry_after = DrawRetryAfter();
+    reply.retry_after = RetryAfter(reason);
   }
   Emit(std::move(reply));
   CallRecord record{.call = id, .status = status, .reason = reason};
@@ -113,7 +122,7 @@
   SendResponse reply{.call = call.id};
   if (!call.may_have_run) {
     reply.status = kUnavailable;
-    reply.retry_after = DrawRetryAfter();
+    reply.retry_after = RetryAfter(reason);
   } else {
     reply.status = reason == Reason::kTimeout ? kGatewayTimeout : kBadGateway;
   }
@@ -137,6 +146,10 @@
     FailCall(now, call, Reason::kTimeout);
     return;
   }
+  if (!crash_suspects.BlockedPart(now, call.request->prompt_parts).empty()) {
+    FailCall(now, call, Reason::kCrashingPrompt);
+    return;
+  }
   ServicePool& pool = Pool(call.service);
   const EndpointRequirements requirements{
       .excluded = call.excluded,
@@ -155,6 +168,7 @@
   attempt.started = now;
   attempt.last_progress = now;
   attempt.model_version = selected.model_version;
+  attempt.earlier_events = call.events.EventsReturned();
   call.attempt = std::move(attempt);
   SendAttempt send{.call = call.id};
   send.address = selected.address;
@@ -196,7 +210,17 @@
   Pool(call.service).OnFailed(now, RunOf(*call.attempt));
   call.may_have_run = true;
   call.excluded.push_back(call.attempt->endpoint);
+  const std::vector<std::string>& parts = call.request->prompt_parts;
+  if (reason == Reason::kBroken && !call.attempt->harmless) {
+    crash_suspects.OnBroken(now, parts,
+                            call.attempt->endpoint + "/" +
+                                std::to_string(call.attempt->incarnation));
+  }
   call.attempt.reset();
+  if (crash_suspects.IsSuspicious(now, parts)) {
+    FailCall(now, call, Reason::kCrashingPrompt);
+    return;
+  }
   const bool resumable =
       !call.response_started || (IsStream(call) && call.events.LastId());
   if (call.route.IsRepeatable() && resumable && TryReserveRetry(now, call)) {
@@ -225,9 +249,43 @@
                          attempt.response->response_headers});
     }
   }
+  if (call.events.EventsReturned() >=
+      attempt.earlier_events + kHarmlessEvents) {
+    ClearPrompt(now, call);
+  }
   Emit(SendResponseBody{call.id, std::move(events)});
 }
 
+void Entry::State::ClearPrompt(kernel::Time now, Call& call) {
+  if (!call.attempt->harmless) {
+    call.attempt->harmless = true;
+    crash_suspects.OnAnswered(now, call.request->prompt_parts);
+  }
+}
+
+void Entry::State::StopBlockedCalls(kernel::Time now) {
+  for (std::string& part : crash_suspects.TakeNewlyBlocked()) {
+    std::vector<CallId> affected;
+    for (const auto& [id, call] : calls) {
+      if (call.attempt && !call.attempt->harmless &&
+          std::ranges::find(call.request->prompt_parts, part) !=
+              call.request->prompt_parts.end()) {
+        affected.push_back(id);
+      }
+    }
+    for (const CallId id : affected) {
+      Call& call = calls.at(id);
+      Emit(CancelAttempt{id});
+      if (call.attempt->sent) {
+        Pool(call.service).OnAbandoned(now, RunOf(*call.attempt));
+        call.may_have_run = true;
+      }
+      FailCall(now, call, Reason::kCrashingPrompt);
+    }
+    Emit(PartBlocked{std::move(part)});
+  }
+}
+
 bool Entry::State::UsesOutdatedVersion(kernel::Time now, const Call& call) {
   const CurrentAttempt& attempt = *call.attempt;
   const ServicePool& pool = Pool(call.service);
@@ -410,6 +468,9 @@
   } else {
     pool.OnAnswered(now, m_state->RunOf(attempt),
                     {.first_byte = attempt.first_byte});
+    if (IsSuccess(status) && (!stream || attempt.event_received)) {
+      m_state->ClearPrompt(now, *call);
+    }
   }
   if (call->response_started) {
     m_state->Emit(FinishResponse{id});
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -28,6 +28,10 @@
   std::optional<EndpointResponse> response{};
   std::string body{};  // Buffered until the response is complete.
   bool event_received = false;
+  // Events of the call that were passed on before this attempt.
+  std::uint64_t earlier_events = 0;
+  // The answer got so far that its prompt does not crash endpoints.
+  bool harmless = false;
 };
 
 // A caller's request whose response is not complete yet.
@@ -79,6 +83,10 @@
   bool HasTooLittleTime(kernel::Time now, const Call& call) const;
   void HandleStreamData(kernel::Time now, Call& call, std::string_view data);
   void CheckTimeouts(kernel::Time now, Call& call);
+  // Notes that the endpoint's answer shows the prompt to be harmless.
+  void ClearPrompt(kernel::Time now, Call& call);
+  // Ends the calls whose prompts have a part that was blocked meanwhile.
+  void StopBlockedCalls(kernel::Time now);
   // Whether an attempt is still queued and could start on a superseded version.
   bool UsesOutdatedVersion(kernel::Time now, const Call& call);
   // Cancels an attempt without a response and starts another one if allowed.
@@ -102,7 +110,7 @@
                      CallRecord::Kind kind,
                      int status,
                      Reason reason);
-  std::chrono::milliseconds DrawRetryAfter();
+  std::chrono::milliseconds RetryAfter(Reason reason);
 
   struct DeclaredVersion {
     std::uint64_t version = 0;
@@ -113,6 +121,7 @@
   kernel::Random random;
   ConfigurationTable configurations;
   ConfigurationAge age;
+  CrashSuspects crash_suspects;
   bool endpoints_known = false;
   bool draining = false;
   std::vector<ListedEndpoint> endpoints;
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -29,9 +29,9 @@
       kPieceListKnown,    kVersionStaged,     kStagedChunkRepaired,
       kVersionDated,      kCallFailed,        kCallRefused,
       kAttemptFailed,     kAttemptRefused,    kCallAnswered,
-      kOrderSent,         kOrderRefused,      kVersionRunning,
-      kEndpointRestarted, kPeerConnected,     kPeerLost,
-      kMessageRejected,   kHttpFailed};
+      kPromptPartBlocked, kOrderSent,         kOrderRefused,
+      kVersionRunning,    kEndpointRestarted, kPeerConnected,
+      kPeerLost,          kMessageRejected,   kHttpFailed};
   return kEvents;
 }
 
--- a/source/radishrudder/peers/peer_exchange.cc
+++ b/source/radishrudder/peers/peer_exchange.cc
@@ -92,6 +92,7 @@
       }
     }
   }
+  PassOnNews(now);
   if (now >= m_next_acquaintance && !m_peers.empty()) {
     m_next_acquaintance = now + m_settings.acquaintance_interval;
     const auto peer =
@@ -101,6 +102,23 @@
   }
 }
 
+void PeerExchange::PassOnNews(kernel::Time now) {
+  if (!m_news || now < m_next_news || m_peers.empty()) {
+    return;
+  }
+  m_news = false;
+  m_next_news = now + m_settings.news_interval;
+  std::vector<std::pair<std::uint64_t, std::string>> order;
+  for (const auto& [address, peer] : m_peers) {
+    order.emplace_back(m_random.Next(), address);
+  }
+  std::ranges::sort(order);
+  order.resize(std::min(order.size(), m_settings.news_fan_out));
+  for (const auto& [rank, address] : order) {
+    Contact(address, m_peers.find(address)->second);
+  }
+}
+
 void PeerExchange::Contact(const std::string& address, Peer& peer) {
   if (!peer.in_progress) {
     peer.in_progress = true;
--- a/source/radishrudder/peers/peer_report.cc
+++ b/source/radishrudder/peers/peer_report.cc
@@ -11,6 +11,8 @@
 // Limits of a report from another process.
 constexpr std::size_t kMaximumPeers = 256;
 constexpr std::size_t kMaximumDeclarations = 64;
+constexpr std::size_t kMaximumParts = 256;
+constexpr std::size_t kMaximumCrashesPerPart = 64;
 constexpr std::size_t kMaximumAddressLength = 64;
 constexpr std::uint64_t kMaximumAgeMilliseconds = 86'400'000;
 
@@ -43,6 +45,28 @@
   return declaration;
 }
 
+PartReport ParsePart(const Json& object, bool& valid) {
+  PartReport part{.part = object.at("part").get<std::string>(),
+                  .cleared = object.value("cleared", false)};
+  for (const Json& crash : object.at("crashes")) {
+    part.crashes.push_back(
+        {.run = crash.at("run").get<std::string>(),
+         .age = ToAge(crash.at("ageMs"), valid).value_or(milliseconds(0))});
+  }
+  valid = valid && part.crashes.size() <= kMaximumCrashesPerPart;
+  return part;
+}
+
+Json ToJson(const PartReport& part) {
+  Json crashes = Json::array();
+  for (const CrashReport& crash : part.crashes) {
+    crashes.push_back({{"run", crash.run}, {"ageMs", crash.age.count()}});
+  }
+  return {{"part", part.part},
+          {"cleared", part.cleared},
+          {"crashes", std::move(crashes)}};
+}
+
 }  // namespace
 
 std::string ToText(const PeerReport& report) {
@@ -62,6 +86,10 @@
     }
     declarations.push_back(std::move(item));
   }
+  Json& parts = text["parts"] = Json::array();
+  for (const PartReport& part : report.parts) {
+    parts.push_back(ToJson(part));
+  }
   return text.dump();
 }
 
@@ -77,7 +105,11 @@
     for (const Json& item : document.at("declarations")) {
       report.declarations.push_back(ParseDeclaration(item, valid));
     }
-    valid = valid && report.address.size() <= kMaximumAddressLength &&
+    for (const Json& item : document.value("parts", Json::array())) {
+      report.parts.push_back(ParsePart(item, valid));
+    }
+    valid = valid && report.parts.size() <= kMaximumParts &&
+            report.address.size() <= kMaximumAddressLength &&
             report.peers.size() <= kMaximumPeers &&
             report.declarations.size() <= kMaximumDeclarations;
     return valid ? std::optional(std::move(report)) : std::nullopt;
--- /dev/null
+++ b/tests/direct/crash_suspects_test.cc
@@ -0,0 +1,152 @@
+#include "radishrudder/direct/crash_suspects.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace radishrudder::direct {
+namespace {
+
+using std::chrono::milliseconds;
+
+class CrashSuspectsTest : public testing::Test {
+ protected:
+  using Parts = std::vector<std::string>;
+
+  // An endpoint ends, a moment later than the one before.
+  void Crash(CrashSuspects& suspects, const Parts& parts) {
+    AdvanceTime(milliseconds(400));
+    suspects.OnBroken(m_now, parts, "i-" + std::to_string(++m_runs) + "/1");
+  }
+  void AdvanceTime(milliseconds time) { m_now += time; }
+  std::string_view Blocked(const CrashSuspects& suspects, const Parts& parts) {
+    return suspects.BlockedPart(m_now, parts);
+  }
+  // Both tell each other what they know.
+  void Exchange(CrashSuspects& one, CrashSuspects& other) {
+    other.Merge(m_now, one.Evidence(m_now));
+    one.Merge(m_now, other.Evidence(m_now));
+  }
+
+  CrashSuspects m_suspects{CrashSuspectSettings{}};
+  CrashSuspects m_other{CrashSuspectSettings{}};
+  kernel::Time m_now{std::chrono::hours(1)};
+  int m_runs = 0;
+};
+
+TEST_F(CrashSuspectsTest, BlocksPartAfterThreeCrashes) {
+  Crash(m_suspects, {"bad"});
+  EXPECT_FALSE(m_suspects.IsSuspicious(m_now, Parts{"bad"}));
+  Crash(m_suspects, {"bad"});
+  EXPECT_TRUE(m_suspects.IsSuspicious(m_now, Parts{"bad"}));
+  EXPECT_EQ(Blocked(m_suspects, {"bad"}), "");
+  Crash(m_suspects, {"bad"});
+  EXPECT_EQ(Blocked(m_suspects, {"first", "bad"}), "bad");
+  EXPECT_EQ(m_suspects.TakeNewlyBlocked(), Parts{"bad"});
+  EXPECT_TRUE(m_suspects.TakeNewlyBlocked().empty());
+}
+
+// Sound requests share all parts but one with those that crash endpoints, and
+// break off with them.
+TEST_F(CrashSuspectsTest, AnsweredPartIsNeverBlocked) {
+  m_suspects.OnAnswered(m_now, Parts{"first"});
+  for (int i = 0; i < 10; ++i) {
+    Crash(m_suspects, {"first", "bad"});
+  }
+  EXPECT_EQ(Blocked(m_suspects, {"first", "own"}), "");
+  EXPECT_EQ(Blocked(m_suspects, {"first", "bad"}), "bad");
+}
+
+TEST_F(CrashSuspectsTest, AnswerEndsSuspicionOfItsParts) {
+  for (int i = 0; i < 3; ++i) {
+    Crash(m_suspects, {"rare", "bad"});
+  }
+  EXPECT_EQ(Blocked(m_suspects, {"rare"}), "rare");
+  m_suspects.OnAnswered(m_now, Parts{"rare"});
+  EXPECT_EQ(Blocked(m_suspects, {"rare"}), "");
+  EXPECT_EQ(Blocked(m_suspects, {"bad"}), "bad");
+}
+
+// A fault of the machines ends many endpoints at once, each with many calls.
+TEST_F(CrashSuspectsTest, EndpointsThatEndTogetherCountOnce) {
+  for (int i = 0; i < 19; ++i) {
+    m_suspects.OnBroken(m_now, Parts{"new"}, "i-" + std::to_string(i));
+    AdvanceTime(milliseconds(5));
+  }
+  EXPECT_FALSE(m_suspects.IsSuspicious(m_now, Parts{"new"}));
+}
+
+TEST_F(CrashSuspectsTest, CallsOfOneEndpointCountOnce) {
+  for (int i = 0; i < 8; ++i) {
+    m_suspects.OnBroken(m_now, Parts{"bad"}, "i-1/1");
+    AdvanceTime(milliseconds(400));
+  }
+  EXPECT_FALSE(m_suspects.IsSuspicious(m_now, Parts{"bad"}));
+}
+
+// From the fifth crash on, a block must outlast the pauses between requests
+// with the part; after fewer crashes, a coincidence must not block it for long.
+TEST_F(CrashSuspectsTest, BlockLastsLongerFromTheFifthCrashOn) {
+  for (int i = 0; i < 4; ++i) {
+    Crash(m_suspects, {"bad"});
+  }
+  AdvanceTime(milliseconds(29000));
+  EXPECT_EQ(Blocked(m_suspects, {"bad"}), "bad");
+  AdvanceTime(milliseconds(1100));
+  EXPECT_EQ(Blocked(m_suspects, {"bad"}), "");
+  Crash(m_suspects, {"bad"});
+  AdvanceTime(milliseconds(120000));
+  EXPECT_EQ(Blocked(m_suspects, {"bad"}), "bad");
+}
+
+// Each entry sees only the crashes under its own calls.
+TEST_F(CrashSuspectsTest, EntriesAddUpTheirSightings) {
+  Crash(m_suspects, {"bad"});
+  Crash(m_other, {"bad"});
+  Crash(m_other, {"bad"});
+  EXPECT_EQ(Blocked(m_suspects, {"bad"}), "");
+  const std::uint64_t revision = m_suspects.Revision();
+  Exchange(m_suspects, m_other);
+  EXPECT_EQ(Blocked(m_suspects, {"bad"}), "bad");
+  EXPECT_EQ(Blocked(m_other, {"bad"}), "bad");
+  EXPECT_NE(m_suspects.Revision(), revision);
+  const std::uint64_t settled = m_suspects.Revision();
+  Exchange(m_suspects, m_other);
+  EXPECT_EQ(m_suspects.Revision(), settled);
+}
+
+// An entry that has just started knows no answered parts.
+TEST_F(CrashSuspectsTest, OtherEntryClearsPart) {
+  m_other.OnAnswered(m_now, Parts{"first"});
+  for (int i = 0; i < 3; ++i) {
+    Crash(m_suspects, {"first"});
+  }
+  EXPECT_EQ(Blocked(m_suspects, {"first"}), "first");
+  Exchange(m_suspects, m_other);
+  EXPECT_EQ(Blocked(m_suspects, {"first"}), "");
+  EXPECT_EQ(Blocked(m_other, {"first"}), "");
+}
+
+TEST_F(CrashSuspectsTest, ForgetsOldEvidence) {
+  Crash(m_suspects, {"bad"});
+  Crash(m_suspects, {"bad"});
+  AdvanceTime(milliseconds(601000));
+  Crash(m_suspects, {"bad"});
+  EXPECT_EQ(Blocked(m_suspects, {"bad"}), "");
+  const auto evidence = m_suspects.Evidence(m_now);
+  ASSERT_EQ(evidence.size(), 1U);
+  EXPECT_EQ(evidence.front().crashes.size(), 1U);
+}
+
+TEST_F(CrashSuspectsTest, MemoryIsLimited) {
+  for (int i = 0; i < 20000; ++i) {
+    AdvanceTime(milliseconds(1));
+    m_suspects.OnAnswered(m_now, Parts{"part" + std::to_string(i)});
+    m_suspects.OnBroken(m_now, Parts{"other" + std::to_string(i)}, "i-1/1");
+  }
+  EXPECT_LE(m_suspects.Size(), 10000U);
+  EXPECT_LE(m_suspects.Evidence(m_now).size(), 128U);
+}
+
+}  // namespace
+}  // namespace radishrudder::direct
--- a/tests/direct/crashing_prompt_test.cc
+++ b/tests/direct/crashing_prompt_test.cc
@@ -45,18 +45,20 @@
 INSTANTIATE_TEST_SUITE_P(
     All,
     CrashingPromptTest,
-    testing::Values(FleetCase{"FourEntries", {}},
-                    FleetCase{"OneEntry", {.entries = 1}},
-                    FleetCase{"ManyEntries",
-                              {.entries = 16,
-                               .endpoints = 60,
-                               .sound_per_second = 250,
-                               .crashing_per_second = 6}},
-                    FleetCase{"FewRequests", {.crashing_per_second = 1}},
-                    FleetCase{"TwoParts",
-                              {.crashing_per_second = 4, .crashing_parts = 2}},
-                    FleetCase{"EndpointsAlsoEndTogether",
-                              {.all_endpoints_end = milliseconds(9500)}}),
+    testing::Values(
+        FleetCase{"FourEntries", {}},
+        FleetCase{"OneEntry", {.entries = 1}},
+        FleetCase{"ManyEntries",
+                  {.entries = 16,
+                   .endpoints = 60,
+                   .sound_per_second = 250,
+                   .crashing_per_second = 6}},
+        FleetCase{"FewRequests", {.crashing_per_second = 1}},
+        FleetCase{"LongerThanTheFirstBlock",
+                  {.crashing_per_second = 1, .duration = milliseconds(90000)}},
+        FleetCase{"TwoParts", {.crashing_per_second = 4, .crashing_parts = 2}},
+        FleetCase{"EndpointsAlsoEndTogether",
+                  {.all_endpoints_end = milliseconds(9500)}}),
     [](const auto& test) { return test.param.name; });
 
 }  // namespace
--- a/tests/direct/prompt_fleet.cc
+++ b/tests/direct/prompt_fleet.cc
@@ -19,6 +19,8 @@
 constexpr milliseconds kCrashDelay{60};
 constexpr milliseconds kDownTime{3700};
 constexpr char kCrashingPart[] = "bad";
+constexpr milliseconds kExchangeInterval{250};
+constexpr std::size_t kExchangeFanOut = 4;
 
 Configuration MakeFleetConfiguration() {
   RouteRule route;
@@ -69,6 +71,7 @@
     endpoint.listed.model_version = 1;
     m_endpoints.push_back(std::move(endpoint));
   }
+  m_told_evidence.resize(m_entries.size());
   ListEndpoints();
 }
 
@@ -104,6 +107,7 @@
   for (Endpoint& endpoint : m_endpoints) {
     AdvanceEndpoint(endpoint);
   }
+  ExchangeEvidence();
   for (std::size_t i = 0; i < m_entries.size(); ++i) {
     m_entries[i]->OnConfigurationConfirmed(m_now.time_since_epoch());
     m_entries[i]->OnTick(m_now);
@@ -111,6 +115,26 @@
   }
 }
 
+void PromptFleet::ExchangeEvidence() {
+  if (m_now < m_next_exchange) {
+    return;
+  }
+  m_next_exchange = m_now + kExchangeInterval;
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    if (m_entries[i]->CrashEvidenceRevision() == m_told_evidence[i]) {
+      continue;
+    }
+    m_told_evidence[i] = m_entries[i]->CrashEvidenceRevision();
+    for (std::size_t k = 0; k < kExchangeFanOut; ++k) {
+      const std::size_t other = m_random.Below(m_entries.size());
+      m_entries[other]->OnCrashEvidence(m_now,
+                                        m_entries[i]->CrashEvidence(m_now));
+      m_entries[i]->OnCrashEvidence(m_now,
+                                    m_entries[other]->CrashEvidence(m_now));
+    }
+  }
+}
+
 void PromptFleet::Offer(std::size_t entry, bool crashing) {
   const CallId call = ++m_last_call;
   CallerRequest request;
--- a/tests/direct/prompt_fleet.h
+++ b/tests/direct/prompt_fleet.h
@@ -75,6 +75,8 @@
   void Step();
   void Offer(std::size_t entry, bool crashing);
   void ListEndpoints();
+  // Entries tell some others of changed evidence, as `peers` does.
+  void ExchangeEvidence();
   void AdvanceEndpoint(Endpoint& endpoint);
   void End(Endpoint& endpoint);
   void CarryOut(std::size_t entry);
@@ -86,6 +88,8 @@
   kernel::Time m_start{std::chrono::hours(1)};
   kernel::Time m_now = m_start;
   std::vector<std::unique_ptr<Entry>> m_entries;
+  std::vector<std::uint64_t> m_told_evidence;  // Revisions, by entry.
+  kernel::Time m_next_exchange{};
   std::vector<Endpoint> m_endpoints;
   // By entry and call.
   std::map<std::pair<std::size_t, CallId>, Offered> m_offered;
--- a/tests/peers/peer_exchange_test.cc
+++ b/tests/peers/peer_exchange_test.cc
@@ -260,6 +260,29 @@
   EXPECT_EQ(m_exchange.KnownPeers(), 3U);  // Seeds are kept.
 }
 
+// News of crashing prompts must reach all entries within a second or two.
+TEST_F(PeerExchangeTest, PassesOnNewsToSeveralPeersOnceInAnInterval) {
+  for (const char* address : {"c", "d", "e", "f"}) {
+    m_exchange.OnRequest({.address = address});
+  }
+  AdvanceTime(milliseconds(1));
+  for (const ExchangeReports& request : Take<ExchangeReports>()) {
+    Respond(request.address, PeerReport());
+  }
+  m_exchange.OnNews();
+  AdvanceTime(milliseconds(1));
+  const auto told = Take<ExchangeReports>();
+  EXPECT_EQ(told.size(), 4U);
+  for (const ExchangeReports& request : told) {
+    Respond(request.address, PeerReport());
+  }
+  m_exchange.OnNews();
+  AdvanceTime(milliseconds(100));
+  EXPECT_TRUE(Take<ExchangeReports>().empty());
+  AdvanceTime(milliseconds(150));
+  EXPECT_EQ(Take<ExchangeReports>().size(), 4U);
+}
+
 TEST_F(PeerExchangeTest, ReportHasAgesOfStoreAndDeclarations) {
   m_exchange.OnStoreRead(m_now - milliseconds(200));
   Read(milliseconds(900));
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -14,7 +14,9 @@
       .store_age = milliseconds(20),
       .store_lost = true,
       .declarations = {{"draft", 4, milliseconds(30), milliseconds(900), true},
-                       {"draft", 3, milliseconds(70), std::nullopt, false}}};
+                       {"draft", 3, milliseconds(70), std::nullopt, false}},
+      .parts = {{"5c1e", {{"i-1/7", milliseconds(40)}}, false},
+                {"91bd", {}, true}}};
   const auto parsed = ParsePeerReport(ToText(report));
   ASSERT_TRUE(parsed);
   EXPECT_EQ(parsed->address, report.address);
@@ -29,6 +31,12 @@
   EXPECT_EQ(parsed->declarations[0].read_age, milliseconds(30));
   EXPECT_EQ(parsed->declarations[0].absent_age, milliseconds(900));
   EXPECT_FALSE(parsed->declarations[1].absent_age);
+  ASSERT_EQ(parsed->parts.size(), 2U);
+  EXPECT_EQ(parsed->parts[0].part, "5c1e");
+  ASSERT_EQ(parsed->parts[0].crashes.size(), 1U);
+  EXPECT_EQ(parsed->parts[0].crashes[0].run, "i-1/7");
+  EXPECT_EQ(parsed->parts[0].crashes[0].age, milliseconds(40));
+  EXPECT_TRUE(parsed->parts[1].cleared);
 }
 
 // Anything may arrive at the port for peers; it must not end the process.
@@ -50,6 +58,8 @@
                     R"({"address":"a","peers":[],"declarations":[],)"
                     R"("storeMs":"x"})",
                     R"({"address":"a","peers":[],"declarations":[],)"
+                    R"("parts":[{"part":"p","crashes":[{"run":"r"}]}]})",
+                    R"({"address":"a","peers":[],"declarations":[],)"
                     R"("storeMs":-1})",
                     R"({"address":"a","peers":[],"declarations":[],)"
                     R"("storeMs":4294967296})",
