--- a/tests/peers/peer_exchange_test.cc
+++ b/tests/peers/peer_exchange_test.cc
@@ -85,7 +85,8 @@
 };
 
 // A report of a peer that reads the store and knows these declarations.
-PeerReport ReportOf(std::vector<Known> declarations, int store_ms = 100) {
+PeerReport ReportOf(const std::vector<Known>& declarations,
+                    int store_ms = 100) {
   PeerReport report{.store_age = milliseconds(store_ms)};
   for (const Known& known : declarations) {
     DeclarationReport item{.model = "draft",
