direct: a late reading gets no grace of its own

That minimum was meant for processes to which limits on versions do not apply yet; an entry behind a full link is none.

A declaration whose bound is known now gets the bound alone, and 100 ms in which peers can tell a later one.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -38,8 +38,12 @@
   // Calls may still start on an older version for this long after the latest
   // time at which the newer one was not declared yet.
   std::chrono::milliseconds version_switch_grace{6500};
-  // Minimum grace period after the reading of a declaration, however old it is.
-  std::chrono::milliseconds minimum_version_grace{3000};
+  // Grace period after the reading of a declaration of which nothing else is
+  // known, because this process has just started.
+  std::chrono::milliseconds undated_version_grace{3000};
+  // Minimum grace period after the reading of any declaration: peers may tell a
+  // later bound within this time.
+  std::chrono::milliseconds dating_time{100};
   // Calls that were sent during the grace period and have not started this long
   // after its end are withdrawn: they are queued at an endpoint and would start
   // on the older version.
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -372,6 +372,9 @@
                       std::optional<peers::PeerReport> report;
                       if (response && response->status == kOk) {
                         report = peers::ParsePeerReport(response->body);
+                        if (!report) {
+                          LogRejectedReport(response->body);
+                        }
                       }
                       m_peers.OnResponse(kernel::Now(), sent_at, address,
                                          report);
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -80,11 +80,11 @@
     return std::nullopt;
   }
   const EntrySettings& settings = m_state->settings;
-  kernel::Time required_at = now + settings.minimum_version_grace;
-  if (declaration.absent_at) {
-    required_at = std::max(
-        required_at, *declaration.absent_at + settings.version_switch_grace);
-  }
+  const kernel::Time required_at =
+      declaration.absent_at
+          ? std::max(now + settings.dating_time,
+                     *declaration.absent_at + settings.version_switch_grace)
+          : now + settings.undated_version_grace;
   versions.push_back({declaration.version, required_at});
   return required_at;
 }
