direct, peers: evidence of crashing prompts survives lost and late reports

Responses are merged like requests. News is passed on in two rounds. The fifth endpoint makes a part certain at whatever moments they ended. The memory keeps blocked parts and the latest sightings, and each new block is reported.

--- a/include/radishrudder/direct/crash_suspects.h
+++ b/include/radishrudder/direct/crash_suspects.h
@@ -30,9 +30,9 @@
 };
 
 struct CrashSuspectSettings {
-  // Crashes at different moments from which a part is blocked, and from which
-  // it is blocked for the longer time. One crash can be a coincidence for every
-  // part in progress at the endpoint.
+  // Crashes at different moments from which a part is blocked; one can be a
+  // coincidence for every part in progress at the endpoint. From
+  // `certain_crashes` on, at whatever moments, the block is the longer one.
   std::uint32_t blocking_crashes = 3;
   std::uint32_t certain_crashes = 5;
   // From which a call that failed is not sent to another endpoint.
@@ -84,8 +84,7 @@
 
  private:
   struct Suspect {
-    std::vector<CrashSighting> crashes;  // Ascending in time.
-    bool blocked = false;                // Reported as newly blocked.
+    std::vector<CrashSighting> crashes{};  // Ascending in time.
   };
   struct Cleared {
     kernel::Time at{};
@@ -100,7 +99,7 @@
   // Number of moments at which endpoints ended.
   std::uint32_t Moments(kernel::Time now, const Suspect& suspect) const;
   bool IsBlocked(kernel::Time now, const Suspect& suspect) const;
-  void LimitMemory();
+  void LimitMemory(kernel::Time now);
 
   CrashSuspectSettings m_settings;
   std::map<std::string, Suspect, std::less<>> m_suspects;
--- a/include/radishrudder/peers/peer_exchange.h
+++ b/include/radishrudder/peers/peer_exchange.h
@@ -72,7 +72,7 @@
                          std::optional<kernel::Time> absent_at,
                          kernel::Duration failed_for);
   // This process has learned something that all others should know soon.
-  void OnNews() { m_news = true; }
+  void OnNews() { m_news_rounds = kNewsRounds; }
   void OnTick(kernel::Time now);
   PeerReport MakeReport(kernel::Time now) const;
   // A peer sent its report on its own.
@@ -87,6 +87,9 @@
   std::size_t KnownPeers() const { return m_peers.size(); }
 
  private:
+  // Rounds of passing on one piece of news, in case an exchange fails.
+  static constexpr std::uint32_t kNewsRounds = 2;
+
   struct Peer {
     bool seed = false;
     bool in_progress = false;
@@ -141,7 +144,7 @@
   std::vector<Declaration> m_declarations;  // Oldest first.
   std::vector<Question> m_questions;
   kernel::Time m_next_acquaintance{};
-  bool m_news = false;
+  std::uint32_t m_news_rounds = 0;  // That are left.
   kernel::Time m_next_news{};
   std::vector<PeerOutput> m_outputs;
 };
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -372,7 +372,9 @@
                       std::optional<peers::PeerReport> report;
                       if (response && response->status == kOk) {
                         report = peers::ParsePeerReport(response->body);
-                        if (!report) {
+                        if (report) {
+                          MergeParts(*report);
+                        } else {
                           LogRejectedReport(response->body);
                         }
                       }
--- a/source/radishrudder/direct/crash_suspects.cc
+++ b/source/radishrudder/direct/crash_suspects.cc
@@ -11,7 +11,7 @@
 constexpr std::size_t kMaximumCleared = 8192;
 constexpr std::size_t kMaximumCrashesPerPart = 16;
 // Number of parts that other entries are told of, most crashes first.
-constexpr std::size_t kMaximumReportedParts = 64;
+constexpr std::size_t kMaximumReportedParts = 128;
 
 template <typename Map, typename TimeOf>
 void ForgetOldest(Map& map, std::size_t maximum, TimeOf time_of) {
@@ -77,7 +77,8 @@
   }
   std::size_t reported = 0;
   for (const auto& [part, cleared] : m_cleared) {
-    if (cleared.contested && reported++ < kMaximumReportedParts) {
+    if (cleared.contested && IsCleared(now, part) &&
+        reported++ < kMaximumReportedParts) {
       evidence.push_back({part, {}, /*cleared=*/true});
     }
   }
@@ -118,25 +119,32 @@
 void CrashSuspects::AddCrash(kernel::Time now,
                              const std::string& part,
                              const CrashSighting& crash) {
+  if (now - crash.seen_at >= m_settings.memory) {
+    return;
+  }
   Suspect& suspect = m_suspects[part];
+  const bool was_blocked = IsBlocked(now, suspect);
   std::erase_if(suspect.crashes, [this, now](const CrashSighting& known) {
     return now - known.seen_at >= m_settings.memory;
   });
   const bool known = std::ranges::any_of(
       suspect.crashes,
       [&crash](const CrashSighting& other) { return other.run == crash.run; });
-  if (known || suspect.crashes.size() >= kMaximumCrashesPerPart) {
+  const bool full = suspect.crashes.size() >= kMaximumCrashesPerPart;
+  if (known || (full && crash.seen_at <= suspect.crashes.front().seen_at)) {
     return;
   }
+  if (full) {
+    suspect.crashes.erase(suspect.crashes.begin());
+  }
   const auto position = std::ranges::upper_bound(suspect.crashes, crash.seen_at,
                                                  {}, &CrashSighting::seen_at);
   suspect.crashes.insert(position, crash);
   ++m_revision;
-  if (!suspect.blocked && IsBlocked(now, suspect)) {
-    suspect.blocked = true;
+  if (!was_blocked && IsBlocked(now, suspect)) {
     m_newly_blocked.push_back(part);
   }
-  LimitMemory();
+  LimitMemory(now);
 }
 
 void CrashSuspects::Clear(kernel::Time now,
@@ -149,7 +157,7 @@
     cleared.contested = true;
     ++m_revision;
   }
-  LimitMemory();
+  LimitMemory(now);
 }
 
 std::uint32_t CrashSuspects::Moments(kernel::Time now,
@@ -173,17 +181,23 @@
   if (moments < m_settings.blocking_crashes) {
     return false;
   }
-  const std::chrono::seconds duration = moments >= m_settings.certain_crashes
-                                            ? m_settings.certain_block_duration
-                                            : m_settings.block_duration;
+  const std::chrono::seconds duration =
+      suspect.crashes.size() >= m_settings.certain_crashes
+          ? m_settings.certain_block_duration
+          : m_settings.block_duration;
   return now - suspect.crashes.back().seen_at < duration;
 }
 
-void CrashSuspects::LimitMemory() {
-  ForgetOldest(m_suspects, kMaximumSuspects, [](const Suspect& suspect) {
-    return suspect.crashes.empty() ? kernel::Time::min()
-                                   : suspect.crashes.back().seen_at;
-  });
+void CrashSuspects::LimitMemory(kernel::Time now) {
+  ForgetOldest(
+      m_suspects, kMaximumSuspects, [this, now](const Suspect& suspect) {
+        // Blocked parts are kept.
+        if (IsBlocked(now, suspect)) {
+          return kernel::Time::max();
+        }
+        return suspect.crashes.empty() ? kernel::Time::min()
+                                       : suspect.crashes.back().seen_at;
+      });
   ForgetOldest(m_cleared, kMaximumCleared,
                [](const Cleared& cleared) { return cleared.at; });
 }
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -265,6 +265,10 @@
 
 void Entry::State::StopBlockedCalls(kernel::Time now) {
   for (std::string& part : crash_suspects.TakeNewlyBlocked()) {
+    // An answer may have cleared the part meanwhile.
+    if (crash_suspects.BlockedPart(now, {&part, 1}).empty()) {
+      continue;
+    }
     std::vector<CallId> affected;
     for (const auto& [id, call] : calls) {
       if (call.attempt && !call.attempt->harmless &&
@@ -468,7 +472,7 @@
   } else {
     pool.OnAnswered(now, m_state->RunOf(attempt),
                     {.first_byte = attempt.first_byte});
-    if (IsSuccess(status) && (!stream || attempt.event_received)) {
+    if (IsSuccess(status) && !stream) {
       m_state->ClearPrompt(now, *call);
     }
   }
--- a/source/radishrudder/peers/peer_exchange.cc
+++ b/source/radishrudder/peers/peer_exchange.cc
@@ -103,10 +103,10 @@
 }
 
 void PeerExchange::PassOnNews(kernel::Time now) {
-  if (!m_news || now < m_next_news || m_peers.empty()) {
+  if (m_news_rounds == 0 || now < m_next_news || m_peers.empty()) {
     return;
   }
-  m_news = false;
+  --m_news_rounds;
   m_next_news = now + m_settings.news_interval;
   std::vector<std::pair<std::uint64_t, std::string>> order;
   for (const auto& [address, peer] : m_peers) {
--- a/tests/direct/crashing_prompt_test.cc
+++ b/tests/direct/crashing_prompt_test.cc
@@ -56,6 +56,8 @@
         FleetCase{"FewRequests", {.crashing_per_second = 1}},
         FleetCase{"LongerThanTheFirstBlock",
                   {.crashing_per_second = 1, .duration = milliseconds(90000)}},
+        FleetCase{"FasterAndLongerThanTheFirstBlock",
+                  {.crashing_per_second = 5, .duration = milliseconds(90000)}},
         FleetCase{"TwoParts", {.crashing_per_second = 4, .crashing_parts = 2}},
         FleetCase{"EndpointsAlsoEndTogether",
                   {.all_endpoints_end = milliseconds(9500)}}),
--- a/tests/peers/peer_exchange_test.cc
+++ b/tests/peers/peer_exchange_test.cc
@@ -281,6 +281,12 @@
   AdvanceTime(milliseconds(100));
   EXPECT_TRUE(Take<ExchangeReports>().empty());
   AdvanceTime(milliseconds(150));
+  const auto again = Take<ExchangeReports>();
+  EXPECT_EQ(again.size(), 4U);
+  for (const ExchangeReports& request : again) {
+    Respond(request.address, std::nullopt);
+  }
+  AdvanceTime(milliseconds(250));
   EXPECT_EQ(Take<ExchangeReports>().size(), 4U);
 }
 
