--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -31,6 +31,9 @@
   std::string key{};  // Workspace key; empty: the request has none.
   std::optional<std::uint64_t> last_event_id{};
   std::string model{};
+  // Ids of the prompt's parts that other requests may share, in order. The last
+  // part belongs to the request or its session and is left out.
+  std::vector<std::string> prompt_parts{};
   double prompt_tokens = 0;          // 0: not stated.
   double maximum_answer_tokens = 0;  // 0: not stated.
   kernel::Time received_at{};        // When its first byte was read.
@@ -68,7 +71,8 @@
   kBroken,         // An attempt ended before its response was complete.
   kInvalidAnswer,  // Not the endpoint's response to this request.
   kTimeout,
-  kOutdated,  // Queued at an endpoint until its version was superseded.
+  kOutdated,        // Queued at an endpoint until its version was superseded.
+  kCrashingPrompt,  // A part of its prompt crashes endpoints.
 };
 std::string_view ToText(Reason reason);
 
@@ -130,6 +134,13 @@
   std::chrono::milliseconds elapsed{0};
   std::chrono::milliseconds configuration_age{0};
   std::string detail{};
+  std::uint64_t events = 0;  // Passed on to the caller.
+  std::vector<std::string> prompt_parts{};
+};
+
+// A part of prompts is blocked because it crashes endpoints, for the log.
+struct PartBlocked {
+  std::string part{};
 };
 
 using Output = std::variant<SendAttempt,
@@ -139,7 +150,8 @@
                             SendResponseBody,
                             FinishResponse,
                             AbortResponse,
-                            CallRecord>;
+                            CallRecord,
+                            PartBlocked>;
 
 // Why an attempt ended without a complete response.
 enum class AttemptFailure {
--- a/include/radishrudder/peers/peer_exchange.h
+++ b/include/radishrudder/peers/peer_exchange.h
@@ -46,6 +46,10 @@
   std::chrono::milliseconds question_interval{300};
   // The peers' reports are evaluated this long after the reading at the latest.
   std::chrono::milliseconds decision_time{1000};
+  // Urgent news is passed to this many random peers, and on by them, at most
+  // once in each interval.
+  std::size_t news_fan_out = 4;
+  std::chrono::milliseconds news_interval{250};
 };
 
 // Exchanges with the other entries what each has read from the store, so that
@@ -67,6 +71,8 @@
                          std::uint64_t version,
                          std::optional<kernel::Time> absent_at,
                          kernel::Duration failed_for);
+  // This process has learned something that all others should know soon.
+  void OnNews() { m_news_rounds = kNewsRounds; }
   void OnTick(kernel::Time now);
   PeerReport MakeReport(kernel::Time now) const;
   // A peer sent its report on its own.
@@ -81,6 +87,9 @@
   std::size_t KnownPeers() const { return m_peers.size(); }
 
  private:
+  // Rounds of passing on one piece of news, in case an exchange fails.
+  static constexpr std::uint32_t kNewsRounds = 2;
+
   struct Peer {
     bool seed = false;
     bool in_progress = false;
@@ -112,6 +121,7 @@
   };
 
   void Learn(std::string_view address, bool seed);
+  void PassOnNews(kernel::Time now);
   void Contact(const std::string& address, Peer& peer);
   Evidence EvidenceOf(kernel::Time sent_at,
                       const Declaration& declaration,
@@ -134,6 +144,8 @@
   std::vector<Declaration> m_declarations;  // Oldest first.
   std::vector<Question> m_questions;
   kernel::Time m_next_acquaintance{};
+  std::uint32_t m_news_rounds = 0;  // That are left.
+  kernel::Time m_next_news{};
   std::vector<PeerOutput> m_outputs;
 };
 
--- a/tests/peers/peer_exchange_test.cc
+++ b/tests/peers/peer_exchange_test.cc
@@ -85,7 +85,8 @@
 };
 
 // A report of a peer that reads the store and knows these declarations.
-PeerReport ReportOf(std::vector<Known> declarations, int store_ms = 100) {
+PeerReport ReportOf(const std::vector<Known>& declarations,
+                    int store_ms = 100) {
   PeerReport report{.store_age = milliseconds(store_ms)};
   for (const Known& known : declarations) {
     DeclarationReport item{.model = "draft",
@@ -260,6 +261,35 @@
   EXPECT_EQ(m_exchange.KnownPeers(), 3U);  // Seeds are kept.
 }
 
+// News of crashing prompts must reach all entries within a second or two.
+TEST_F(PeerExchangeTest, PassesOnNewsToSeveralPeersOnceInAnInterval) {
+  for (const char* address : {"c", "d", "e", "f"}) {
+    m_exchange.OnRequest({.address = address});
+  }
+  AdvanceTime(milliseconds(1));
+  for (const ExchangeReports& request : Take<ExchangeReports>()) {
+    Respond(request.address, PeerReport());
+  }
+  m_exchange.OnNews();
+  AdvanceTime(milliseconds(1));
+  const auto told = Take<ExchangeReports>();
+  EXPECT_EQ(told.size(), 4U);
+  for (const ExchangeReports& request : told) {
+    Respond(request.address, PeerReport());
+  }
+  m_exchange.OnNews();
+  AdvanceTime(milliseconds(100));
+  EXPECT_TRUE(Take<ExchangeReports>().empty());
+  AdvanceTime(milliseconds(150));
+  const auto again = Take<ExchangeReports>();
+  EXPECT_EQ(again.size(), 4U);
+  for (const ExchangeReports& request : again) {
+    Respond(request.address, std::nullopt);
+  }
+  AdvanceTime(milliseconds(250));
+  EXPECT_EQ(Take<ExchangeReports>().size(), 4U);
+}
+
 TEST_F(PeerExchangeTest, ReportHasAgesOfStoreAndDeclarations) {
   m_exchange.OnStoreRead(m_now - milliseconds(200));
   Read(milliseconds(900));
