platform, serving, daemon: SIGHUP reloads the settings

All calls in progress were cut.

Change: the platform's programs ignore SIGHUP until they listen, then read the settings file again at the signal and, within two seconds, when the file changed without one. Limits and seeds take effect at once; addresses, names and places wait for a start; one record (107) says which. A file that is missing, cut off, malformed or out of range changes nothing (108). The project's own daemons go on at SIGHUP.

Measured: platform_programs_test runs both programs as processes. With these, 12 pass.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -72,6 +72,9 @@
   Entry(EntrySettings settings, kernel::Random random);
   ~Entry();
 
+  // Takes over the limits of new settings. The name and the location of the
+  // entry stay as they are.
+  void OnSettings(const EntrySettings& settings);
   // Returns whether the configuration is in force; older ones are rejected.
   bool OnConfiguration(kernel::Time now, Configuration configuration);
   // A response of the store showed that the configuration was current when the
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -66,6 +66,14 @@
 inline constexpr Event kReadinessChanged{
     106, Level::kInfo, "readiness-changed",
     "The process started or stopped accepting new callers."};
+inline constexpr Event kSettingsReloaded{
+    107, Level::kInfo, "settings-reloaded",
+    "The settings were read again; lists the changed ones that are in effect "
+    "and those that take effect at the next start."};
+inline constexpr Event kSettingsRejected{
+    108, Level::kError, "settings-rejected",
+    "The settings file cannot be read or has errors; the previous settings "
+    "stay in effect."};
 inline constexpr Event kDocumentInForce{
     201, Level::kInfo, "document-in-force",
     "A revision of a document took effect."};
--- a/include/radishrudder/peers/peer_exchange.h
+++ b/include/radishrudder/peers/peer_exchange.h
@@ -60,6 +60,8 @@
  public:
   PeerExchange(PeerSettings settings, kernel::Random random);
 
+  // Adds processes to those that are known from the start.
+  void OnSeeds(const std::vector<std::string>& seeds);
   // The items read from the store were complete at that time.
   void OnStoreRead(kernel::Time complete_at);
   // Requests to the store began to fail.
--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -21,6 +21,7 @@
 #include "radishrudder/exchange/frame_links.h"
 #include "radishrudder/kernel/boot_time.h"
 #include "radishrudder/logging/events.h"
+#include "radishrudder/serving/settings_change.h"
 #include "radishrudder/serving/store_follower.h"
 #include "radishrudder/staging/stager.h"
 
@@ -99,6 +100,36 @@
   // instances, and the endpoint keeps what is staged.
   void Stop() { m_context.stop(); }
 
+  // Takes over new settings as far as a running process can change them.
+  SettingsChange ApplySettings(const AgentProcessSettings& updated) {
+    SettingsChange change;
+    AgentProcessSettings& current = m_settings;
+    // Both delays are shares of this limit.
+    ApplySetting("version-switch-limit", current.stager.last_turn_delay,
+                 updated.stager.last_turn_delay, change);
+    current.stager.first_turn_delay = updated.stager.first_turn_delay;
+    if (m_stager) {
+      m_stager->SetTurnDelays(current.stager.first_turn_delay,
+                              current.stager.last_turn_delay);
+    }
+    DeferSetting("instance", current.instance, updated.instance, change);
+    DeferSetting("address", current.ip, updated.ip, change);
+    DeferSetting("data-centre", current.data_centre, updated.data_centre,
+                 change);
+    DeferSetting("region", current.region, updated.region, change);
+    DeferSetting("regions", current.regions, updated.regions, change);
+    DeferSetting("peers-address", current.peers_address, updated.peers_address,
+                 change);
+    DeferSetting("store-address", current.store_address, updated.store_address,
+                 change);
+    DeferSetting("endpoint-address", current.endpoint_address,
+                 updated.endpoint_address, change);
+    DeferSetting("service", current.service, updated.service, change);
+    DeferSetting("link-rate", current.link_bytes_per_second,
+                 updated.link_bytes_per_second, change);
+    return change;
+  }
+
  private:
   // The response of a watch without changes only shows that the store is
   // reachable, which an agent does not have to know at once.
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -24,6 +24,7 @@
 #include "radishrudder/peers/peer_report.h"
 #include "radishrudder/serving/call_journal.h"
 #include "radishrudder/serving/call_session.h"
+#include "radishrudder/serving/settings_change.h"
 #include "radishrudder/serving/store_follower.h"
 
 namespace radishrudder::serving {
@@ -150,6 +151,43 @@
                   {"calls", std::to_string(m_core.CallsInProgress())}});
   }
 
+  // Takes over new settings as far as a running process can change them.
+  SettingsChange ApplySettings(const EntryProcessSettings& updated) {
+    SettingsChange change;
+    EntryProcessSettings& current = m_settings;
+    ApplySetting("key-revocation-limit",
+                 current.entry.maximum_configuration_age,
+                 updated.entry.maximum_configuration_age, change);
+    ApplySetting("retry-budget-ratio", current.entry.retry_budget_ratio,
+                 updated.entry.retry_budget_ratio, change);
+    ApplySetting("version-switch-limit", current.entry.version_switch_grace,
+                 updated.entry.version_switch_grace, change);
+    ApplySetting("settling-time", current.entry.undated_version_grace,
+                 updated.entry.undated_version_grace, change);
+    ApplySetting("stop-timeout", current.stop_timeout, updated.stop_timeout,
+                 change);
+    ApplySetting("peer-seeds", current.peer_seeds, updated.peer_seeds, change);
+    m_core.OnSettings(current.entry);
+    m_peers.OnSeeds(current.peer_seeds);
+    DeferSetting("instance", current.entry.name, updated.entry.name, change);
+    DeferSetting("data-centre", current.entry.data_centre,
+                 updated.entry.data_centre, change);
+    DeferSetting("region", current.entry.region, updated.entry.region, change);
+    DeferSetting("regions", current.entry.regions, updated.entry.regions,
+                 change);
+    DeferSetting("callers-address", current.callers_address,
+                 updated.callers_address, change);
+    DeferSetting("readiness-address", current.readiness_address,
+                 updated.readiness_address, change);
+    DeferSetting("metrics-address", current.metrics_address,
+                 updated.metrics_address, change);
+    DeferSetting("store-address", current.store_address, updated.store_address,
+                 change);
+    DeferSetting("peers-address", current.peers_address, updated.peers_address,
+                 change);
+    return change;
+  }
+
   direct::Entry& Core() { return m_core; }
 
   // Carries out the outputs of the core.
--- a/include/radishrudder/staging/stager.h
+++ b/include/radishrudder/staging/stager.h
@@ -129,6 +129,9 @@
   Stager(StagerSettings settings, kernel::Random random, kernel::Time now);
   ~Stager();
 
+  // Changes when the turns of endpoints start, see `StagerSettings`.
+  void SetTurnDelays(std::chrono::milliseconds first,
+                     std::chrono::milliseconds last);
   // Ignores a version whose number is not higher than that of the current one,
   // and other models. `newly_declared` means that the other instances receive
   // the declaration at the same time.
--- a/source/radishrudder/daemon/run.cc
+++ b/source/radishrudder/daemon/run.cc
@@ -21,7 +21,7 @@
   Supervisor(const NodeSettings& settings, const DaemonControls& controls)
       : m_settings(settings),
         m_controls(controls),
-        m_signals(m_context, SIGTERM, SIGINT),
+        m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
         m_timer(m_context) {}
 
   void Wait() {
@@ -31,11 +31,19 @@
 
  private:
   void AwaitSignal() {
-    m_signals.async_wait([this](const std::error_code& error, int) {
+    m_signals.async_wait([this](const std::error_code& error, int signal) {
       if (error) {
         return;
       }
-      if (m_draining) {
+      if (signal == SIGHUP) {
+        // Flags and environment variables do not change while the process runs.
+        logging::Log(logging::kSettingsReloaded,
+                     {{"instance", m_settings.instance},
+                      {"trigger", "signal"},
+                      {"applied", "none"},
+                      {"pending", "none"}});
+        AwaitSignal();
+      } else if (m_draining) {
         End("second signal");
       } else {
         BeginDrain();
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -58,6 +58,17 @@
 Entry::Entry(EntrySettings settings, kernel::Random random)
     : m_state(std::make_unique<State>(std::move(settings), random)) {}
 
+void Entry::OnSettings(const EntrySettings& settings) {
+  EntrySettings& current = m_state->settings;
+  current.maximum_configuration_age = settings.maximum_configuration_age;
+  current.retry_budget_ratio = settings.retry_budget_ratio;
+  current.version_switch_grace = settings.version_switch_grace;
+  current.undated_version_grace = settings.undated_version_grace;
+  for (const auto& [service, pool] : m_state->pools) {
+    pool->Budget().SetShare(settings.retry_budget_ratio);
+  }
+}
+
 Entry::~Entry() = default;
 
 bool Entry::OnConfiguration(kernel::Time now, Configuration configuration) {
--- a/source/radishrudder/peers/peer_exchange.cc
+++ b/source/radishrudder/peers/peer_exchange.cc
@@ -27,7 +27,11 @@
 
 PeerExchange::PeerExchange(PeerSettings settings, kernel::Random random)
     : m_settings(std::move(settings)), m_random(random) {
-  for (const std::string& seed : m_settings.seeds) {
+  OnSeeds(m_settings.seeds);
+}
+
+void PeerExchange::OnSeeds(const std::vector<std::string>& seeds) {
+  for (const std::string& seed : seeds) {
     Learn(seed, /*seed=*/true);
   }
 }
--- a/source/radishrudder/staging/stager.cc
+++ b/source/radishrudder/staging/stager.cc
@@ -187,6 +187,11 @@
 
 Stager::~Stager() = default;
 
+void Stager::SetTurnDelays(milliseconds first, milliseconds last) {
+  m_state->settings.first_turn_delay = first;
+  m_state->settings.last_turn_delay = last;
+}
+
 void Stager::OnVersionDeclared(kernel::Time now,
                                const VersionId& version,
                                bool newly_declared) {
--- /dev/null
+++ b/tests/platform/running_program.cc
@@ -0,0 +1,182 @@
+#include "tests/platform/running_program.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+namespace radishrudder::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPollInterval{10};
+constexpr int kPorts = 6;
+
+bool IsFree(int port) {
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context);
+  std::error_code error;
+  acceptor.open(asio::ip::tcp::v4(), error);
+  acceptor.bind({asio::ip::make_address("127.0.0.1"),
+                 static_cast<asio::ip::port_type>(port)},
+                error);
+  return !error;
+}
+
+// Returns the first of `kPorts` consecutive ports that are free. Processes of
+// tests that run at the same time begin their search at different ports.
+int FindPorts() {
+  constexpr int kFirst = 20000;
+  constexpr int kRange = 10000;
+  for (int step = 0; step < kRange; ++step) {
+    const int first = kFirst + (getpid() * kPorts + step * kPorts) % kRange;
+    bool all_free = true;
+    for (int port = first; port < first + kPorts; ++port) {
+      all_free = all_free && IsFree(port);
+    }
+    if (all_free) {
+      return first;
+    }
+  }
+  return kFirst;
+}
+
+std::string ProgramPath(const std::string& role) {
+  return std::string(RADISHRUDDER_PROGRAM_DIRECTORY) +
+         "/radishrudder-platform-" + role;
+}
+
+}  // namespace
+
+RunningProgram::RunningProgram(std::string_view role)
+    : m_role(role), m_first_port(FindPorts()) {
+  std::string pattern =
+      std::filesystem::temp_directory_path() / "radishrudder-XXXXXX";
+  m_directory = mkdtemp(pattern.data());
+}
+
+RunningProgram::~RunningProgram() {
+  if (IsRunning()) {
+    Signal(SIGKILL);
+    AwaitExit(milliseconds(2000));
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(m_directory, ignored);
+}
+
+std::string RunningProgram::SettingsText(std::string_view bounds) const {
+  const auto address = [this](int offset) {
+    return "\"127.0.0.1:" + std::to_string(m_first_port + offset) + "\"";
+  };
+  std::ostringstream text;
+  text << R"({"node": "n-1", "ip": "127.0.0.1", "zone": "a", "region": "a",)"
+       << R"("zones": {"a": "a"},)"
+       << R"("listen": {"front": )" << address(0) << R"(, "ready": )"
+       << address(1) << R"(, "control": )" << address(2) << "},"
+       << R"("internal_ports": [)" << m_first_port + 3 << ", "
+       << m_first_port + 4 << "],"
+       << R"("seeds": [], "app": )" << address(5)
+       << R"(, "service": "draft", "limits": {"link_mbps": 7.6},)"
+       << R"("platform": {"address": )" << address(5) << "},"
+       << R"("bounds": {)" << bounds << "}}";
+  return text.str();
+}
+
+void RunningProgram::WriteSettings(
+    const std::optional<std::string>& text) const {
+  const std::string path = m_directory + "/settings.json";
+  if (text) {
+    std::ofstream(path) << *text;
+  } else {
+    std::filesystem::remove(path);
+  }
+}
+
+void RunningProgram::Start() {
+  const std::string program = ProgramPath(m_role);
+  const std::string settings = "--settings=" + m_directory + "/settings.json";
+  const std::string log = m_directory + "/log";
+  m_status.reset();
+  m_pid = fork();
+  if (m_pid == 0) {
+    const int file = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+    dup2(file, STDOUT_FILENO);
+    dup2(file, STDERR_FILENO);
+    execl(program.c_str(), program.c_str(), settings.c_str(), nullptr);
+    _exit(127);
+  }
+}
+
+void RunningProgram::Signal(int number) const {
+  kill(m_pid, number);
+}
+
+std::string RunningProgram::ReadLog() const {
+  std::ifstream file(m_directory + "/log");
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+bool RunningProgram::AwaitLog(std::string_view text,
+                              std::size_t count,
+                              milliseconds limit) const {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  for (;;) {
+    std::istringstream log(ReadLog());
+    std::size_t found = 0;
+    for (std::string line; std::getline(log, line);) {
+      found += line.find(text) != std::string::npos ? 1 : 0;
+    }
+    if (found >= count) {
+      return true;
+    }
+    if (std::chrono::steady_clock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
+std::string RunningProgram::LastRecord(std::string_view text) const {
+  std::istringstream log(ReadLog());
+  std::string last;
+  for (std::string line; std::getline(log, line);) {
+    if (line.find(text) != std::string::npos) {
+      last = line;
+    }
+  }
+  return last;
+}
+
+std::optional<int> RunningProgram::AwaitExit(milliseconds limit) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (IsRunning() && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  if (m_status && WIFEXITED(*m_status)) {
+    return WEXITSTATUS(*m_status);
+  }
+  return std::nullopt;
+}
+
+bool RunningProgram::IsRunning() {
+  if (m_pid > 0 && !m_status) {
+    int status = 0;
+    if (waitpid(m_pid, &status, WNOHANG) == m_pid) {
+      m_status = status;
+    }
+  }
+  return m_pid > 0 && !m_status;
+}
+
+}  // namespace radishrudder::platform
--- /dev/null
+++ b/tests/platform/running_program.h
@@ -0,0 +1,55 @@
+#ifndef TESTS_PLATFORM_RUNNING_PROGRAM_H_
+#define TESTS_PLATFORM_RUNNING_PROGRAM_H_
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace radishrudder::platform {
+
+// One of the platform's programs as a separate process, with a settings file of
+// its own. Its log is written to a file. The destructor kills the process.
+class RunningProgram {
+ public:
+  // `role` is "entry" or "agent". Does not start the process.
+  explicit RunningProgram(std::string_view role);
+  ~RunningProgram();
+  RunningProgram(const RunningProgram&) = delete;
+  RunningProgram& operator=(const RunningProgram&) = delete;
+
+  // Text of settings that the process can start with. `bounds` holds the
+  // members of `bounds`, for example `"revoke_ms": 4000`.
+  std::string SettingsText(std::string_view bounds) const;
+  // Replaces the settings file; without a text, removes it.
+  void WriteSettings(const std::optional<std::string>& text) const;
+  void Start();
+  void Signal(int number) const;
+  // Waits until the log has this many records that contain `text`. Returns
+  // whether it came to that within the time.
+  bool AwaitLog(std::string_view text,
+                std::size_t count,
+                std::chrono::milliseconds limit) const;
+  // Returns the last record of the log that contains `text`, or nothing.
+  std::string LastRecord(std::string_view text) const;
+  // Waits for the end of the process. Returns its exit code, or nothing if a
+  // signal ended it or the time is over.
+  std::optional<int> AwaitExit(std::chrono::milliseconds limit);
+  bool IsRunning();
+
+ private:
+  std::string ReadLog() const;
+
+  std::string m_role;
+  std::string m_directory;
+  int m_first_port = 0;
+  pid_t m_pid = -1;
+  std::optional<int> m_status{};  // As `waitpid` gives it.
+};
+
+}  // namespace radishrudder::platform
+
+#endif  // TESTS_PLATFORM_RUNNING_PROGRAM_H_
