staging: instances ask each other for the piece list, the origin in turns

Cause: the list of a new version was pushed once down a tree. Who had not read the declaration yet dropped it, and so did everybody below; nobody could be asked. All of them turned to the origin within 1.5 s, then every 250 ms, over the link that carries the pieces.

Change: a class without a network, ListSearch, decides. Four instances ask the origin, one after the other; they pass the list to the first instance of each region, from where it goes down a tree in the region. Who has no list asks others, mostly of its region, and is answered as soon as they have it. All other instances have turns for the origin 40 ms apart. A list that arrives before its declaration is kept, passed on and reported (event 410); the turn to load then counts from that moment. A list that the origin's pieces contradict is asked for at the origin alone.

Measured: list_spread_test, 16, 64 and 265 instances, regions, an origin of 9.9 Mbit/s, 10% of messages lost. Before, 18 of 20 cases fail: 116 of 265 instances have the list after a second, 146 requests for it reach the origin, 140 at once. After, 20 pass: all have it, at most 4 requests.

--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -131,6 +131,9 @@
 inline constexpr Event kVersionDated{
     409, Level::kInfo, "version-dated",
     "Reports of peers show that a version was declared later than assumed."};
+inline constexpr Event kNewerVersionSeen{
+    410, Level::kInfo, "newer-version-seen",
+    "Another instance has a version whose declaration this one has not read."};
 inline constexpr Event kCallFailed{501, Level::kWarning, "call-failed",
                                    "A call ended without a complete response."};
 inline constexpr Event kCallRefused{502, Level::kInfo, "call-refused",
--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -450,6 +450,13 @@
                       TakeOutputs();
                     });
   }
+  // The watch of the declarations delivers the version.
+  void Execute(staging::NewerVersionSeen& output) {
+    logging::Log(logging::kNewerVersionSeen,
+                 {{"instance", m_settings.instance},
+                  {"model", output.version.model},
+                  {"version", std::to_string(output.version.number)}});
+  }
   void Execute(staging::ProgressReport& output) {
     logging::Log(EventOf(output.kind),
                  {{"instance", m_settings.instance},
--- a/include/radishrudder/staging/stager.h
+++ b/include/radishrudder/staging/stager.h
@@ -92,6 +92,11 @@
   // differs.
   std::uint64_t expected_orders = 0;
 };
+// Another instance has a version that is newer than the declared one, so this
+// instance has probably missed a declaration.
+struct NewerVersionSeen {
+  VersionId version{};
+};
 // A state change to be logged.
 struct ProgressReport {
   enum class Kind {
@@ -118,6 +123,7 @@
                                   ReadStagedPiece,
                                   RequestReport,
                                   OrderLoad,
+                                  NewerVersionSeen,
                                   ProgressReport>;
 
 // Deploys the declared version to the local endpoint: obtains the pieces
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -45,6 +45,7 @@
                                       kVersionStaged,
                                       kStagedChunkRepaired,
                                       kVersionDated,
+                                      kNewerVersionSeen,
                                       kCallFailed,
                                       kCallRefused,
                                       kAttemptFailed,
--- a/source/radishrudder/staging/stager.cc
+++ b/source/radishrudder/staging/stager.cc
@@ -17,14 +17,6 @@
 constexpr milliseconds kReportIntervalWhileUnreachable{100};
 constexpr milliseconds kReportIntervalWhileStaging{400};
 constexpr milliseconds kReportIntervalWhileIdle{1000};
-// The piece list is forwarded along a tree of instances with this fan-out. An
-// instance that has not received it within the timeout for its rank requests
-// it from the origin.
-constexpr std::size_t kListTreeFanOut = 4;
-constexpr milliseconds kListTimeout{350};
-constexpr milliseconds kListTimeoutPerRank{60};
-constexpr milliseconds kMaximumListTimeout{1500};
-constexpr milliseconds kListRetryInterval{250};
 // Pieces from the origin that fail the list's digests until the list itself is
 // discarded as wrong.
 constexpr std::uint32_t kMaximumOriginRejections = 6;
@@ -91,7 +83,7 @@
                                                                 : nullptr;
 }
 
-void Stager::State::AdoptList(const weights::Manifest& list) {
+void Stager::State::AdoptList(const weights::Manifest& list, bool from_origin) {
   DeclaredVersion& version = *newest;
   version.manifest = list;
   version.manifest_text = weights::ToText(list);
@@ -102,21 +94,88 @@
   }
   ReportProgress(ProgressReport::Kind::kListReceived, version,
                  version.manifest_digest);
-  ForwardList();
+  list_search.Finish();
+  std::set<std::string> receivers = list_search.TakeWaiting();
+  receivers.merge([&] {
+    const auto next = list_search.Receivers(list.file, from_origin);
+    return std::set<std::string>(next.begin(), next.end());
+  }());
+  for (const std::string& receiver : receivers) {
+    SendList(receiver, list);
+  }
+}
+
+void Stager::State::SendList(const std::string& instance,
+                             const weights::Manifest& list) {
+  wire::Send send;
+  send.to = instance;
+  *send.message.mutable_from() = wire::ToMessage(settings.transfer.self);
+  wire::ManifestData& data = *send.message.mutable_manifest_data();
+  data.set_manifest_digest(weights::ManifestDigest(list));
+  data.set_content(weights::ToText(list));
+  outputs.emplace_back(std::move(send));
 }
 
-void Stager::State::ForwardList() {
-  const std::vector<std::string> order = RankInstances(newest->name);
-  const std::size_t first = kListTreeFanOut * LocalRank(newest->name) + 1;
-  for (std::size_t i = first;
-       i < std::min(first + kListTreeFanOut, order.size()); ++i) {
-    wire::Send send;
-    send.to = order[i];
-    *send.message.mutable_from() = wire::ToMessage(settings.transfer.self);
-    wire::ManifestData& data = *send.message.mutable_manifest_data();
-    data.set_manifest_digest(newest->manifest_digest);
-    data.set_content(newest->manifest_text);
-    outputs.emplace_back(std::move(send));
+void Stager::State::OnListMessage(kernel::Time now,
+                                  const wire::Envelope& message) {
+  kernel::Findings findings;
+  auto list = weights::ParseManifest(
+      message.from().instance(), message.manifest_data().content(), findings);
+  const auto name = list ? ParseManifestFileName(list->file) : std::nullopt;
+  if (!name || weights::ManifestDigest(*list) == rejected_list) {
+    return;
+  }
+  if (newest && *name == newest->name) {
+    if (!newest->manifest) {
+      AdoptList(*list, /*from_origin=*/false);
+    }
+    return;
+  }
+  // The list may arrive before the declaration has been read.
+  const auto early_name =
+      early_list ? ParseManifestFileName(early_list->file) : std::nullopt;
+  const bool is_newer = !newest || (name->model == newest->name.model &&
+                                    name->number > newest->name.number);
+  if (is_newer && (!early_name || name->number >= early_name->number)) {
+    NoteNewerVersion(now, *name);
+    if (early_name == name) {
+      return;
+    }
+    early_list = std::move(*list);
+    for (const std::string& receiver :
+         list_search.Receivers(early_list->file, /*from_origin=*/false)) {
+      SendList(receiver, *early_list);
+    }
+  }
+}
+
+void Stager::State::OnListRequest(kernel::Time now,
+                                  const wire::Envelope& message) {
+  const auto name = ParseManifestFileName(message.manifest_request().file());
+  if (!name) {
+    return;
+  }
+  const std::string& from = message.from().instance();
+  const DeclaredVersion* version = FindVersion(*name);
+  if (version != nullptr && version->manifest) {
+    SendList(from, *version->manifest);
+  } else if (version != nullptr) {
+    list_search.AddWaiting(from);
+  } else if (newest && name->model == newest->name.model &&
+             name->number > newest->name.number) {
+    NoteNewerVersion(now, *name);
+    if (early_list && early_list->file == message.manifest_request().file()) {
+      SendList(from, *early_list);
+    }
+  }
+}
+
+void Stager::State::NoteNewerVersion(kernel::Time now,
+                                     const VersionId& version) {
+  if (version.number > newest_number_seen) {
+    newest_number_seen = version.number;
+    newest_seen_at = now;
+    outputs.emplace_back(NewerVersionSeen{version});
   }
 }
 
@@ -131,16 +190,17 @@
   if (rejected.sender == "origin" &&
       ++version->origin_rejections >= kMaximumOriginRejections &&
       !targets_interim && version == &*newest) {
+    rejected_list = version->manifest_digest;
     version->manifest.reset();
     version->transfer_started = false;
-    version->next_list_request = now;
+    list_search.RestartAtOrigin(now);
   }
 }
 
 void Stager::State::TakeTransferOutputs(kernel::Time now) {
   for (weights::TransferOutput& output : transfer.TakeOutputs()) {
     if (auto* send = std::get_if<wire::Send>(&output)) {
-      // Piece lists are distributed by `ForwardList`, not by requests.
+      // `ListSearch` obtains the piece lists.
       if (!send->message.has_manifest_request()) {
         outputs.emplace_back(std::move(*send));
       }
@@ -204,26 +264,27 @@
   state.newest.emplace();
   DeclaredVersion& newest = *state.newest;
   newest.name = version;
-  newest.declared_at = now;
+  newest.declared_at = state.newest_number_seen == version.number
+                           ? std::min(state.newest_seen_at, now)
+                           : now;
   newest.newly_declared = newly_declared;
   if (!state.targets_interim) {
     state.SetTarget(newest, /*is_interim=*/false);
   }
   state.running_reported = false;
   state.ReportProgress(ProgressReport::Kind::kDeclared, newest);
-  const std::size_t rank = state.LocalRank(version);
-  newest.next_list_request =
-      rank == 0 ? now
-                : now + std::min<milliseconds>(
-                            kListTimeout + kListTimeoutPerRank *
-                                               static_cast<std::int64_t>(rank),
-                            kMaximumListTimeout);
+  state.list_search.Start(now, ManifestFileName(version), newly_declared);
+  if (const auto early = std::exchange(state.early_list, std::nullopt);
+      early && ParseManifestFileName(early->file) == version) {
+    state.AdoptList(*early, /*from_origin=*/false);
+  }
   OnTick(now);
 }
 
 void Stager::OnPeers(kernel::Time now,
                      std::vector<weights::TransferPeer> peers) {
-  m_state->peers = peers;
+  m_state->peer_count = peers.size();
+  m_state->list_search.OnPeers(peers);
   m_state->transfer.OnPeers(now, std::move(peers));
   OnTick(now);
 }
@@ -231,13 +292,10 @@
 void Stager::OnMessage(kernel::Time now, const wire::Envelope& message) {
   State& state = *m_state;
   if (message.has_manifest_data()) {
-    kernel::Findings findings;
-    const auto list = weights::ParseManifest(
-        message.from().instance(), message.manifest_data().content(), findings);
-    if (list && state.newest && !state.newest->manifest &&
-        ParseManifestFileName(list->file) == state.newest->name) {
-      state.AdoptList(*list);
-    }
+    state.OnListMessage(now, message);
+  } else if (message.has_manifest_request() &&
+             !message.manifest_request().file().empty()) {
+    state.OnListRequest(now, message);
   } else {
     state.transfer.OnMessage(now, message);
   }
@@ -254,11 +312,10 @@
     return;
   }
   DeclaredVersion& newest = *state.newest;
-  newest.list_requested = false;
   if (!list || list->digests.empty() || list->piece_bytes == 0) {
-    newest.next_list_request = now + kListRetryInterval;
+    state.list_search.OnOriginFailed(now);
   } else if (!newest.manifest) {
-    state.AdoptList(BuildManifest(version, *list));
+    state.AdoptList(BuildManifest(version, *list), /*from_origin=*/true);
   }
   OnTick(now);
 }
--- a/source/radishrudder/staging/stager_state.h
+++ b/source/radishrudder/staging/stager_state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "radishrudder/staging/stager.h"
+#include "source/radishrudder/staging/list_search.h"
 #include "source/radishrudder/staging/stage_area.h"
 
 namespace radishrudder::staging {
@@ -27,8 +28,6 @@
   std::optional<weights::Manifest> manifest{};
   std::string manifest_text{};
   std::string manifest_digest{};
-  bool list_requested = false;
-  kernel::Time next_list_request{};
   std::uint32_t origin_rejections = 0;
   bool transfer_started = false;
   // Verified pieces read from the local staging area before the transfer
@@ -55,12 +54,20 @@
         kernel::Time now)
       : settings(std::move(initial_settings)),
         random(initial_random),
-        transfer(settings.transfer, kernel::Random(random.Next()), now) {}
+        transfer(settings.transfer, kernel::Random(random.Next()), now),
+        list_search(settings.transfer.self.instance,
+                    settings.transfer.region,
+                    kernel::Random(random.Next())) {}
 
   // Performs all steps that are possible at `now`.
   void Advance(kernel::Time now);
   void RequestReportIfDue(kernel::Time now);
   void RequestListIfDue(kernel::Time now);
+  // Handles a piece list that another instance passed on.
+  void OnListMessage(kernel::Time now, const wire::Envelope& message);
+  // Handles another instance's request for a piece list.
+  void OnListRequest(kernel::Time now, const wire::Envelope& message);
+  void NoteNewerVersion(kernel::Time now, const VersionId& version);
   // Starts the transfer of the newest version once the pieces in the local
   // staging area were read. Returns whether the transfer has started.
   bool StartTransfer(kernel::Time now);
@@ -77,14 +84,12 @@
   void VerifyPieces();
 
   void SupersedeNewest();
-  void AdoptList(const weights::Manifest& list);
-  void ForwardList();
+  void AdoptList(const weights::Manifest& list, bool from_origin);
+  void SendList(const std::string& instance, const weights::Manifest& list);
   void TakeTransferOutputs(kernel::Time now);
   void OnChunkRejected(kernel::Time now,
                        const weights::ChunkRejected& rejected);
 
-  std::vector<std::string> RankInstances(const VersionId& version) const;
-  std::size_t LocalRank(const VersionId& version) const;
   // Returns when the local endpoint's turn starts. The turns are spread over
   // the time from `begin` to `end` after the declaration.
   kernel::Time TurnStart(const DeclaredVersion& version,
@@ -103,8 +108,16 @@
   StagerSettings settings;
   kernel::Random random;
   weights::Transfer transfer;
+  ListSearch list_search;
   std::vector<StagerOutput> outputs;
-  std::vector<weights::TransferPeer> peers;
+  std::size_t peer_count = 0;
+  // List of a version that this instance has not read the declaration of yet.
+  std::optional<weights::Manifest> early_list;
+  // The newest version of which another instance told, and when it did.
+  std::uint64_t newest_number_seen = 0;
+  kernel::Time newest_seen_at{};
+  // Digest of a list that does not match the origin's pieces.
+  std::string rejected_list;
 
   std::optional<DeclaredVersion> newest;
   // A superseded version that the endpoint does not run. It is loaded if the
--- a/source/radishrudder/staging/stager_steps.cc
+++ b/source/radishrudder/staging/stager_steps.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "radishrudder/kernel/hash.h"
 #include "source/radishrudder/staging/stager_state.h"
 
 namespace radishrudder::staging {
@@ -27,29 +26,6 @@
          report->version == version.name.number;
 }
 
-std::vector<std::string> Stager::State::RankInstances(
-    const VersionId& version) const {
-  std::vector<std::string> names{settings.transfer.self.instance};
-  for (const weights::TransferPeer& peer : peers) {
-    if (peer.alive && peer.instance != names.front()) {
-      names.push_back(peer.instance);
-    }
-  }
-  std::vector<std::string> ordered;
-  for (const std::size_t index :
-       kernel::RendezvousOrder(ManifestFileName(version), names)) {
-    ordered.push_back(names[index]);
-  }
-  return ordered;
-}
-
-std::size_t Stager::State::LocalRank(const VersionId& version) const {
-  const std::vector<std::string> order = RankInstances(version);
-  return static_cast<std::size_t>(
-      std::ranges::find(order, settings.transfer.self.instance) -
-      order.begin());
-}
-
 // Endpoints load one after another so that the others keep serving. An endpoint
 // without a model loads at once.
 kernel::Time Stager::State::TurnStart(const DeclaredVersion& version,
@@ -63,9 +39,10 @@
   const kernel::Time first = version.newly_declared
                                  ? version.declared_at + begin
                                  : version.declared_at;
-  const std::size_t count = std::max<std::size_t>(peers.size(), 1);
+  const std::size_t count =
+      std::max<std::size_t>({peer_count, list_search.InstanceCount(), 1});
   const double share =
-      static_cast<double>(LocalRank(version.name)) / static_cast<double>(count);
+      static_cast<double>(list_search.Rank()) / static_cast<double>(count);
   return first +
          std::chrono::duration_cast<kernel::Duration>((end - begin) * share);
 }
@@ -79,17 +56,18 @@
 }
 
 void Stager::State::RequestListIfDue(kernel::Time now) {
-  DeclaredVersion& version = *newest;
-  // The other instances already have the list and do not forward it again, so
-  // an instance whose endpoint has no model requests it at once.
-  const bool list_already_distributed =
-      !version.newly_declared && report->version == 0;
-  if (version.manifest || version.list_requested ||
-      (now < version.next_list_request && !list_already_distributed)) {
-    return;
+  for (const ListSearch::Step& step : list_search.Advance(now)) {
+    if (const auto* ask = std::get_if<ListSearch::AskInstance>(&step)) {
+      wire::Send send;
+      send.to = ask->instance;
+      *send.message.mutable_from() = wire::ToMessage(settings.transfer.self);
+      send.message.mutable_manifest_request()->set_file(
+          ManifestFileName(newest->name));
+      outputs.emplace_back(std::move(send));
+    } else {
+      outputs.emplace_back(FetchPieceList{newest->name});
+    }
   }
-  version.list_requested = true;
-  outputs.emplace_back(FetchPieceList{version.name});
 }
 
 // Reads the pieces in the local staging area. An endpoint that runs the version
@@ -272,10 +250,13 @@
 
 void Stager::State::Advance(kernel::Time now) {
   RequestReportIfDue(now);
-  if (!newest || !report || !report->reachable) {
+  if (!newest) {
     return;
   }
   RequestListIfDue(now);
+  if (!report || !report->reachable) {
+    return;
+  }
   if (newest->manifest && !AdvanceDeployment(now)) {
     return;
   }
--- a/tests/staging/stager_fleet.cc
+++ b/tests/staging/stager_fleet.cc
@@ -14,16 +14,22 @@
 constexpr milliseconds kStep{5};
 constexpr milliseconds kNetworkDelay{5};
 constexpr milliseconds kLoadTime{300};
+// Bytes of the answers on the origin's link. The pieces in the simulation are
+// smaller than those of a version of 2 MB.
+constexpr std::size_t kListAnswerBytes = 6000;
+constexpr std::size_t kPieceAnswerBytes = 131072;
+constexpr milliseconds kOriginTimeout{2500};
 constexpr char kModel[] = "draft";
 
 }  // namespace
 
-StagerFleet::StagerFleet(std::size_t instances, std::uint64_t seed)
-    : m_random(seed) {
-  for (std::size_t i = 0; i < instances; ++i) {
+StagerFleet::StagerFleet(const FleetOptions& options)
+    : m_options(options), m_random(options.seed) {
+  for (std::size_t i = 0; i < options.instances; ++i) {
     m_hosts.push_back(std::make_unique<Host>());
     Host& host = *m_hosts.back();
     host.name = "10.0.0." + std::to_string(i);
+    host.region = std::string(1, static_cast<char>('a' + i % options.regions));
     host.endpoint.version = 1;
     for (std::uint32_t piece = 0; piece < kPieces; ++piece) {
       host.endpoint.staged[piece] = MakePiece(1, piece);
@@ -43,9 +49,10 @@
 void StagerFleet::MakeStager(Host& host) {
   StagerSettings settings;
   settings.transfer.self = {host.name, m_random.Next()};
-  settings.transfer.data_centre = "a";
-  settings.transfer.region = "a";
+  settings.transfer.data_centre = host.region;
+  settings.transfer.region = host.region;
   settings.transfer.store_region = "a";
+  settings.transfer.origin_bytes_per_second = m_options.origin_bytes_per_second;
   settings.transfer.timeout_factor = 0.25;
   settings.transfer.has_store = false;
   settings.transfer.maximum_source_backoff = milliseconds(800);
@@ -57,6 +64,8 @@
   m_hosts.push_back(std::make_unique<Host>());
   Host& host = *m_hosts.back();
   host.name = "10.0.0." + std::to_string(m_hosts.size() - 1);
+  host.region = std::string(
+      1, static_cast<char>('a' + (m_hosts.size() - 1) % m_options.regions));
   host.endpoint.reachable = reachable;
   MakeStager(host);
   DistributePeers();
@@ -66,8 +75,9 @@
 void StagerFleet::DistributePeers() {
   std::vector<weights::TransferPeer> peers;
   for (const auto& host : m_hosts) {
-    peers.push_back(
-        {.instance = host->name, .data_centre = "a", .region = "a"});
+    peers.push_back({.instance = host->name,
+                     .data_centre = host->region,
+                     .region = host->region});
   }
   for (const auto& host : m_hosts) {
     host->stager->OnPeers(m_now, peers);
@@ -77,11 +87,29 @@
 
 void StagerFleet::DeclareVersion(std::uint64_t version, bool newly_declared) {
   for (const auto& host : m_hosts) {
-    host->stager->OnVersionDeclared(m_now, {kModel, version}, newly_declared);
-    HandleOutputs(*host);
+    if (!host->store_available) {
+      continue;
+    }
+    const auto read = [this, &host, version, newly_declared] {
+      host->stager->OnVersionDeclared(m_now, {kModel, version}, newly_declared);
+      HandleOutputs(*host);
+    };
+    const auto range =
+        static_cast<std::uint64_t>(m_options.maximum_declaration_delay.count());
+    if (range == 0) {
+      read();
+    } else {
+      m_events.push_back({m_now + milliseconds(m_random.Below(range)), read});
+    }
   }
 }
 
+std::size_t StagerFleet::ListedCount(std::uint64_t version) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      m_hosts,
+      [version](const auto& host) { return host->listed_version >= version; }));
+}
+
 void StagerFleet::RestartStager(std::size_t index, std::uint64_t declared) {
   MakeStager(*m_hosts[index]);
   DistributePeers();
@@ -126,6 +154,15 @@
 
 void StagerFleet::Step() {
   m_now += kStep;
+  for (std::size_t i = 0; i < m_events.size();) {
+    if (m_events[i].at <= m_now) {
+      const auto run = std::move(m_events[i].run);
+      m_events.erase(m_events.begin() + static_cast<std::ptrdiff_t>(i));
+      run();
+    } else {
+      ++i;
+    }
+  }
   while (!m_network.empty() && m_network.front().at <= m_now) {
     const Delivery delivery = std::move(m_network.front());
     m_network.pop_front();
@@ -158,11 +195,15 @@
 }
 
 void StagerFleet::HandleOutput(Host& host, wire::Send& output) {
+  if (m_random.Uniform() < m_options.message_loss) {
+    return;
+  }
   m_network.push_back(
       {m_now + kNetworkDelay, output.to, std::move(output.message)});
 }
 
 void StagerFleet::HandleOutput(Host& host, FetchPieceList& output) {
+  ++m_origin_list_count;
   if (!m_origin_available) {
     host.stager->OnPieceList(m_now, output.version, std::nullopt);
     return;
@@ -172,7 +213,31 @@
     list.digests.push_back(
         weights::Sha256(MakePiece(output.version.number, i)));
   }
-  host.stager->OnPieceList(m_now, output.version, std::move(list));
+  if (m_options.origin_bytes_per_second == 0) {
+    host.stager->OnPieceList(m_now, output.version, std::move(list));
+    return;
+  }
+  m_maximum_origin_lists =
+      std::max(m_maximum_origin_lists, ++m_unanswered_lists);
+  const kernel::Time answered = OriginAnswerTime(kListAnswerBytes);
+  const bool in_time = answered - m_now <= kOriginTimeout;
+  m_events.push_back({in_time ? answered : m_now + kOriginTimeout,
+                      [this, &host, version = output.version, in_time, list]() {
+                        --m_unanswered_lists;
+                        host.stager->OnPieceList(
+                            m_now, version,
+                            in_time ? std::optional(list) : std::nullopt);
+                        HandleOutputs(host);
+                      }});
+}
+
+kernel::Time StagerFleet::OriginAnswerTime(std::size_t bytes) {
+  m_origin_free_at =
+      std::max(m_origin_free_at, m_now) +
+      std::chrono::duration_cast<kernel::Duration>(
+          std::chrono::duration<double>(static_cast<double>(bytes) /
+                                        m_options.origin_bytes_per_second));
+  return m_origin_free_at + 2 * kNetworkDelay;
 }
 
 void StagerFleet::HandleOutput(Host& host, FetchPiece& output) {
@@ -185,7 +250,18 @@
       bytes.back() = '!';
     }
   }
-  host.stager->OnPiece(m_now, output.version, output.index, std::move(bytes));
+  if (m_options.origin_bytes_per_second == 0) {
+    host.stager->OnPiece(m_now, output.version, output.index, std::move(bytes));
+    return;
+  }
+  const kernel::Time answered = OriginAnswerTime(kPieceAnswerBytes);
+  const bool in_time = answered - m_now <= kOriginTimeout;
+  m_events.push_back(
+      {in_time ? answered : m_now + kOriginTimeout,
+       [this, &host, output, bytes = in_time ? bytes : std::string()]() {
+         host.stager->OnPiece(m_now, output.version, output.index, bytes);
+         HandleOutputs(host);
+       }});
 }
 
 void StagerFleet::HandleOutput(Host& host, StagePiece& output) {
@@ -214,7 +290,14 @@
                                 .accepted_orders = endpoint.accepted_orders});
 }
 
+void StagerFleet::HandleOutput(Host& host, NewerVersionSeen&) {
+  m_newer_version_count += host.store_available ? 0 : 1;
+}
+
 void StagerFleet::HandleOutput(Host& host, ProgressReport& output) {
+  if (output.kind == ProgressReport::Kind::kListReceived) {
+    host.listed_version = std::max(host.listed_version, output.version.number);
+  }
   m_repair_count +=
       output.kind == ProgressReport::Kind::kStagedPieceCorrupted ? 1 : 0;
 }
--- a/tests/staging/stager_fleet.h
+++ b/tests/staging/stager_fleet.h
@@ -2,6 +2,7 @@
 #define TESTS_STAGING_STAGER_FLEET_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,11 +29,26 @@
   std::vector<kernel::Time> order_times{};
 };
 
+struct FleetOptions {
+  std::size_t instances = 8;
+  std::uint64_t seed = 1;
+  // Instances are distributed over this many regions.
+  std::size_t regions = 1;
+  // Instances read a declaration up to this much later than the first.
+  std::chrono::milliseconds maximum_declaration_delay{0};
+  // Share of the messages between instances that are lost.
+  double message_loss = 0;
+  // Rate of the origin's link, which all of its answers share; 0: no limit.
+  double origin_bytes_per_second = 0;
+};
+
 // Simulates the stagers of one service, their endpoints, an origin and a
 // network with a constant delay. The test advances the virtual time.
 class StagerFleet {
  public:
-  StagerFleet(std::size_t instances, std::uint64_t seed);
+  StagerFleet(std::size_t instances, std::uint64_t seed)
+      : StagerFleet(FleetOptions{.instances = instances, .seed = seed}) {}
+  explicit StagerFleet(const FleetOptions& options);
 
   static std::string MakePiece(std::uint64_t version, std::uint32_t index);
 
@@ -49,6 +65,19 @@
   FakeEndpoint& Endpoint(std::size_t index) { return m_hosts[index]->endpoint; }
   kernel::Time Now() const { return m_now; }
   std::size_t OriginPieceCount() const { return m_origin_piece_count; }
+  // Requests for a piece list that reached the origin.
+  std::size_t OriginListCount() const { return m_origin_list_count; }
+  // Maximum number of them that were unanswered at the same time.
+  std::size_t MaximumOriginLists() const { return m_maximum_origin_lists; }
+  // Returns how many instances have the list of `version`.
+  std::size_t ListedCount(std::uint64_t version) const;
+  // Number of times that an instance without the store noticed a newer version.
+  std::size_t NewerVersionCount() const { return m_newer_version_count; }
+  // Delivers no declaration to an instance, as if its store did not answer.
+  void SetStoreAvailable(std::size_t index, bool available) {
+    m_hosts[index]->store_available = available;
+  }
+  std::size_t Size() const { return m_hosts.size(); }
   void SetOriginAvailable(bool available) { m_origin_available = available; }
   // Corrupts every n-th piece from the origin.
   void CorruptEveryNthOriginPiece(std::size_t n) { m_corruption_period = n; }
@@ -63,8 +92,16 @@
  private:
   struct Host {
     std::string name;
+    std::string region;
     std::unique_ptr<Stager> stager;
     FakeEndpoint endpoint;
+    bool store_available = true;
+    std::uint64_t listed_version = 0;  // The newest one with a known list.
+  };
+  // A declaration that an instance reads later, or an answer of the origin.
+  struct Event {
+    kernel::Time at;
+    std::function<void()> run;
   };
   struct Delivery {
     kernel::Time at;
@@ -84,12 +121,22 @@
   void HandleOutput(Host& host, ReadStagedPiece& output);
   void HandleOutput(Host& host, RequestReport& output);
   void HandleOutput(Host& host, OrderLoad& output);
+  void HandleOutput(Host& host, NewerVersionSeen& output);
   void HandleOutput(Host& host, ProgressReport& output);
+  // Returns when the origin has sent an answer of this size.
+  kernel::Time OriginAnswerTime(std::size_t bytes);
 
+  FleetOptions m_options;
   kernel::Random m_random;
   kernel::Time m_now{std::chrono::hours(1)};
   std::vector<std::unique_ptr<Host>> m_hosts;
   std::deque<Delivery> m_network;
+  std::vector<Event> m_events;
+  kernel::Time m_origin_free_at{};
+  std::size_t m_origin_list_count = 0;
+  std::size_t m_unanswered_lists = 0;
+  std::size_t m_maximum_origin_lists = 0;
+  std::size_t m_newer_version_count = 0;
   std::size_t m_origin_piece_count = 0;
   std::size_t m_repair_count = 0;
   std::size_t m_corruption_period = 0;
