exchange: answers without end are cut at a bound

Cause: a request of the process itself (store, weights, health, peers) kept the whole body in memory until its timeout, and any number of interim responses was read. A server in trouble that sends without end filled the memory of an agent, 128 MB on the users' platform, long before the timeout.

Change: a body of more than 8 MiB, or a head with its interim responses of more than 256 KiB, ends the request without an answer and closes the connection.

--- a/source/radishrudder/exchange/fetcher.cc
+++ b/source/radishrudder/exchange/fetcher.cc
@@ -1,9 +1,17 @@
 #include "radishrudder/exchange/fetcher.h"
 
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <utility>
 
 namespace radishrudder::exchange {
+namespace {
+
+// Maximum body of an answer, in bytes. The largest that are asked for are pages
+// of the platform's store: 1 MB of values, or one value of 1 MiB, in base64.
+constexpr std::size_t kMaximumAnswerBytes = 8U << 20U;
+
+}  // namespace
 
 std::string EncodeRequest(std::string_view host, const FetchRequest& request) {
   std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -58,8 +66,24 @@
     m_answer.headers = head.headers;
     return HeadVerdict::kAccept;
   }
-  void OnBody(std::string data) override { m_answer.body += data; }
-  void OnEnd() override { End(std::move(m_answer)); }
+  void OnBody(std::string data) override {
+    if (m_answer.body.size() + data.size() <= kMaximumAnswerBytes) {
+      m_answer.body += data;
+      return;
+    }
+    // The pool must not be called from its own callback.
+    if (!std::exchange(m_too_large, true)) {
+      asio::post(m_fetcher.m_context, [self = shared_from_this()] {
+        if (self->m_done) {
+          self->m_fetcher.m_pool.Cancel(self->m_id);
+          self->End(std::nullopt);
+        }
+      });
+    }
+  }
+  void OnEnd() override {
+    End(m_too_large ? std::nullopt : std::optional(std::move(m_answer)));
+  }
   void OnFailure(Failure failure) override { End(std::nullopt); }
 
  private:
@@ -77,6 +101,7 @@
   Done m_done;
   EndpointPool::ExchangeId m_id = 0;
   FetchedAnswer m_answer;
+  bool m_too_large = false;
 };
 
 Fetcher::~Fetcher() {
--- a/source/radishrudder/exchange/message_reader.cc
+++ b/source/radishrudder/exchange/message_reader.cc
@@ -9,6 +9,9 @@
 
 constexpr int kFirstFinalStatus = 200;
 constexpr int kSwitchingProtocols = 101;
+// Bytes of a response's head and of the interim responses before it. The parser
+// itself allows 80 KiB for each of them.
+constexpr std::size_t kMaximumResponseHeadBytes = 256U << 10U;
 // Returned by the head callback: the message has no body.
 constexpr int kNoBody = 1;
 constexpr std::uint64_t kUnknownLength = ~std::uint64_t{0};
@@ -158,7 +161,12 @@
     const http_errno error = HTTP_PARSER_ERRNO(&state.parser);
     const bool switched = state.kind == Kind::kResponse &&
                           state.parser.status_code == kSwitchingProtocols;
-    state.malformed = switched || (error != HPE_OK && error != HPE_PAUSED);
+    // The parser limits each head, but not the number of interim responses.
+    const bool head_too_large = state.kind == Kind::kResponse &&
+                                !state.head_complete &&
+                                state.head_bytes > kMaximumResponseHeadBytes;
+    state.malformed = switched || head_too_large ||
+                      (error != HPE_OK && error != HPE_PAUSED);
   }
   if (state.malformed) {
     progress.state = ReadState::kMalformed;
--- /dev/null
+++ b/tests/exchange/endless_answer_test.cc
@@ -0,0 +1,161 @@
+// Tests that requests of the process itself end when a server in trouble sends
+// bytes without end, drips, or falls silent.
+#include <gtest/gtest.h>
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "radishrudder/exchange/endpoint_pool.h"
+#include "radishrudder/exchange/fetcher.h"
+
+namespace radishrudder::exchange {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kBlockBytes = 65536;
+constexpr milliseconds kTimeout{2000};
+constexpr milliseconds kDripTimeout{400};
+// Memory of an agent on the users' platform is 128 MB; one answer must leave
+// most of it to others. The kernel's buffers hold some megabytes more.
+constexpr std::size_t kMaximumSentBytes = 24U << 20U;
+
+struct EndlessCase {
+  const char* name = "";
+  std::string start{};
+  std::string repeated{};    // Sent again and again.
+  milliseconds interval{0};  // Between two repetitions.
+  milliseconds timeout{kTimeout};
+};
+
+std::string Block(std::string_view unit) {
+  std::string block;
+  while (block.size() < kBlockBytes) {
+    block += unit;
+  }
+  return block;
+}
+
+// Sends the start and the repeated bytes to whoever connects, until the
+// connection ends.
+class EndlessServer {
+ public:
+  EndlessServer(asio::io_context& context, const EndlessCase& script)
+      : m_acceptor(context,
+                   {asio::ip::address_v4::loopback(), std::uint16_t{0}}),
+        m_socket(context),
+        m_timer(context),
+        m_script(script) {
+    m_acceptor.async_accept(m_socket, [this](std::error_code error) {
+      if (!error) {
+        m_next = m_script.start;
+        Write();
+      }
+    });
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+  }
+  std::size_t SentBytes() const { return m_sent; }
+  bool IsClosed() const { return m_closed; }
+
+ private:
+  void Write() {
+    asio::async_write(m_socket, asio::buffer(m_next),
+                      [this](std::error_code error, std::size_t size) {
+                        m_sent += size;
+                        if (error) {
+                          m_closed = true;
+                        } else if (!m_script.repeated.empty()) {
+                          Repeat();
+                        }
+                      });
+  }
+
+  void Repeat() {
+    m_next = m_script.repeated;
+    if (m_script.interval == milliseconds(0)) {
+      Write();
+      return;
+    }
+    m_timer.expires_after(m_script.interval);
+    m_timer.async_wait([this](std::error_code error) {
+      if (!error) {
+        Write();
+      }
+    });
+  }
+
+  asio::ip::tcp::acceptor m_acceptor;
+  asio::ip::tcp::socket m_socket;
+  asio::steady_timer m_timer;
+  EndlessCase m_script;
+  std::string m_next;
+  std::size_t m_sent = 0;
+  bool m_closed = false;
+};
+
+class EndlessAnswerTest : public testing::TestWithParam<EndlessCase> {};
+
+// Guards against an answer that grows until the process runs out of memory, and
+// against a request that never ends because bytes keep arriving.
+TEST_P(EndlessAnswerTest, EndsWithoutAnAnswer) {
+  asio::io_context context(1);
+  EndpointPool pool(context, {});
+  Fetcher fetcher(context, pool);
+  EndlessServer server(context, GetParam());
+  bool done = false;
+  std::optional<FetchedAnswer> answer;
+  const auto started = std::chrono::steady_clock::now();
+  fetcher.Fetch(server.Address(), {.method = "GET", .target = "/"},
+                GetParam().timeout, [&](std::optional<FetchedAnswer> received) {
+                  done = true;
+                  answer = std::move(received);
+                });
+  while (!done) {
+    context.run_one();
+  }
+  EXPECT_FALSE(answer);
+  EXPECT_LE(server.SentBytes(), kMaximumSentBytes);
+  EXPECT_LE(std::chrono::steady_clock::now() - started,
+            GetParam().timeout + milliseconds(1000));
+  // The server notices that the connection was closed.
+  const bool sends = !GetParam().repeated.empty();
+  for (int step = 0; sends && step < 1000 && !server.IsClosed(); ++step) {
+    context.run_one_for(milliseconds(10));
+  }
+  EXPECT_EQ(server.IsClosed(), sends);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Servers,
+    EndlessAnswerTest,
+    testing::Values(
+        EndlessCase{"HeaderValue", "HTTP/1.1 200 OK\r\nX: ", Block("a")},
+        EndlessCase{"HeaderLines", "HTTP/1.1 200 OK\r\n", Block("A: b\r\n")},
+        EndlessCase{"StatusLine", "HTTP/1.1 200 ", Block("a")},
+        EndlessCase{"NoAnswer", "", Block("xyz")},
+        EndlessCase{"BodyWithoutLength", "HTTP/1.1 200 OK\r\n\r\n", Block("a")},
+        EndlessCase{"BodyInChunks",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    Block("4\r\nabcd\r\n")},
+        EndlessCase{"InterimAnswers", "",
+                    Block("HTTP/1.1 102 Processing\r\n\r\n")},
+        EndlessCase{"DrippingHead", "HTTP/1.1 200 OK\r\nX: ", "a",
+                    milliseconds(20), kDripTimeout},
+        EndlessCase{"DrippingBody", "HTTP/1.1 200 OK\r\n\r\n", "a",
+                    milliseconds(20), kDripTimeout},
+        EndlessCase{"Silent", "HTTP/1.1 200 OK\r\n", "", milliseconds(0),
+                    kDripTimeout}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace radishrudder::exchange
