--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -31,6 +31,10 @@
   // Requests that need a key are refused if the configuration may be older than
   // this, because keys may have been revoked since.
   std::chrono::milliseconds maximum_configuration_age{3000};
+  // An unknown route or key is denied only if the configuration is not older
+  // than this, because a newer one may have added it. Otherwise the request is
+  // refused as not run, and its caller may return.
+  std::chrono::milliseconds maximum_denial_age{1500};
   // Retries that each call adds to the retry budget of its service, and the
   // maximum that the budget holds.
   double retry_budget_ratio = 0.15;
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -158,6 +158,8 @@
     ApplySetting("key-revocation-limit",
                  current.entry.maximum_configuration_age,
                  updated.entry.maximum_configuration_age, change);
+    ApplySetting("configuration-apply-limit", current.entry.maximum_denial_age,
+                 updated.entry.maximum_denial_age, change);
     ApplySetting("retry-budget-ratio", current.entry.retry_budget_ratio,
                  updated.entry.retry_budget_ratio, change);
     ApplySetting("version-switch-limit", current.entry.version_switch_grace,
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -61,6 +61,7 @@
 void Entry::OnSettings(const EntrySettings& settings) {
   EntrySettings& current = m_state->settings;
   current.maximum_configuration_age = settings.maximum_configuration_age;
+  current.maximum_denial_age = settings.maximum_denial_age;
   current.retry_budget_ratio = settings.retry_budget_ratio;
   current.version_switch_grace = settings.version_switch_grace;
   current.undated_version_grace = settings.undated_version_grace;
@@ -146,16 +147,22 @@
     state.Refuse(now, request, id, kUnavailable, Reason::kStaleConfiguration);
     return;
   }
+  const auto deny = [&](int status, Reason reason) {
+    const bool may_deny =
+        state.age.IsWithin(boot_now, state.settings.maximum_denial_age);
+    state.Refuse(now, request, id, may_deny ? status : kUnavailable,
+                 may_deny ? reason : Reason::kStaleConfiguration);
+  };
   if (route == nullptr) {
-    state.Refuse(now, request, id, kNotFound, Reason::kNoRoute);
+    deny(kNotFound, Reason::kNoRoute);
     return;
   }
   const WorkspaceRule* workspace = nullptr;
   if (requires_key) {
     workspace = table.FindWorkspace(request.key);
     if (workspace == nullptr) {
-      state.Refuse(now, request, id, kUnauthorized,
-                   request.key.empty() ? Reason::kNoKey : Reason::kUnknownKey);
+      deny(kUnauthorized,
+           request.key.empty() ? Reason::kNoKey : Reason::kUnknownKey);
       return;
     }
   }
--- a/tests/direct/entry_admission_test.cc
+++ b/tests/direct/entry_admission_test.cc
@@ -42,6 +42,31 @@
                     Denial{"PrefixIsWholeSegments", "key-1", "/ab", 404}),
     [](const auto& info) { return info.param.name; });
 
+class LateDenialTest : public EntryFixture,
+                       public testing::WithParamInterface<Denial> {};
+
+// Guards against a 401 or 404 for a key or a route that a newer configuration
+// has: its news was held up on a full link between regions, and the entry went
+// on denying for longer than a configuration may take. "Not run" is true, so
+// the caller returns.
+TEST_P(LateDenialTest, RefusesAsNotRunWhileANewerConfigurationMayExist) {
+  Start(Route(RouteKind::kNonIdempotent, false));
+  m_boot += milliseconds(2000);
+  Call(GetParam().key, GetParam().path);
+  EXPECT_EQ(ResponseStatus(), GetParam().status);
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(),
+            GetParam().status == 0 ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    LateDenialTest,
+    testing::Values(Denial{"Served", "key-1", "/a/b", 0},
+                    Denial{"NoKey", "", "/a/b", 503},
+                    Denial{"UnknownKey", "key-2", "/a/b", 503},
+                    Denial{"NoRoute", "key-1", "/b/b", 503}),
+    [](const auto& info) { return info.param.name; });
+
 // A suspended machine must not serve a key that was revoked in the meantime.
 // The steady clock does not count the time of the suspension; boot time does.
 TEST_F(AdmissionTest, RefusesKeysAfterSuspensionUntilConfigurationIsConfirmed) {
