dissemination, serving: few agents a region read the store, the others ask them

Cause: 265 agents each watched all of the operator's keys and read the list of endpoints, 90 KB, every 1 to 4 s. Entries called the store without a pause, since with hundreds of endpoints a heartbeat ends each watch at once.

Change: agents watch the declared versions alone, 25 s at a time, and read the configuration once a minute. A class without a network, InstanceListRelay, keeps the list: two agents a region read it, a changed one goes down a tree, the others confirm theirs by its hash every 10 s and read the store only after three questions without an answer. A version whose list passes by is read from the store after half a second if the watch has not delivered it. Entries pause 400 ms between two watches of the endpoints.

--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -16,6 +16,7 @@
 
 #include "radishrudder/direct/configuration.h"
 #include "radishrudder/direct/endpoint_list.h"
+#include "radishrudder/dissemination/instance_list_relay.h"
 #include "radishrudder/exchange/endpoint_pool.h"
 #include "radishrudder/exchange/fetcher.h"
 #include "radishrudder/exchange/frame_links.h"
@@ -76,21 +77,26 @@
         m_pool(context, {}),
         m_fetcher(context, m_pool),
         m_links(context, [this](std::string_view frame) { OnFrame(frame); }),
-        m_operator_follower(context,
-                            m_fetcher,
-                            {.address = m_settings.store_address,
-                             .prefix = std::string(Platform::kOperatorPrefix),
-                             .reader = {.watch_wait = kWatchWait}},
-                            kernel::Random(m_random.Next()),
-                            [this](dissemination::StoreOutput output) {
-                              OnOperatorOutput(output);
-                            }),
+        m_version_follower(context,
+                           m_fetcher,
+                           {.address = m_settings.store_address,
+                            .prefix = std::string(Platform::kVersionPrefix),
+                            .reader = {.watch_wait = kWatchWait}},
+                           kernel::Random(m_random.Next()),
+                           [this](dissemination::StoreOutput output) {
+                             OnVersionOutput(output);
+                           }),
+        m_instance_list({.self = {m_settings.ip, m_random.Next()},
+                         .service = m_settings.service,
+                         .region = m_settings.region,
+                         .regions = m_settings.regions},
+                        kernel::Random(m_random.Next())),
         m_tick(context) {}
 
   std::error_code Start() {
     const std::error_code error = m_links.Listen(m_settings.peers_address);
     if (!error) {
-      m_operator_follower.Start();
+      m_version_follower.Start();
       Tick();
     }
     return error;
@@ -132,14 +138,19 @@
 
  private:
   // The response of a watch without changes only shows that the store is
-  // reachable, which an agent does not have to know at once.
-  static constexpr std::chrono::milliseconds kWatchWait{4000};
+  // reachable, which an agent does not have to know at once: the connection's
+  // probes notice a store that fell silent, and other agents tell of versions
+  // that this one has missed. The platform's limit is 30 s.
+  static constexpr std::chrono::milliseconds kWatchWait{25000};
+  // The configuration names the model and the origin, which hardly ever change.
+  static constexpr std::chrono::milliseconds kConfigurationInterval{60000};
+  static constexpr std::chrono::milliseconds kConfigurationRetryInterval{1000};
+  // A version that another agent has seen is read from the store if the watch
+  // has not delivered it within this time.
+  static constexpr std::chrono::milliseconds kMissedVersionDelay{500};
+  static constexpr std::chrono::milliseconds kVersionReadTimeout{800};
   static constexpr std::chrono::milliseconds kMinimumTickInterval{20};
   static constexpr std::chrono::milliseconds kMaximumTickInterval{200};
-  // Intervals between reads of the endpoint list, while a version is being
-  // rolled out and otherwise.
-  static constexpr std::chrono::milliseconds kRolloutListInterval{1000};
-  static constexpr std::chrono::milliseconds kIdleListInterval{4000};
   static constexpr std::chrono::milliseconds kEndpointTimeout{1000};
   static constexpr std::chrono::milliseconds kOriginTimeout{2500};
   // A version must reach all instances within seconds: transfer timeouts are a
@@ -157,7 +168,7 @@
   // Share of this instance's link that chunks may use.
   static constexpr double kLinkShare = 0.9;
 
-  void OnOperatorOutput(const dissemination::StoreOutput& output) {
+  void OnVersionOutput(const dissemination::StoreOutput& output) {
     const std::vector<dissemination::StoreItem>* items = nullptr;
     if (const auto* snapshot =
             std::get_if<dissemination::PrefixSnapshot>(&output)) {
@@ -168,36 +179,30 @@
     } else if (std::holds_alternative<dissemination::StoreUnreachable>(
                    output)) {
       logging::Log(logging::kStoreLost,
-                   {{"prefix", std::string(Platform::kOperatorPrefix)},
-                    {"problem", m_operator_follower.Problem()}});
+                   {{"prefix", std::string(Platform::kVersionPrefix)},
+                    {"problem", m_version_follower.Problem()}});
     } else if (std::holds_alternative<dissemination::StoreRecovered>(output)) {
       logging::Log(logging::kStoreRegained,
-                   {{"prefix", std::string(Platform::kOperatorPrefix)}});
+                   {{"prefix", std::string(Platform::kVersionPrefix)}});
     }
     if (items == nullptr) {
       return;
     }
     const bool is_snapshot =
         std::holds_alternative<dissemination::PrefixSnapshot>(output);
-    // The configuration names the model, so it is applied before versions.
-    for (const dissemination::StoreItem& item : *items) {
-      if (!item.removed && Platform::IsConfiguration(item.key)) {
-        OnConfiguration(item);
-      }
-    }
     for (const dissemination::StoreItem& item : *items) {
       if (!item.removed && Platform::IsVersion(item.key)) {
         OnVersion(item, !is_snapshot);
       }
     }
-    m_operator_prefix_read = m_operator_prefix_read || is_snapshot;
+    m_versions_read = m_versions_read || is_snapshot;
     AssumeFirstVersion();
   }
 
   // Endpoints start with the first version even if the store does not declare
   // it.
   void AssumeFirstVersion() {
-    if (m_operator_prefix_read && m_stager &&
+    if (m_versions_read && m_stager &&
         m_declared.find(m_model) == m_declared.end()) {
       m_declared[m_model] = kFirstVersion;
       m_stager->OnVersionDeclared(kernel::Now(), {m_model, kFirstVersion},
@@ -240,7 +245,6 @@
     m_declared[version->model] =
         std::max(m_declared[version->model], version->number);
     if (m_stager && version->model == m_model) {
-      m_next_list = kernel::Now();
       m_stager->OnVersionDeclared(kernel::Now(), *version, newly_declared);
       TakeOutputs();
     }
@@ -273,18 +277,100 @@
       m_stager->OnVersionDeclared(kernel::Now(), {m_model, declared->second},
                                   /*newly_declared=*/false);
     }
+    ApplyList();
+    AssumeFirstVersion();
     TakeOutputs();
   }
 
+  // Requests a prefix of the store once; the answer may be some seconds old if
+  // `stale`. Calls `done` with the items, or with nothing and the problem.
+  template <typename Done>
+  void ReadOnce(std::string_view prefix,
+                bool stale,
+                std::chrono::milliseconds timeout,
+                Done done) {
+    m_fetcher.Fetch(
+        m_settings.store_address,
+        stale ? Platform::Store::EncodeStalePage(prefix, {})
+              : Platform::Store::EncodePage(prefix, {}),
+        timeout,
+        [prefix = std::string(prefix),
+         done](std::optional<exchange::FetchedAnswer> response) {
+          std::string problem = "no answer";
+          auto decoded = response ? Platform::Store::Decode(*response, problem)
+                                  : std::nullopt;
+          if (!decoded) {
+            logging::Log(logging::kHttpFailed,
+                         {{"target", prefix}, {"problem", problem}});
+            done(std::optional<std::vector<dissemination::StoreItem>>());
+          } else {
+            done(std::optional(std::move(decoded->items)));
+          }
+        });
+  }
+
+  void ReadConfiguration() {
+    m_next_configuration = kernel::Time::max();
+    ReadOnce(Platform::kConfigurationKey, /*stale=*/true, kListTimeout,
+             [this](const auto& items) {
+               for (const dissemination::StoreItem& item :
+                    items.value_or(std::vector<dissemination::StoreItem>())) {
+                 if (Platform::IsConfiguration(item.key)) {
+                   OnConfiguration(item);
+                 }
+               }
+               m_next_configuration =
+                   kernel::Now() + Jitter(m_stager
+                                              ? kConfigurationInterval
+                                              : kConfigurationRetryInterval);
+             });
+  }
+
+  void ReadMissedVersion() {
+    m_missed_version_read_at = kernel::Time::max();
+    if (m_declared[m_model] >= m_missed_version) {
+      return;
+    }
+    ReadOnce(Platform::kVersionPrefix, /*stale=*/false, kVersionReadTimeout,
+             [this](const auto& items) {
+               for (const dissemination::StoreItem& item :
+                    items.value_or(std::vector<dissemination::StoreItem>())) {
+                 if (Platform::IsVersion(item.key)) {
+                   OnVersion(item, /*newly_declared=*/true);
+                 }
+               }
+               if (m_declared[m_model] < m_missed_version) {
+                 m_missed_version_read_at =
+                     kernel::Now() + Jitter(kMissedVersionDelay);
+               }
+             });
+  }
+
+  // Half to one and a half times the duration, so that agents do not act at the
+  // same time.
+  kernel::Duration Jitter(kernel::Duration duration) {
+    return std::chrono::duration_cast<kernel::Duration>(
+        duration * (0.5 + m_random.Uniform()));
+  }
+
   std::string RegionOf(const std::string& data_centre) const {
     const auto found = m_settings.regions.find(data_centre);
     return found == m_settings.regions.end() ? data_centre : found->second;
   }
 
-  void ReadList() {
-    m_list_requested = true;
-    m_listed.clear();
-    ReadListPage({});
+  void TakeListOutputs() {
+    for (dissemination::RelayOutput& output : m_instance_list.TakeOutputs()) {
+      if (auto* send = std::get_if<wire::Send>(&output)) {
+        Execute(*send);
+      } else if (std::holds_alternative<dissemination::ReadInstanceList>(
+                     output)) {
+        m_list_requested_at = kernel::Now();
+        m_listed.clear();
+        ReadListPage({});
+      } else {
+        ApplyList();
+      }
+    }
   }
 
   void ReadListPage(const dissemination::ReadPage& page) {
@@ -301,18 +387,24 @@
     const auto decoded =
         response ? Platform::Store::Decode(*response, problem) : std::nullopt;
     if (!decoded) {
-      // The previous list stays in use until a retry succeeds.
+      // The previous list stays in use.
       logging::Log(logging::kHttpFailed,
                    {{"target", std::string(Platform::kEndpointPrefix)},
                     {"problem", problem}});
-      m_list_requested = false;
-      m_next_list = kernel::Now() + kRolloutListInterval;
+      m_instance_list.OnListRead(kernel::Now(), m_list_requested_at,
+                                 std::nullopt);
+      TakeListOutputs();
       return;
     }
     for (const dissemination::StoreItem& item : decoded->items) {
       kernel::Findings findings;
-      if (auto endpoint = Platform::DecodeEndpoint(item, findings)) {
-        m_listed.push_back(std::move(*endpoint));
+      const auto endpoint = Platform::DecodeEndpoint(item, findings);
+      if (endpoint && endpoint->service == m_settings.service) {
+        // An endpoint's agent runs on the same machine and has the same IP.
+        m_listed.push_back({.instance = endpoint->address.substr(
+                                0, endpoint->address.find(':')),
+                            .data_centre = endpoint->data_centre,
+                            .leaving = endpoint->leaving});
       }
       LogFindings(findings);
     }
@@ -320,26 +412,22 @@
       ReadListPage({decoded->items.back().key});
       return;
     }
-    m_list_requested = false;
-    m_next_list = kernel::Now() + (m_rollout_in_progress ? kRolloutListInterval
-                                                         : kIdleListInterval);
-    ApplyList();
+    m_instance_list.OnListRead(kernel::Now(), m_list_requested_at,
+                               std::exchange(m_listed, {}));
+    TakeListOutputs();
   }
 
   void ApplyList() {
-    if (!m_stager) {
+    if (!m_stager || !m_instance_list.ReadAt()) {
       return;
     }
     std::vector<weights::TransferPeer> peers;
-    for (const direct::ListedEndpoint& endpoint : m_listed) {
-      if (endpoint.service == m_settings.service) {
-        // An endpoint's agent runs on the same machine and has the same IP.
-        peers.push_back(
-            {.instance = endpoint.address.substr(0, endpoint.address.find(':')),
-             .data_centre = endpoint.data_centre,
-             .region = RegionOf(endpoint.data_centre),
-             .alive = !endpoint.leaving});
-      }
+    for (const dissemination::RelayedInstance& instance :
+         m_instance_list.Instances()) {
+      peers.push_back({.instance = instance.instance,
+                       .data_centre = instance.data_centre,
+                       .region = RegionOf(instance.data_centre),
+                       .alive = !instance.leaving});
     }
     m_stager->OnPeers(kernel::Now(), std::move(peers));
     TakeOutputs();
@@ -352,7 +440,9 @@
                    {{"bytes", std::to_string(frame.size())}});
       return;
     }
-    if (m_stager) {
+    if (m_instance_list.OnMessage(kernel::Now(), message)) {
+      TakeListOutputs();
+    } else if (m_stager) {
       m_stager->OnMessage(kernel::Now(), message);
       TakeOutputs();
     }
@@ -424,21 +514,19 @@
         });
   }
   void Execute(staging::RequestReport&) {
-    m_fetcher.Fetch(
-        m_settings.endpoint_address, Platform::Endpoint::EncodeReport(),
-        kEndpointTimeout,
-        [this](std::optional<exchange::FetchedAnswer> response) {
-          staging::EndpointReport report;
-          if (response && response->status == kOk) {
-            kernel::Findings findings;
-            report = Platform::DecodeReport(response->body, findings);
-            LogFindings(findings);
-          }
-          m_rollout_in_progress = !report.reachable || report.version == 0 ||
-                                  report.version < m_declared[m_model];
-          m_stager->OnReport(kernel::Now(), report);
-          TakeOutputs();
-        });
+    m_fetcher.Fetch(m_settings.endpoint_address,
+                    Platform::Endpoint::EncodeReport(), kEndpointTimeout,
+                    [this](std::optional<exchange::FetchedAnswer> response) {
+                      staging::EndpointReport report;
+                      if (response && response->status == kOk) {
+                        kernel::Findings findings;
+                        report =
+                            Platform::DecodeReport(response->body, findings);
+                        LogFindings(findings);
+                      }
+                      m_stager->OnReport(kernel::Now(), report);
+                      TakeOutputs();
+                    });
   }
   void Execute(staging::OrderLoad& output) {
     m_fetcher.Fetch(m_settings.endpoint_address,
@@ -450,12 +538,14 @@
                       TakeOutputs();
                     });
   }
-  // The watch of the declarations delivers the version.
+  // The next read of the declarations finds the version.
   void Execute(staging::NewerVersionSeen& output) {
     logging::Log(logging::kNewerVersionSeen,
                  {{"instance", m_settings.instance},
                   {"model", output.version.model},
                   {"version", std::to_string(output.version.number)}});
+    m_missed_version = output.version.number;
+    m_missed_version_read_at = kernel::Now() + Jitter(kMissedVersionDelay);
   }
   void Execute(staging::ProgressReport& output) {
     logging::Log(EventOf(output.kind),
@@ -517,8 +607,13 @@
 
   void Tick() {
     const kernel::Time now = kernel::Now();
-    if (!m_list_requested && now >= m_next_list) {
-      ReadList();
+    m_instance_list.OnTick(now);
+    TakeListOutputs();
+    if (now >= m_next_configuration) {
+      ReadConfiguration();
+    }
+    if (now >= m_missed_version_read_at) {
+      ReadMissedVersion();
     }
     if (now >= m_next_idle_check) {
       m_next_idle_check = now + kMaximumTickInterval;
@@ -548,18 +643,20 @@
   exchange::EndpointPool m_pool;
   exchange::Fetcher m_fetcher;
   exchange::FrameLinks m_links;
-  StoreFollower<typename Platform::Store> m_operator_follower;
+  StoreFollower<typename Platform::Store> m_version_follower;
+  dissemination::InstanceListRelay m_instance_list;
   asio::steady_timer m_tick;
   direct::ConfigurationTable m_configuration;
   direct::ServiceRule m_origin;
   std::string m_model;
   std::map<std::string, std::uint64_t> m_declared;
   std::unique_ptr<staging::Stager> m_stager;
-  std::vector<direct::ListedEndpoint> m_listed;
-  bool m_operator_prefix_read = false;  // The complete prefix was read once.
-  bool m_list_requested = false;
-  bool m_rollout_in_progress = true;
-  kernel::Time m_next_list{};
+  std::vector<dissemination::RelayedInstance> m_listed;  // Pages read so far.
+  kernel::Time m_list_requested_at{};
+  bool m_versions_read = false;  // All declarations were read once.
+  kernel::Time m_next_configuration{};
+  std::uint64_t m_missed_version = 0;
+  kernel::Time m_missed_version_read_at = kernel::Time::max();
   kernel::Time m_next_idle_check{};
 };
 
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -103,7 +103,9 @@
         m_endpoint_follower(
             context,
             m_fetcher,
-            {m_settings.store_address, std::string(Platform::kEndpointPrefix)},
+            {.address = m_settings.store_address,
+             .prefix = std::string(Platform::kEndpointPrefix),
+             .reader = {.next_watch_delay = kEndpointWatchPause}},
             kernel::Random(random.Next()),
             [this](dissemination::StoreOutput output) {
               OnEndpointOutput(std::move(output));
@@ -209,6 +211,10 @@
   static constexpr std::string_view kPeersPath = "/peers";
   // A peer that answers later tells nothing while a decision is due.
   static constexpr std::chrono::milliseconds kPeerTimeout{500};
+  // With hundreds of endpoints there is always a heartbeat, which ends a watch
+  // at once. The pause bounds the calls to the store; a leaving endpoint is
+  // known this much later, of the seconds that it still serves.
+  static constexpr std::chrono::milliseconds kEndpointWatchPause{400};
   static constexpr std::chrono::milliseconds kTickInterval{25};
   static constexpr std::chrono::milliseconds kMaintenanceInterval{250};
   // The platform may take this long to route callers elsewhere after the
