staging: agents that do not know the others yet keep their turn at the origin

Cause: before its first list of instances an agent took itself for the first in the order.

Change: the turn is computed anew when the others become known. An agent that hears of no other waits five seconds, with jitter, instead of two.

--- a/source/radishrudder/staging/list_search.cc
+++ b/source/radishrudder/staging/list_search.cc
@@ -30,8 +30,9 @@
 constexpr milliseconds kAskInterval{250};
 // One in so many requests goes to any region, the others to the own one.
 constexpr std::uint32_t kAsksPerDistantAsk = 4;
-// An instance that does not know the others yet waits this long for them.
-constexpr milliseconds kPeersTimeout{2000};
+// An instance that does not know the others yet waits this long for them. Many
+// instances that start at the same time read them slowly.
+constexpr milliseconds kPeersTimeout{5000};
 constexpr std::size_t kMaximumWaiting = 4096;
 constexpr double kMinimumJitter = 0.75;
 constexpr double kJitterRange = 0.5;
@@ -39,15 +40,19 @@
 
 }  // namespace
 
-void ListSearch::OnPeers(std::span<const weights::TransferPeer> peers) {
+void ListSearch::OnPeers(kernel::Time now,
+                         std::span<const weights::TransferPeer> peers) {
   m_peers.clear();
   for (const weights::TransferPeer& peer : peers) {
     if (peer.alive && peer.instance != m_instance) {
       m_peers.push_back(peer);
     }
   }
-  m_peers_known = true;
   UpdateOrder();
+  if (!std::exchange(m_peers_known, true) && m_active) {
+    // Until now, this instance took itself for the first one.
+    m_next_origin = now + OriginDelay();
+  }
 }
 
 std::vector<weights::TransferPeer> ListSearch::OrderFor(
@@ -88,9 +93,9 @@
   m_origin_asked = false;
   m_origin_failures = 0;
   m_instances_asked = 0;
-  m_started = now;
   m_waiting.clear();
   UpdateOrder();
+  m_peers_deadline = now + Jitter(kPeersTimeout);
   m_next_origin = now + OriginDelay();
   m_next_instance = newly_declared ? now + Jitter(kTreeTime) : now;
 }
@@ -152,7 +157,7 @@
   if (!m_active) {
     return steps;
   }
-  const bool may_ask_origin = m_peers_known || now - m_started >= kPeersTimeout;
+  const bool may_ask_origin = m_peers_known || now >= m_peers_deadline;
   if (!m_origin_asked && may_ask_origin && now >= m_next_origin) {
     m_origin_asked = true;
     steps.emplace_back(AskOrigin{});
--- a/source/radishrudder/staging/list_search.h
+++ b/source/radishrudder/staging/list_search.h
@@ -45,7 +45,7 @@
 
   // Sets the instances of the service. Those that are not alive are left out;
   // this instance may be missing.
-  void OnPeers(std::span<const weights::TransferPeer> peers);
+  void OnPeers(kernel::Time now, std::span<const weights::TransferPeer> peers);
   // Starts the search for the list of `file`. `newly_declared`: the other
   // instances start at the same time. Otherwise they probably have the list.
   void Start(kernel::Time now, std::string_view file, bool newly_declared);
@@ -91,7 +91,8 @@
   bool m_origin_only = false;
   bool m_origin_asked = false;  // An answer is awaited.
   std::uint32_t m_origin_failures = 0;
-  kernel::Time m_started{};
+  // The origin may be asked then even if no other instance is known.
+  kernel::Time m_peers_deadline{};
   kernel::Time m_next_origin{};
   kernel::Time m_next_instance{};
   std::uint32_t m_instances_asked = 0;
--- a/source/radishrudder/staging/stager.cc
+++ b/source/radishrudder/staging/stager.cc
@@ -284,7 +284,7 @@
 void Stager::OnPeers(kernel::Time now,
                      std::vector<weights::TransferPeer> peers) {
   m_state->peer_count = peers.size();
-  m_state->list_search.OnPeers(peers);
+  m_state->list_search.OnPeers(now, peers);
   m_state->transfer.OnPeers(now, std::move(peers));
   OnTick(now);
 }
