staging: turns to load are spread over the time left after a late transfer

Cause: turns start from 2.6 s to 6.2 s after a declaration, whatever the transfer takes. On the large deployment an instance has the version after 5.2 s: two thirds of the turns had passed, so two thirds of the instances loaded at the same moment and served nobody meanwhile.

Change: the turns of an instance begin when it has staged the version, if that is later than the first turn. The last turn stays where it is: where the limit and serving can't both be kept, the limit wins.

In the fleet of StagerTurnTest 23 of 64 endpoints loaded at once before; the bound, a third, holds after.

--- a/source/radishrudder/staging/stager_state.h
+++ b/source/radishrudder/staging/stager_state.h
@@ -34,6 +34,8 @@
   // starts, by index.
   std::map<std::uint32_t, std::string> local_pieces{};
   bool complete = false;  // This instance has all pieces.
+  // When all pieces were first in the local staging area.
+  std::optional<kernel::Time> staged_at{};
 
   const weights::Digest& DigestOf(std::uint32_t index) const {
     return manifest->chunks[index].digest;
@@ -91,7 +93,8 @@
                        const weights::ChunkRejected& rejected);
 
   // Returns when the local endpoint's turn starts. The turns are spread over
-  // the time from `begin` to `end` after the declaration.
+  // the time from `begin` to `end` after the declaration, or from when the
+  // version was staged if that was later.
   kernel::Time TurnStart(const DeclaredVersion& version,
                          std::chrono::milliseconds begin,
                          std::chrono::milliseconds end) const;
--- a/source/radishrudder/staging/stager_steps.cc
+++ b/source/radishrudder/staging/stager_steps.cc
@@ -36,15 +36,22 @@
   }
   // The declaration time of an older version is unknown, so its turns start at
   // once.
-  const kernel::Time first = version.newly_declared
-                                 ? version.declared_at + begin
-                                 : version.declared_at;
+  if (!version.newly_declared) {
+    end -= begin;
+    begin = milliseconds(0);
+  }
+  const kernel::Time last = version.declared_at + end;
+  // Most instances have the version at about the same time. If that is after
+  // the first turns, these do not all start at once.
+  const kernel::Time first =
+      std::min(last, std::max(version.declared_at + begin,
+                              version.staged_at.value_or(kernel::Time{})));
   const std::size_t count =
       std::max<std::size_t>({peer_count, list_search.InstanceCount(), 1});
   const double share =
       static_cast<double>(list_search.Rank()) / static_cast<double>(count);
   return first +
-         std::chrono::duration_cast<kernel::Duration>((end - begin) * share);
+         std::chrono::duration_cast<kernel::Duration>((last - first) * share);
 }
 
 void Stager::State::RequestReportIfDue(kernel::Time now) {
@@ -207,6 +214,9 @@
   }
   if (phase == Phase::kStaging) {
     phase = Phase::kWaitingForTurn;
+    if (!target.staged_at) {
+      target.staged_at = now;
+    }
     ReportProgress(ProgressReport::Kind::kStaged, target);
   }
   if (phase == Phase::kWaitingForTurn) {
--- a/tests/staging/stager_test.cc
+++ b/tests/staging/stager_test.cc
@@ -60,6 +60,34 @@
   ExpectAllLoaded(2);
 }
 
+// Guards against a fleet that loads all at once and serves nobody meanwhile:
+// the pieces arrived only after most turns had started, because the origin was
+// slow.
+TEST(StagerTurnTest, SpreadsTurnsOverTheTimeLeftAfterALateTransfer) {
+  constexpr std::size_t kFleet = 64;
+  // The version of 2 MB takes at least 3 s of the 6.2 s until the last turn.
+  StagerFleet fleet({.instances = kFleet,
+                     .seed = 5,
+                     .regions = 3,
+                     .origin_bytes_per_second = 0.7e6});
+  fleet.DeclareVersion(1, /*newly_declared=*/false);
+  fleet.Run(milliseconds(3000));
+  fleet.DeclareVersion(2, /*newly_declared=*/true);
+  std::size_t maximum_busy = 0;
+  for (int step = 0; step < 160; ++step) {
+    fleet.Run(milliseconds(50));
+    std::size_t busy = 0;
+    for (std::size_t i = 0; i < kFleet; ++i) {
+      busy += fleet.Endpoint(i).busy ? 1 : 0;
+    }
+    maximum_busy = std::max(maximum_busy, busy);
+  }
+  EXPECT_LE(maximum_busy, kFleet / 3);
+  for (std::size_t i = 0; i < kFleet; ++i) {
+    EXPECT_TRUE(fleet.LoadedCompletely(i, 2)) << fleet.Explain(i);
+  }
+}
+
 // Guards against an added instance that stays empty: its endpoint has no model,
 // and no version is newly declared before the first change.
 TEST_P(StagerTest, AddedInstanceReceivesVersionFromOtherInstances) {
