dissemination: a confirmation of a list that was never sent does no harm

Cause: InstanceListRelay took the time of its own list after any message that confirms one. Without a list of its own, that read an empty optional: one malformed message could end the process.

Change: an instance without a list takes only whole lists.

--- a/source/radishrudder/dissemination/instance_list_relay.cc
+++ b/source/radishrudder/dissemination/instance_list_relay.cc
@@ -157,14 +157,11 @@
     return true;
   }
   const kernel::Time read_at = now - milliseconds(list.age_milliseconds());
-  if (m_read_at && read_at <= *m_read_at) {
+  const bool is_useful = m_read_at ? read_at > *m_read_at : !list.unchanged();
+  if (!is_useful) {
     return true;
   }
-  if (list.unchanged() || list.hash() == m_hash) {
-    if (list.hash() == m_hash && m_read_at) {
-      m_read_at = read_at;
-    }
-  } else {
+  if (!m_read_at || (!list.unchanged() && list.hash() != m_hash)) {
     std::vector<RelayedInstance> instances;
     for (const wire::ListedInstance& listed : list.instances()) {
       instances.push_back(
@@ -172,6 +169,8 @@
     }
     Adopt(read_at, std::move(instances));
     Forward(now);
+  } else if (list.hash() == m_hash) {
+    m_read_at = read_at;
   }
   m_questions = 0;
   if (!m_read_in_progress && !IsReader()) {
--- a/tests/dissemination/instance_list_relay_test.cc
+++ b/tests/dissemination/instance_list_relay_test.cc
@@ -242,6 +242,26 @@
   EXPECT_EQ(relay.Instances().size(), 1U);
 }
 
+// Guards against a message that a correct peer does not send ending the
+// process: it confirms a list that this instance never had.
+TEST(InstanceListRelayAgeTest, SurvivesConfirmationWithoutAList) {
+  const kernel::Time now{std::chrono::hours(1)};
+  RelaySettings settings;
+  settings.self = {"a", 1};
+  settings.service = "draft";
+  InstanceListRelay relay(settings, kernel::Random(1));
+  wire::Envelope message;
+  message.mutable_instance_list()->set_service("draft");
+  message.mutable_instance_list()->set_unchanged(true);
+  message.mutable_instance_list()->set_hash(7);
+  EXPECT_TRUE(relay.OnMessage(now, message));
+  EXPECT_FALSE(relay.ReadAt());
+  relay.OnTick(now);
+  const auto outputs = relay.TakeOutputs();
+  ASSERT_EQ(outputs.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<ReadInstanceList>(outputs.front()));
+}
+
 // Messages of another service must not change the list.
 TEST(InstanceListRelayAgeTest, IgnoresOtherServices) {
   RelaySettings settings;
