--- a/source/radishrudder/exchange/message_reader.cc
+++ b/source/radishrudder/exchange/message_reader.cc
@@ -165,8 +165,8 @@
     const bool head_too_large = state.kind == Kind::kResponse &&
                                 !state.head_complete &&
                                 state.head_bytes > kMaximumResponseHeadBytes;
-    state.malformed = switched || head_too_large ||
-                      (error != HPE_OK && error != HPE_PAUSED);
+    state.malformed =
+        switched || head_too_large || (error != HPE_OK && error != HPE_PAUSED);
   }
   if (state.malformed) {
     progress.state = ReadState::kMalformed;
