serving: an agent reads a version that it missed at most five times

Found by reading.

Change: five reads for each version, half a second apart with jitter. The watch goes on in any case.

--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -148,6 +148,9 @@
   // A version that another agent has seen is read from the store if the watch
   // has not delivered it within this time.
   static constexpr std::chrono::milliseconds kMissedVersionDelay{500};
+  // Reads for one version. The store may not have it: it came back from an
+  // older copy, or the other agent is wrong. The watch goes on in any case.
+  static constexpr std::uint32_t kMaximumMissedVersionReads = 5;
   static constexpr std::chrono::milliseconds kVersionReadTimeout{800};
   static constexpr std::chrono::milliseconds kMinimumTickInterval{20};
   static constexpr std::chrono::milliseconds kMaximumTickInterval{200};
@@ -328,7 +331,8 @@
 
   void ReadMissedVersion() {
     m_missed_version_read_at = kernel::Time::max();
-    if (m_declared[m_model] >= m_missed_version) {
+    if (m_declared[m_model] >= m_missed_version ||
+        ++m_missed_version_reads > kMaximumMissedVersionReads) {
       return;
     }
     ReadOnce(Platform::kVersionPrefix, /*stale=*/false, kVersionReadTimeout,
@@ -545,6 +549,7 @@
                   {"model", output.version.model},
                   {"version", std::to_string(output.version.number)}});
     m_missed_version = output.version.number;
+    m_missed_version_reads = 0;
     m_missed_version_read_at = kernel::Now() + Jitter(kMissedVersionDelay);
   }
   void Execute(staging::ProgressReport& output) {
@@ -656,6 +661,7 @@
   bool m_versions_read = false;  // All declarations were read once.
   kernel::Time m_next_configuration{};
   std::uint64_t m_missed_version = 0;
+  std::uint32_t m_missed_version_reads = 0;
   kernel::Time m_missed_version_read_at = kernel::Time::max();
   kernel::Time m_next_idle_check{};
 };
