kernel, platform, daemon, apps: stray signals end no server

SIGUSR1, SIGUSR2, SIGALRM, SIGPIPE and others from outside still ended all servers, and SIGHUP a daemon that had drained and not exited, because the last asio::signal_set restores the default action.

Change: servers ignore these signals first of all unless something else handles them; a daemon keeps its handlers until the process is gone.

--- a/apps/radishrudder-agent/main.cc
+++ b/apps/radishrudder-agent/main.cc
@@ -1,8 +1,10 @@
 #include "radishrudder/daemon/agent_daemon.h"
 #include "radishrudder/daemon/run.h"
+#include "radishrudder/kernel/process_signals.h"
 #include "radishrudder/settings/settings.h"
 
 int main(int argc, char** argv) {
+  radishrudder::kernel::IgnoreStraySignals();
   using radishrudder::daemon::AgentDaemon;
   using radishrudder::daemon::AgentSettings;
   constexpr std::string_view kProgram = "radishrudder-agent";
--- a/apps/radishrudder-standin/serve.cc
+++ b/apps/radishrudder-standin/serve.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "radishrudder/kernel/findings.h"
+#include "radishrudder/kernel/process_signals.h"
 #include "radishrudder/settings/settings.h"
 
 namespace radishrudder::standin {
@@ -22,6 +23,7 @@
 }  // namespace
 
 int Serve(std::uint16_t port, const MakeStandIn& make) {
+  kernel::IgnoreStraySignals();
   // Blocked before the first thread starts, which inherits this.
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
--- a/source/radishrudder/daemon/run.cc
+++ b/source/radishrudder/daemon/run.cc
@@ -15,6 +15,14 @@
 // A leaving process stays this long, so that its peers hear of it.
 constexpr std::chrono::milliseconds kFarewell{500};
 
+// Signals that a daemon handles, until the process is gone. The last
+// `asio::signal_set` of a signal restores its default action, which would end a
+// process that is stopping; this one is never destroyed.
+struct ProcessSignals {
+  asio::io_context context{};
+  asio::signal_set signals{context, SIGTERM, SIGINT, SIGHUP};
+};
+
 // Waits for signals and ends the drain.
 class Supervisor {
  public:
@@ -106,6 +114,8 @@
 int Run(std::string_view program,
         const NodeSettings& settings,
         const DaemonControls& controls) {
+  static const ProcessSignals* const signals = new ProcessSignals;
+  static_cast<void>(signals);
   logging::Initialize(program, settings.log_level);
   Supervisor supervisor(settings, controls);
   if (const std::error_code error = controls.start()) {
--- a/tests/platform/running_program.cc
+++ b/tests/platform/running_program.cc
@@ -13,6 +13,7 @@
 #include <iterator>
 #include <sstream>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace radishrudder::platform {
@@ -52,15 +53,19 @@
   return kFirst;
 }
 
-std::string ProgramPath(const std::string& role) {
-  return std::string(RADISHRUDDER_PROGRAM_DIRECTORY) +
-         "/radishrudder-platform-" + role;
-}
-
 }  // namespace
 
 RunningProgram::RunningProgram(std::string_view role)
-    : m_role(role), m_first_port(FindPorts()) {
+    : RunningProgram("radishrudder-platform-" + std::string(role),
+                     std::vector<std::string>()) {
+  m_arguments = {"--settings=" + m_directory + "/settings.json"};
+}
+
+RunningProgram::RunningProgram(std::string_view program,
+                               std::vector<std::string> arguments)
+    : m_program(program),
+      m_arguments(std::move(arguments)),
+      m_first_port(FindPorts()) {
   std::string pattern =
       std::filesystem::temp_directory_path() / "radishrudder-XXXXXX";
   m_directory = mkdtemp(pattern.data());
@@ -104,8 +109,15 @@
 }
 
 void RunningProgram::Start() {
-  const std::string program = ProgramPath(m_role);
-  const std::string settings = "--settings=" + m_directory + "/settings.json";
+  const std::string program =
+      std::string(RADISHRUDDER_PROGRAM_DIRECTORY) + "/" + m_program;
+  std::vector<std::string> words{program};
+  words.insert(words.end(), m_arguments.begin(), m_arguments.end());
+  std::vector<char*> arguments;
+  for (std::string& word : words) {
+    arguments.push_back(word.data());
+  }
+  arguments.push_back(nullptr);
   const std::string log = m_directory + "/log";
   m_status.reset();
   m_pid = fork();
@@ -113,7 +125,7 @@
     const int file = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
-    execl(program.c_str(), program.c_str(), settings.c_str(), nullptr);
+    execv(program.c_str(), arguments.data());
     _exit(127);
   }
 }
--- a/tests/platform/running_program.h
+++ b/tests/platform/running_program.h
@@ -8,15 +8,19 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace radishrudder::platform {
 
-// One of the platform's programs as a separate process, with a settings file of
-// its own. Its log is written to a file. The destructor kills the process.
+// A program of this project as a separate process. Its log is written to a
+// file. The destructor kills the process.
 class RunningProgram {
  public:
-  // `role` is "entry" or "agent". Does not start the process.
+  // One of the platform's programs, `role` "entry" or "agent", with a settings
+  // file of its own. Does not start the process.
   explicit RunningProgram(std::string_view role);
+  // Another program. Does not start the process.
+  RunningProgram(std::string_view program, std::vector<std::string> arguments);
   ~RunningProgram();
   RunningProgram(const RunningProgram&) = delete;
   RunningProgram& operator=(const RunningProgram&) = delete;
@@ -43,8 +47,9 @@
  private:
   std::string ReadLog() const;
 
-  std::string m_role;
+  std::string m_program;  // File name.
   std::string m_directory;
+  std::vector<std::string> m_arguments;
   int m_first_port = 0;
   pid_t m_pid = -1;
   std::optional<int> m_status{};  // As `waitpid` gives it.
