direct, serving: records of failed attempts carry a digest of the request

Change: attempts and calls that failed after they were sent are logged with a digest of caller, host, target and body; bodies and keys stay out of the log. It is computed for these only.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -136,6 +136,9 @@
   std::string detail{};
   std::uint64_t events = 0;  // Passed on to the caller.
   std::vector<std::string> prompt_parts{};
+  // Of an attempt or a call that failed; the same for each repetition of the
+  // request, see `RequestDigest`.
+  std::string request_digest{};
 };
 
 // A part of prompts is blocked because it crashes endpoints, for the log.
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "radishrudder/direct/request_digest.h"
 #include "source/radishrudder/direct/entry_state.h"
 
 namespace radishrudder::direct {
@@ -86,7 +87,7 @@
 }
 
 void Entry::State::RecordOutcome(kernel::Time now,
-                                 const Call& call,
+                                 Call& call,
                                  CallRecord::Kind kind,
                                  int status,
                                  Reason reason) {
@@ -102,9 +103,19 @@
   record.detail = call.detail;
   record.events = call.events.EventsReturned();
   record.prompt_parts = call.request->prompt_parts;
+  if (reason != Reason::kNone && call.may_have_run) {
+    record.request_digest = DigestOf(call);
+  }
   Emit(std::move(record));
 }
 
+const std::string& Entry::State::DigestOf(Call& call) {
+  if (call.digest.empty()) {
+    call.digest = RequestDigest(*call.request, call.workspace);
+  }
+  return call.digest;
+}
+
 void Entry::State::End(kernel::Time now,
                        Call& call,
                        int status,
@@ -206,9 +217,9 @@
 }
 
 void Entry::State::HandleFailure(kernel::Time now, Call& call, Reason reason) {
+  call.may_have_run = true;
   RecordOutcome(now, call, CallRecord::Kind::kAttemptFailed, 0, reason);
   Pool(call.service).OnFailed(now, RunOf(*call.attempt));
-  call.may_have_run = true;
   call.excluded.push_back(call.attempt->endpoint);
   const std::vector<std::string>& parts = call.request->prompt_parts;
   if (reason == Reason::kBroken && !call.attempt->harmless) {
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -56,6 +56,7 @@
   // Weights version of the response that was started.
   std::optional<std::uint64_t> version{};
   std::string detail{};
+  std::string digest{};  // Computed when it is needed first; empty before.
 };
 
 struct Entry::State {
@@ -104,9 +105,10 @@
   routing::EndpointRun RunOf(const CurrentAttempt& attempt) const {
     return {attempt.endpoint, attempt.incarnation};
   }
+  const std::string& DigestOf(Call& call);
   void Emit(Output output) { outputs.push_back(std::move(output)); }
   void RecordOutcome(kernel::Time now,
-                     const Call& call,
+                     Call& call,
                      CallRecord::Kind kind,
                      int status,
                      Reason reason);
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -96,6 +96,7 @@
                 {"detail", record.detail},
                 {"events", std::to_string(record.events)},
                 {"prompt_parts", Join(record.prompt_parts)},
+                {"request", record.request_digest},
                 {"lines_left_out", std::to_string(suppressed_lines)}});
 }
 
