--- a/tests/direct/crashing_prompt_test.cc
+++ b/tests/direct/crashing_prompt_test.cc
@@ -9,6 +9,7 @@
 
 // Limits of the users' rules for prompt parts that crash endpoints.
 constexpr milliseconds kSettlingTime{3000};
+constexpr std::size_t kCrashesOfParts = 5;
 constexpr std::uint64_t kMaximumLateArrivals = 3;
 constexpr double kMinimumServedShare = 0.5;
 
@@ -26,7 +27,7 @@
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     PromptFleet fleet(GetParam().load, seed);
     fleet.Run();
-    EXPECT_LE(fleet.LateCrashingArrivals(kSettlingTime),
+    EXPECT_LE(fleet.LateCrashingArrivals(kCrashesOfParts, kSettlingTime),
               kMaximumLateArrivals * GetParam().load.crashing_parts)
         << "seed " << seed << ", " << fleet.Crashes() << " crashes";
     const PromptCounts before =
--- a/tests/direct/prompt_fleet.cc
+++ b/tests/direct/prompt_fleet.cc
@@ -21,8 +21,11 @@
 constexpr char kCrashingPart[] = "bad";
 constexpr milliseconds kExchangeInterval{250};
 constexpr std::size_t kExchangeFanOut = 4;
+// Of a service without an engine. One target is asked for by many callers.
+constexpr milliseconds kPlainAnswerTime{80};
+constexpr std::uint64_t kPopularShare = 3;
 
-Configuration MakeFleetConfiguration() {
+Configuration MakeFleetConfiguration(const PromptLoad& load) {
   RouteRule route;
   route.name = "route";
   route.host = "shop.example";
@@ -32,17 +35,23 @@
   route.maximum_attempts = 2;
   route.timeout = milliseconds(6000);
   route.services = {{"service", 1}};
-  EngineRule engine;
-  engine.slots = kSlots;
-  engine.model = "draft";
   Configuration configuration;
   configuration.version = 1;
+  configuration.services = {{.name = "service"}};
+  if (load.plain) {
+    route.kind =
+        load.repeatable ? RouteKind::kIdempotent : RouteKind::kNonIdempotent;
+  } else {
+    EngineRule engine;
+    engine.slots = kSlots;
+    engine.model = "draft";
+    configuration.services.front().engine = engine;
+  }
   configuration.routes = {route};
-  configuration.services = {{.name = "service", .engine = engine}};
   return configuration;
 }
 
-EndpointResponse StreamHead(CallId call) {
+EndpointResponse ResponseHead(CallId call) {
   EndpointResponse head;
   head.status = 200;
   head.attempt_id = "id-" + std::to_string(call);
@@ -55,10 +64,7 @@
 PromptFleet::PromptFleet(const PromptLoad& load, std::uint64_t seed)
     : m_load(load), m_random(seed) {
   for (std::size_t i = 0; i < load.entries; ++i) {
-    m_entries.push_back(std::make_unique<Entry>(
-        EntrySettings{.name = "entry-" + std::to_string(i)},
-        kernel::Random(m_random.Next())));
-    m_entries.back()->OnConfiguration(m_now, MakeFleetConfiguration());
+    m_entries.push_back(MakeEntry(i));
   }
   for (std::size_t i = 0; i < load.endpoints; ++i) {
     Endpoint endpoint;
@@ -75,6 +81,26 @@
   ListEndpoints();
 }
 
+std::unique_ptr<Entry> PromptFleet::MakeEntry(std::size_t index) {
+  auto entry = std::make_unique<Entry>(
+      EntrySettings{.name = "entry-" + std::to_string(index)},
+      kernel::Random(m_random.Next()));
+  entry->OnConfiguration(m_now, MakeFleetConfiguration(m_load));
+  return entry;
+}
+
+void PromptFleet::RestartEntry() {
+  const std::size_t index = m_random.Below(m_entries.size());
+  m_entries[index] = MakeEntry(index);
+  m_told_evidence[index] = 0;
+  for (Endpoint& endpoint : m_endpoints) {
+    std::erase_if(endpoint.work,
+                  [index](const Work& work) { return work.entry == index; });
+  }
+  ListEndpoints();
+  Exchange(index, m_random.Below(m_entries.size()));
+}
+
 milliseconds PromptFleet::Since(kernel::Time time) const {
   return std::chrono::duration_cast<milliseconds>(time - m_start);
 }
@@ -104,6 +130,11 @@
       End(endpoint);
     }
   }
+  if (!m_load.entry_restarts.empty() &&
+      Since(m_now) >= m_load.entry_restarts.front()) {
+    m_load.entry_restarts.erase(m_load.entry_restarts.begin());
+    RestartEntry();
+  }
   for (Endpoint& endpoint : m_endpoints) {
     AdvanceEndpoint(endpoint);
   }
@@ -126,34 +157,52 @@
     }
     m_told_evidence[i] = m_entries[i]->CrashEvidenceRevision();
     for (std::size_t k = 0; k < kExchangeFanOut; ++k) {
-      const std::size_t other = m_random.Below(m_entries.size());
-      m_entries[other]->OnCrashEvidence(m_now,
-                                        m_entries[i]->CrashEvidence(m_now));
-      m_entries[i]->OnCrashEvidence(m_now,
-                                    m_entries[other]->CrashEvidence(m_now));
+      Exchange(i, m_random.Below(m_entries.size()));
     }
   }
 }
 
+void PromptFleet::Exchange(std::size_t first, std::size_t second) {
+  m_entries[second]->OnCrashEvidence(m_now,
+                                     m_entries[first]->CrashEvidence(m_now));
+  m_entries[first]->OnCrashEvidence(m_now,
+                                    m_entries[second]->CrashEvidence(m_now));
+}
+
 void PromptFleet::Offer(std::size_t entry, bool crashing) {
   const CallId call = ++m_last_call;
+  const CallerRequest request = MakeRequest(call, crashing);
+  m_offered[{entry, call}] = {m_now, crashing, false};
+  m_entries[entry]->OnRequest(m_now, m_now.time_since_epoch(), call,
+                              std::make_shared<const CallerRequest>(request));
+  CarryOut(entry);
+}
+
+CallerRequest PromptFleet::MakeRequest(CallId call, bool crashing) {
   CallerRequest request;
   request.method = "POST";
-  request.target = "/a/b";
   request.path = "/a/b";
   request.host = "shop.example";
   request.attempt_id = "id-" + std::to_string(call);
   request.time_left = milliseconds(6000);
   request.received_at = m_now;
-  request.prompt_parts = {
-      "first", crashing
-                   ? kCrashingPart + std::to_string(m_crashing_offered++ %
-                                                    m_load.crashing_parts)
-                   : "subject" + std::to_string(m_random.Below(kSubjects))};
-  m_offered[{entry, call}] = {m_now, crashing, false};
-  m_entries[entry]->OnRequest(m_now, m_now.time_since_epoch(), call,
-                              std::make_shared<const CallerRequest>(request));
-  CarryOut(entry);
+  const std::string crashing_name =
+      kCrashingPart + std::to_string((crashing ? m_crashing_offered++ : 0) %
+                                     m_load.crashing_parts);
+  if (m_load.plain) {
+    const bool popular = m_random.Below(kPopularShare) == 0;
+    request.path = "/a/" + (crashing  ? crashing_name
+                            : popular ? "popular"
+                                      : "own" + std::to_string(call));
+    request.body = "order";
+  } else {
+    request.prompt_parts = {
+        "first", crashing
+                     ? crashing_name
+                     : "subject" + std::to_string(m_random.Below(kSubjects))};
+  }
+  request.target = request.path;
+  return request;
 }
 
 void PromptFleet::ListEndpoints() {
@@ -190,13 +239,22 @@
   for (const Work& item : in_progress) {
     const auto work = std::ranges::find_if(
         endpoint.work, [&item](const Work& w) { return w.call == item.call; });
-    if (work == endpoint.work.end() || work->crashes ||
-        m_now < work->begins + kEventInterval * (work->events + 1)) {
+    if (work == endpoint.work.end() || work->crashes) {
+      continue;
+    }
+    if (m_load.plain) {
+      if (m_now >= work->begins + kPlainAnswerTime) {
+        endpoint.work.erase(work);
+        Answer(item);
+      }
+      continue;
+    }
+    if (m_now < work->begins + kEventInterval * (work->events + 1)) {
       continue;
     }
     Entry& entry = *m_entries[item.entry];
     if (work->events == 0) {
-      entry.OnResponseHead(m_now, item.call, StreamHead(item.call));
+      entry.OnResponseHead(m_now, item.call, ResponseHead(item.call));
     }
     const int id = ++work->events;
     const bool last = id == kEvents;
@@ -212,6 +270,14 @@
   }
 }
 
+void PromptFleet::Answer(const Work& work) {
+  Entry& entry = *m_entries[work.entry];
+  entry.OnResponseHead(m_now, work.call, ResponseHead(work.call));
+  entry.OnResponseBody(m_now, work.call, "answer");
+  entry.OnResponseEnd(m_now, work.call);
+  CarryOut(work.entry);
+}
+
 void PromptFleet::End(Endpoint& endpoint) {
   endpoint.back_at = m_now + kDownTime;
   for (const Work& work : std::exchange(endpoint.work, {})) {
@@ -229,6 +295,8 @@
       Cancel(entry, cancel->call);
     } else if (const auto* finish = std::get_if<FinishResponse>(&output)) {
       m_offered[{entry, finish->call}].answered = true;
+    } else if (const auto* reply = std::get_if<SendResponse>(&output)) {
+      m_offered[{entry, reply->call}].answered = reply->status == 200;
     }
   }
 }
@@ -248,7 +316,8 @@
   if (crashing) {
     m_crashing_arrivals.push_back(m_now);
   }
-  endpoint->work.push_back({entry, send.call, m_now + kPrefill, crashing});
+  const milliseconds prefill = m_load.plain ? milliseconds(0) : kPrefill;
+  endpoint->work.push_back({entry, send.call, m_now + prefill, crashing});
   m_entries[entry]->OnSending(m_now, send.call);
 }
 
@@ -260,15 +329,15 @@
   }
 }
 
-std::uint64_t PromptFleet::LateCrashingArrivals(milliseconds settling) const {
-  constexpr std::size_t kFifth = 4;
-  if (m_crashes.size() <= kFifth) {
+std::uint64_t PromptFleet::LateCrashingArrivals(std::size_t crashes,
+                                                milliseconds settling) const {
+  if (m_crashes.size() < crashes) {
     return 0;
   }
+  const kernel::Time bound = m_crashes[crashes - 1] + settling;
   return static_cast<std::uint64_t>(std::ranges::count_if(
-      m_crashing_arrivals, [this, settling](kernel::Time time) {
-        return time > m_crashes[kFifth] + settling;
-      }));
+      m_crashing_arrivals,
+      [bound](kernel::Time time) { return time > bound; }));
 }
 
 PromptCounts PromptFleet::Sound(milliseconds from, milliseconds to) const {
--- a/tests/direct/prompt_fleet.h
+++ b/tests/direct/prompt_fleet.h
@@ -26,6 +26,12 @@
   std::size_t crashing_parts = 1;
   // Time at which all endpoints end at once; nothing: never.
   std::optional<std::chrono::milliseconds> all_endpoints_end{};
+  // The service has no engine: requests have no prompt parts, and a request
+  // crashes endpoints as a whole. `crashing_parts` is the number of these.
+  bool plain = false;
+  bool repeatable = true;
+  // Times at which one entry is started anew, without evidence.
+  std::vector<std::chrono::milliseconds> entry_restarts{};
   std::chrono::milliseconds duration{40000};
 };
 
@@ -44,9 +50,10 @@
 
   void Run();
 
-  // Requests with a crashing part that reached endpoints more than `settling`
-  // after the fifth crash.
-  std::uint64_t LateCrashingArrivals(std::chrono::milliseconds settling) const;
+  // Crashing requests that reached endpoints more than `settling` after that
+  // many crashes.
+  std::uint64_t LateCrashingArrivals(std::size_t crashes,
+                                     std::chrono::milliseconds settling) const;
   std::uint64_t Crashes() const { return m_crashes.size(); }
   // Sound requests that were offered in a period.
   PromptCounts Sound(std::chrono::milliseconds from,
@@ -73,6 +80,12 @@
 
   std::chrono::milliseconds Since(kernel::Time time) const;
   void Step();
+  CallerRequest MakeRequest(CallId call, bool crashing);
+  std::unique_ptr<Entry> MakeEntry(std::size_t index);
+  void RestartEntry();
+  // Two entries tell each other what they know.
+  void Exchange(std::size_t first, std::size_t second);
+  void Answer(const Work& work);
   void Offer(std::size_t entry, bool crashing);
   void ListEndpoints();
   // Entries tell some others of changed evidence, as `peers` does.
