--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -71,8 +71,10 @@
   kBroken,         // An attempt ended before its response was complete.
   kInvalidAnswer,  // Not the endpoint's response to this request.
   kTimeout,
-  kOutdated,        // Queued at an endpoint until its version was superseded.
-  kCrashingPrompt,  // A part of its prompt crashes endpoints.
+  kOutdated,         // Queued at an endpoint until its version was superseded.
+  kCrashingPrompt,   // A part of its prompt crashes endpoints.
+  kCrashingRequest,  // The request crashes endpoints.
+  kRequestOnTrial,   // The request may crash endpoints and is in progress.
 };
 std::string_view ToText(Reason reason);
 
@@ -145,6 +147,10 @@
 struct PartBlocked {
   std::string part{};
 };
+// The same of a whole request.
+struct RequestBlocked {
+  std::string digest{};
+};
 
 using Output = std::variant<SendAttempt,
                             CancelAttempt,
@@ -154,7 +160,8 @@
                             FinishResponse,
                             AbortResponse,
                             CallRecord,
-                            PartBlocked>;
+                            PartBlocked,
+                            RequestBlocked>;
 
 // Why an attempt ended without a complete response.
 enum class AttemptFailure {
--- a/include/radishrudder/direct/crash_suspects.h
+++ b/include/radishrudder/direct/crash_suspects.h
@@ -2,6 +2,7 @@
 #define RADISHRUDDER_DIRECT_CRASH_SUSPECTS_H_
 
 #include <chrono>
+#include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -15,23 +16,43 @@
 
 namespace radishrudder::direct {
 
-// The end of one endpoint run while it worked on a prompt with a suspected
-// part.
+// The end of one endpoint run while it worked on a request with a suspected
+// signature.
 struct CrashSighting {
   std::string run{};  // Identifies the endpoint and its incarnation.
   kernel::Time seen_at{};
+  kernel::Time began_at{};  // When the attempt at this endpoint began.
 };
 
-// What is known of one prompt part.
-struct PartEvidence {
-  std::string part{};
+// What is known of one signature.
+struct SuspectEvidence {
+  std::string signature{};
   std::vector<CrashSighting> crashes{};
-  bool cleared = false;  // A prompt with this part was answered.
+  // When a request with it was answered last; nothing: unknown or never.
+  std::optional<kernel::Time> cleared_at{};
+};
+
+// Kinds of signatures.
+//
+// The id of a prompt part, which many requests share. An answer to one of them
+// shows that the part is harmless, whatever else the others carry.
+struct PromptPartSignature {
+  static constexpr bool kAnswerExcusesLaterCrashes = true;
+};
+// The digest of a whole request. An answer says nothing of repetitions that
+// come after it.
+struct RequestSignature {
+  static constexpr bool kAnswerExcusesLaterCrashes = false;
+};
+
+template <typename T>
+concept SignatureKind = requires {
+  { T::kAnswerExcusesLaterCrashes } -> std::convertible_to<bool>;
 };
 
 struct CrashSuspectSettings {
-  // Crashes at different moments from which a part is blocked; one can be a
-  // coincidence for every part in progress at the endpoint. From
+  // Crashes at different moments from which a signature is blocked; one can be
+  // a coincidence for every request in progress at the endpoint. From
   // `certain_crashes` on, at whatever moments, the block is the longer one.
   std::uint32_t blocking_crashes = 3;
   std::uint32_t certain_crashes = 5;
@@ -40,47 +61,60 @@
   // Duration of a block from the latest crash on.
   std::chrono::seconds block_duration{30};
   std::chrono::seconds certain_block_duration{600};
+  // Added to both. Entries whose blocks end at different times learn from the
+  // first one whether the signature still crashes endpoints.
+  std::chrono::milliseconds additional_block{0};
   // Crashes closer together count as one: a fault of the machines ends several
-  // endpoints at once.
+  // endpoints at once. An attempt that began after the crash before it may end
+  // in the same fault, but only for a shorter time.
   std::chrono::milliseconds same_moment{100};
+  std::chrono::milliseconds same_moment_of_later_attempt{40};
   // Evidence is forgotten after this time.
   std::chrono::seconds memory{600};
 };
 
-// Finds prompt parts that crash each endpoint that begins to answer them. A
-// part is innocent once any prompt with it has been answered; a part that never
-// was becomes a suspect when endpoints end while they work on it. State machine
-// without clocks.
+// Finds what requests carry that crashes each endpoint which begins to work on
+// it. A signature becomes a suspect when endpoints end while they work on
+// requests with it, and stops being one when such a request is answered. State
+// machine without clocks.
+template <SignatureKind Kind>
 class CrashSuspects {
  public:
   explicit CrashSuspects(CrashSuspectSettings settings)
       : m_settings(settings) {}
 
-  // An attempt broke off before its answer showed that its prompt is harmless.
-  void OnBroken(kernel::Time now,
-                std::span<const std::string> parts,
-                std::string_view run);
-  // An answer to a prompt with these parts got so far that none of them crashes
-  // endpoints.
-  void OnAnswered(kernel::Time now, std::span<const std::string> parts);
-
-  // Returns the first of the parts that is blocked; empty: none is.
-  std::string_view BlockedPart(kernel::Time now,
-                               std::span<const std::string> parts) const;
-  // Whether one of the parts has been seen at too many crashes to be tried at
-  // another endpoint.
-  bool IsSuspicious(kernel::Time now, std::span<const std::string> parts) const;
-
-  // Evidence for other entries: suspected parts, and innocent ones that others
+  // An attempt broke off before its answer showed that its request is harmless.
+  void OnBroken(std::span<const std::string> signatures,
+                const CrashSighting& crash);
+  // An answer to a request with these signatures got so far that none of them
+  // crashes endpoints.
+  void OnAnswered(kernel::Time now, std::span<const std::string> signatures);
+  // An endpoint run responded to an attempt that began at that time, so it had
+  // not ended before: only connections to it had.
+  void OnResponded(std::string_view run, kernel::Time began_at);
+
+  // Returns the first of the signatures that is blocked; empty: none is.
+  std::string_view FindBlocked(kernel::Time now,
+                               std::span<const std::string> signatures) const;
+  // Whether one of the signatures has been seen at too many crashes to be tried
+  // at another endpoint.
+  bool IsSuspicious(kernel::Time now,
+                    std::span<const std::string> signatures) const;
+  // Whether nothing is suspected.
+  bool IsEmpty() const { return m_suspects.empty(); }
+
+  // Evidence for other entries: suspects, and harmless signatures that others
   // suspect.
-  std::vector<PartEvidence> Evidence(kernel::Time now) const;
+  std::vector<SuspectEvidence> Evidence(kernel::Time now) const;
   // Merges what another entry knows.
-  void Merge(kernel::Time now, std::span<const PartEvidence> evidence);
+  void Merge(kernel::Time now, const SuspectEvidence& evidence);
   // Increases with each change that other entries should learn of.
   std::uint64_t Revision() const { return m_revision; }
-  // Parts that became blocked since the last call.
+  // Signatures that became blocked since the last call.
   std::vector<std::string> TakeNewlyBlocked();
-  std::size_t Size() const { return m_suspects.size() + m_cleared.size(); }
+  std::size_t Size() const {
+    return m_suspects.size() + m_cleared.size() + m_responded.size();
+  }
 
  private:
   struct Suspect {
@@ -88,14 +122,21 @@
   };
   struct Cleared {
     kernel::Time at{};
-    bool contested = false;  // Another entry suspects the part.
+    bool contested = false;  // Another entry suspects the signature.
   };
 
-  bool IsCleared(kernel::Time now, std::string_view part) const;
+  bool IsCleared(kernel::Time now, std::string_view signature) const;
+  // Whether an answer shows that the crash had another cause.
+  bool IsExcused(kernel::Time now,
+                 std::string_view signature,
+                 const CrashSighting& crash) const;
   void AddCrash(kernel::Time now,
-                const std::string& part,
+                const std::string& signature,
                 const CrashSighting& crash);
-  void Clear(kernel::Time now, const std::string& part, bool contested);
+  void Clear(kernel::Time now,
+             const std::string& signature,
+             kernel::Time at,
+             bool contested);
   // Number of moments at which endpoints ended.
   std::uint32_t Moments(kernel::Time now, const Suspect& suspect) const;
   bool IsBlocked(kernel::Time now, const Suspect& suspect) const;
@@ -104,10 +145,16 @@
   CrashSuspectSettings m_settings;
   std::map<std::string, Suspect, std::less<>> m_suspects;
   std::map<std::string, Cleared, std::less<>> m_cleared;
+  // Endpoint runs that responded while something was suspected, with the latest
+  // beginning of an attempt.
+  std::map<std::string, kernel::Time, std::less<>> m_responded;
   std::vector<std::string> m_newly_blocked;
   std::uint64_t m_revision = 0;
 };
 
+extern template class CrashSuspects<PromptPartSignature>;
+extern template class CrashSuspects<RequestSignature>;
+
 }  // namespace radishrudder::direct
 
 #endif  // RADISHRUDDER_DIRECT_CRASH_SUSPECTS_H_
--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -113,10 +113,10 @@
   void OnCallerDisconnected(kernel::Time now, CallId call);
   // Another entry's evidence of prompt parts that crash endpoints.
   void OnCrashEvidence(kernel::Time now,
-                       std::span<const PartEvidence> evidence);
+                       std::span<const SuspectEvidence> evidence);
   // The evidence that other entries should know, and its revision, which
   // increases with each change.
-  std::vector<PartEvidence> CrashEvidence(kernel::Time now) const;
+  std::vector<SuspectEvidence> CrashEvidence(kernel::Time now) const;
   std::uint64_t CrashEvidenceRevision() const;
 
   // Applies deadlines and timeouts; must be called every few tens of
--- a/include/radishrudder/direct/request_digest.h
+++ b/include/radishrudder/direct/request_digest.h
@@ -15,6 +15,9 @@
 std::string RequestDigest(const CallerRequest& request,
                           std::string_view workspace);
 
+// Whether a signature is a digest of this form.
+bool IsRequestDigest(std::string_view signature);
+
 }  // namespace radishrudder::direct
 
 #endif  // RADISHRUDDER_DIRECT_REQUEST_DIGEST_H_
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -150,6 +150,9 @@
 inline constexpr Event kPromptPartBlocked{
     506, Level::kWarning, "prompt-part-blocked",
     "A part of prompts crashes endpoints; calls with it are refused."};
+inline constexpr Event kRequestBlocked{
+    507, Level::kWarning, "request-blocked",
+    "A request crashes endpoints; repetitions of it are refused."};
 inline constexpr Event kOrderSent{601, Level::kInfo, "order-sent",
                                   "The agent sent its endpoint an order."};
 inline constexpr Event kOrderRefused{602, Level::kWarning, "order-refused",
--- a/include/radishrudder/peers/peer_report.h
+++ b/include/radishrudder/peers/peer_report.h
@@ -23,17 +23,22 @@
   bool store_lost = false;
 };
 
-// The end of an endpoint run while it worked on a prompt with a certain part.
+// The end of an endpoint run while it worked on a request with a certain
+// signature.
 struct CrashReport {
   std::string run{};
   std::chrono::milliseconds age{0};
+  // Age of the beginning of the attempt; at least `age`.
+  std::chrono::milliseconds began_age{0};
 };
 
-// What the sender knows of a prompt part that may crash endpoints.
-struct PartReport {
-  std::string part{};
+// What the sender knows of a signature that may crash endpoints: the id of a
+// prompt part, or the digest of a request.
+struct SuspectReport {
+  std::string signature{};
   std::vector<CrashReport> crashes{};
-  bool cleared = false;  // The part is innocent.
+  // Age of the latest answer to a request with it.
+  std::optional<std::chrono::milliseconds> cleared_age{};
 };
 
 // What one entry tells another. Both the request and the response of an
@@ -46,7 +51,7 @@
   std::optional<std::chrono::milliseconds> store_age{};
   bool store_lost = false;  // Its requests have been failing for a time.
   std::vector<DeclarationReport> declarations{};
-  std::vector<PartReport> parts{};
+  std::vector<SuspectReport> suspects{};
 };
 
 // Encodes a report as JSON.
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -304,6 +304,10 @@
   void Execute(direct::CallRecord& output) {
     m_journal.Record(kernel::Now(), output);
   }
+  void Execute(direct::RequestBlocked& output) {
+    logging::Log(logging::kRequestBlocked, {{"instance", m_settings.entry.name},
+                                            {"request", output.digest}});
+  }
   void Execute(direct::PartBlocked& output) {
     logging::Log(logging::kPromptPartBlocked,
                  {{"instance", m_settings.entry.name}, {"part", output.part}});
@@ -419,7 +423,7 @@
                       if (response && response->status == kOk) {
                         report = peers::ParsePeerReport(response->body);
                         if (report) {
-                          MergeParts(*report);
+                          MergeEvidence(*report);
                         } else {
                           LogRejectedReport(response->body);
                         }
@@ -464,32 +468,43 @@
       return;
     }
     m_peers.OnRequest(*report);
-    MergeParts(*report);
+    MergeEvidence(*report);
     peer.Reply({kOk, {{"Content-Type", "application/json"}}},
                peers::ToText(MakeReport(kernel::Now())));
   }
 
   peers::PeerReport MakeReport(kernel::Time now) const {
     peers::PeerReport report = m_peers.MakeReport(now);
-    for (const direct::PartEvidence& known : m_core.CrashEvidence(now)) {
-      peers::PartReport part{.part = known.part, .cleared = known.cleared};
+    const auto age = [now](kernel::Time time) {
+      return std::max(
+          std::chrono::duration_cast<std::chrono::milliseconds>(now - time),
+          std::chrono::milliseconds(0));
+    };
+    for (const direct::SuspectEvidence& known : m_core.CrashEvidence(now)) {
+      peers::SuspectReport suspect{.signature = known.signature};
+      if (known.cleared_at) {
+        suspect.cleared_age = age(*known.cleared_at);
+      }
       for (const direct::CrashSighting& crash : known.crashes) {
-        part.crashes.push_back(
-            {crash.run, std::chrono::duration_cast<std::chrono::milliseconds>(
-                            now - crash.seen_at)});
+        suspect.crashes.push_back(
+            {crash.run, age(crash.seen_at), age(crash.began_at)});
       }
-      report.parts.push_back(std::move(part));
+      report.suspects.push_back(std::move(suspect));
     }
     return report;
   }
 
-  void MergeParts(const peers::PeerReport& report) {
+  void MergeEvidence(const peers::PeerReport& report) {
     const kernel::Time now = kernel::Now();
-    std::vector<direct::PartEvidence> evidence;
-    for (const peers::PartReport& part : report.parts) {
-      direct::PartEvidence item{.part = part.part, .cleared = part.cleared};
-      for (const peers::CrashReport& crash : part.crashes) {
-        item.crashes.push_back({crash.run, now - crash.age});
+    std::vector<direct::SuspectEvidence> evidence;
+    for (const peers::SuspectReport& suspect : report.suspects) {
+      direct::SuspectEvidence item{.signature = suspect.signature};
+      if (suspect.cleared_age) {
+        item.cleared_at = now - *suspect.cleared_age;
+      }
+      for (const peers::CrashReport& crash : suspect.crashes) {
+        item.crashes.push_back(
+            {crash.run, now - crash.age, now - crash.began_age});
       }
       evidence.push_back(std::move(item));
     }
--- a/source/radishrudder/direct/crash_suspects.cc
+++ b/source/radishrudder/direct/crash_suspects.cc
@@ -1,17 +1,21 @@
 #include "radishrudder/direct/crash_suspects.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace radishrudder::direct {
 namespace {
 
-// Limits of the memory; the parts whose evidence is oldest are forgotten first.
+// Limits of the memory; what has the oldest evidence is forgotten first.
 constexpr std::size_t kMaximumSuspects = 512;
 constexpr std::size_t kMaximumCleared = 8192;
-constexpr std::size_t kMaximumCrashesPerPart = 16;
-// Number of parts that other entries are told of, most crashes first.
-constexpr std::size_t kMaximumReportedParts = 128;
+constexpr std::size_t kMaximumResponded = 1024;
+constexpr std::size_t kMaximumCrashesPerSuspect = 16;
+// Number of suspects, and of harmless signatures, that other entries are told
+// of: most crashes first, then the latest ones. A report holds four times as
+// many.
+constexpr std::size_t kMaximumReported = 64;
 
 template <typename Map, typename TimeOf>
 void ForgetOldest(Map& map, std::size_t maximum, TimeOf time_of) {
@@ -24,105 +28,154 @@
 
 }  // namespace
 
-void CrashSuspects::OnBroken(kernel::Time now,
-                             std::span<const std::string> parts,
-                             std::string_view run) {
-  for (const std::string& part : parts) {
-    if (!IsCleared(now, part)) {
-      AddCrash(now, part, {std::string(run), now});
+template <SignatureKind Kind>
+void CrashSuspects<Kind>::OnBroken(std::span<const std::string> signatures,
+                                   const CrashSighting& crash) {
+  for (const std::string& signature : signatures) {
+    if (!IsExcused(crash.seen_at, signature, crash)) {
+      AddCrash(crash.seen_at, signature, crash);
     }
   }
 }
 
-void CrashSuspects::OnAnswered(kernel::Time now,
-                               std::span<const std::string> parts) {
-  for (const std::string& part : parts) {
-    Clear(now, part, /*contested=*/false);
+template <SignatureKind Kind>
+void CrashSuspects<Kind>::OnAnswered(kernel::Time now,
+                                     std::span<const std::string> signatures) {
+  for (const std::string& signature : signatures) {
+    if (Kind::kAnswerExcusesLaterCrashes || m_suspects.contains(signature)) {
+      Clear(now, signature, now, /*contested=*/false);
+    }
+  }
+}
+
+template <SignatureKind Kind>
+void CrashSuspects<Kind>::OnResponded(std::string_view run,
+                                      kernel::Time began_at) {
+  if (m_suspects.empty()) {
+    return;
+  }
+  kernel::Time& responded = m_responded[std::string(run)];
+  responded = std::max(responded, began_at);
+  ForgetOldest(m_responded, kMaximumResponded,
+               [](kernel::Time time) { return time; });
+  for (auto suspect = m_suspects.begin(); suspect != m_suspects.end();) {
+    std::vector<CrashSighting>& crashes = suspect->second.crashes;
+    std::erase_if(crashes, [run, began_at](const CrashSighting& crash) {
+      return crash.run == run && crash.seen_at <= began_at;
+    });
+    suspect = crashes.empty() ? m_suspects.erase(suspect) : std::next(suspect);
   }
 }
 
-std::string_view CrashSuspects::BlockedPart(
+template <SignatureKind Kind>
+std::string_view CrashSuspects<Kind>::FindBlocked(
     kernel::Time now,
-    std::span<const std::string> parts) const {
-  for (const std::string& part : parts) {
-    const auto suspect = m_suspects.find(part);
+    std::span<const std::string> signatures) const {
+  for (const std::string& signature : signatures) {
+    const auto suspect = m_suspects.find(signature);
     if (suspect != m_suspects.end() && IsBlocked(now, suspect->second)) {
-      return part;
+      return signature;
     }
   }
   return {};
 }
 
-bool CrashSuspects::IsSuspicious(kernel::Time now,
-                                 std::span<const std::string> parts) const {
-  return std::ranges::any_of(parts, [this, now](const std::string& part) {
-    const auto suspect = m_suspects.find(part);
-    return suspect != m_suspects.end() &&
-           Moments(now, suspect->second) >= m_settings.suspicious_crashes;
-  });
+template <SignatureKind Kind>
+bool CrashSuspects<Kind>::IsSuspicious(
+    kernel::Time now,
+    std::span<const std::string> signatures) const {
+  return std::ranges::any_of(
+      signatures, [this, now](const std::string& signature) {
+        const auto suspect = m_suspects.find(signature);
+        return suspect != m_suspects.end() &&
+               Moments(now, suspect->second) >= m_settings.suspicious_crashes;
+      });
 }
 
-std::vector<PartEvidence> CrashSuspects::Evidence(kernel::Time now) const {
-  std::vector<PartEvidence> evidence;
-  for (const auto& [part, suspect] : m_suspects) {
+template <SignatureKind Kind>
+std::vector<SuspectEvidence> CrashSuspects<Kind>::Evidence(
+    kernel::Time now) const {
+  std::vector<SuspectEvidence> evidence;
+  for (const auto& [signature, suspect] : m_suspects) {
     if (Moments(now, suspect) > 0) {
-      evidence.push_back({part, suspect.crashes, /*cleared=*/false});
+      evidence.push_back({.signature = signature, .crashes = suspect.crashes});
     }
   }
   std::ranges::stable_sort(
-      evidence, std::ranges::greater{},
-      [](const PartEvidence& item) { return item.crashes.size(); });
-  if (evidence.size() > kMaximumReportedParts) {
-    evidence.resize(kMaximumReportedParts);
+      evidence, std::ranges::greater{}, [](const SuspectEvidence& item) {
+        return std::pair(item.crashes.size(), item.crashes.back().seen_at);
+      });
+  if (evidence.size() > kMaximumReported) {
+    evidence.resize(kMaximumReported);
   }
   std::size_t reported = 0;
-  for (const auto& [part, cleared] : m_cleared) {
-    if (cleared.contested && IsCleared(now, part) &&
-        reported++ < kMaximumReportedParts) {
-      evidence.push_back({part, {}, /*cleared=*/true});
+  for (const auto& [signature, cleared] : m_cleared) {
+    if (cleared.contested && IsCleared(now, signature) &&
+        reported++ < kMaximumReported) {
+      evidence.push_back({.signature = signature, .cleared_at = cleared.at});
     }
   }
   return evidence;
 }
 
-void CrashSuspects::Merge(kernel::Time now,
-                          std::span<const PartEvidence> evidence) {
-  for (const PartEvidence& item : evidence) {
-    if (item.cleared) {
-      if (!IsCleared(now, item.part)) {
-        Clear(now, item.part, /*contested=*/true);
-      }
-      continue;
+template <SignatureKind Kind>
+void CrashSuspects<Kind>::Merge(kernel::Time now,
+                                const SuspectEvidence& evidence) {
+  const std::string& signature = evidence.signature;
+  if (evidence.cleared_at) {
+    const bool known =
+        IsCleared(now, signature) &&
+        (Kind::kAnswerExcusesLaterCrashes ||
+         m_cleared.find(signature)->second.at >= *evidence.cleared_at);
+    if (!known) {
+      Clear(now, signature, *evidence.cleared_at, /*contested=*/true);
     }
-    const auto cleared = m_cleared.find(item.part);
-    if (cleared != m_cleared.end() && IsCleared(now, item.part)) {
-      m_revision += cleared->second.contested ? 0 : 1;
-      cleared->second.contested = true;
+  }
+  for (const CrashSighting& crash : evidence.crashes) {
+    if (!IsExcused(now, signature, crash)) {
+      AddCrash(now, signature, crash);
       continue;
     }
-    for (const CrashSighting& crash : item.crashes) {
-      AddCrash(now, item.part, crash);
-    }
+    Cleared& cleared = m_cleared.find(signature)->second;
+    m_revision += cleared.contested ? 0 : 1;
+    cleared.contested = true;
   }
 }
 
-std::vector<std::string> CrashSuspects::TakeNewlyBlocked() {
+template <SignatureKind Kind>
+std::vector<std::string> CrashSuspects<Kind>::TakeNewlyBlocked() {
   return std::exchange(m_newly_blocked, {});
 }
 
-bool CrashSuspects::IsCleared(kernel::Time now, std::string_view part) const {
-  const auto cleared = m_cleared.find(part);
+template <SignatureKind Kind>
+bool CrashSuspects<Kind>::IsCleared(kernel::Time now,
+                                    std::string_view signature) const {
+  const auto cleared = m_cleared.find(signature);
   return cleared != m_cleared.end() &&
          now - cleared->second.at < m_settings.memory;
 }
 
-void CrashSuspects::AddCrash(kernel::Time now,
-                             const std::string& part,
-                             const CrashSighting& crash) {
+template <SignatureKind Kind>
+bool CrashSuspects<Kind>::IsExcused(kernel::Time now,
+                                    std::string_view signature,
+                                    const CrashSighting& crash) const {
+  return IsCleared(now, signature) &&
+         (Kind::kAnswerExcusesLaterCrashes ||
+          crash.seen_at <= m_cleared.find(signature)->second.at);
+}
+
+template <SignatureKind Kind>
+void CrashSuspects<Kind>::AddCrash(kernel::Time now,
+                                   const std::string& signature,
+                                   const CrashSighting& crash) {
   if (now - crash.seen_at >= m_settings.memory) {
     return;
   }
-  Suspect& suspect = m_suspects[part];
+  const auto responded = m_responded.find(crash.run);
+  if (responded != m_responded.end() && crash.seen_at <= responded->second) {
+    return;
+  }
+  Suspect& suspect = m_suspects[signature];
   const bool was_blocked = IsBlocked(now, suspect);
   std::erase_if(suspect.crashes, [this, now](const CrashSighting& known) {
     return now - known.seen_at >= m_settings.memory;
@@ -130,7 +183,7 @@
   const bool known = std::ranges::any_of(
       suspect.crashes,
       [&crash](const CrashSighting& other) { return other.run == crash.run; });
-  const bool full = suspect.crashes.size() >= kMaximumCrashesPerPart;
+  const bool full = suspect.crashes.size() >= kMaximumCrashesPerSuspect;
   if (known || (full && crash.seen_at <= suspect.crashes.front().seen_at)) {
     return;
   }
@@ -142,33 +195,52 @@
   suspect.crashes.insert(position, crash);
   ++m_revision;
   if (!was_blocked && IsBlocked(now, suspect)) {
-    m_newly_blocked.push_back(part);
+    m_newly_blocked.push_back(signature);
   }
   LimitMemory(now);
 }
 
-void CrashSuspects::Clear(kernel::Time now,
-                          const std::string& part,
-                          bool contested) {
-  const bool suspected = m_suspects.erase(part) > 0;
-  Cleared& cleared = m_cleared[part];
-  cleared.at = now;
-  if ((suspected || contested) && !cleared.contested) {
+template <SignatureKind Kind>
+void CrashSuspects<Kind>::Clear(kernel::Time now,
+                                const std::string& signature,
+                                kernel::Time at,
+                                bool contested) {
+  bool suspected = false;
+  if (const auto suspect = m_suspects.find(signature);
+      suspect != m_suspects.end()) {
+    std::vector<CrashSighting>& crashes = suspect->second.crashes;
+    suspected =
+        std::erase_if(crashes, [at](const CrashSighting& crash) {
+          return Kind::kAnswerExcusesLaterCrashes || crash.seen_at <= at;
+        }) > 0;
+    if (crashes.empty()) {
+      m_suspects.erase(suspect);
+    }
+  }
+  Cleared& cleared = m_cleared[signature];
+  cleared.at = std::max(cleared.at, at);
+  if ((suspected || contested) &&
+      (!cleared.contested || !Kind::kAnswerExcusesLaterCrashes)) {
     cleared.contested = true;
     ++m_revision;
   }
   LimitMemory(now);
 }
 
-std::uint32_t CrashSuspects::Moments(kernel::Time now,
-                                     const Suspect& suspect) const {
+template <SignatureKind Kind>
+std::uint32_t CrashSuspects<Kind>::Moments(kernel::Time now,
+                                           const Suspect& suspect) const {
   std::uint32_t moments = 0;
   std::optional<kernel::Time> previous;
   for (const CrashSighting& crash : suspect.crashes) {
     if (now - crash.seen_at >= m_settings.memory) {
       continue;
     }
-    if (!previous || crash.seen_at - *previous > m_settings.same_moment) {
+    const std::chrono::milliseconds same_moment =
+        previous && crash.began_at >= *previous
+            ? m_settings.same_moment_of_later_attempt
+            : m_settings.same_moment;
+    if (!previous || crash.seen_at - *previous > same_moment) {
       ++moments;
       previous = crash.seen_at;
     }
@@ -176,22 +248,25 @@
   return moments;
 }
 
-bool CrashSuspects::IsBlocked(kernel::Time now, const Suspect& suspect) const {
-  const std::uint32_t moments = Moments(now, suspect);
-  if (moments < m_settings.blocking_crashes) {
+template <SignatureKind Kind>
+bool CrashSuspects<Kind>::IsBlocked(kernel::Time now,
+                                    const Suspect& suspect) const {
+  if (Moments(now, suspect) < m_settings.blocking_crashes) {
     return false;
   }
   const std::chrono::seconds duration =
       suspect.crashes.size() >= m_settings.certain_crashes
           ? m_settings.certain_block_duration
           : m_settings.block_duration;
-  return now - suspect.crashes.back().seen_at < duration;
+  return now - suspect.crashes.back().seen_at <
+         duration + m_settings.additional_block;
 }
 
-void CrashSuspects::LimitMemory(kernel::Time now) {
+template <SignatureKind Kind>
+void CrashSuspects<Kind>::LimitMemory(kernel::Time now) {
   ForgetOldest(
       m_suspects, kMaximumSuspects, [this, now](const Suspect& suspect) {
-        // Blocked parts are kept.
+        // What is blocked is kept.
         if (IsBlocked(now, suspect)) {
           return kernel::Time::max();
         }
@@ -202,4 +277,7 @@
                [](const Cleared& cleared) { return cleared.at; });
 }
 
+template class CrashSuspects<PromptPartSignature>;
+template class CrashSuspects<RequestSignature>;
+
 }  // namespace radishrudder::direct
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -1,8 +1,10 @@
 #include "radishrudder/direct/entry.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "radishrudder/direct/request_digest.h"
 #include "source/radishrudder/direct/entry_state.h"
 
 namespace radishrudder::direct {
@@ -13,10 +15,22 @@
 constexpr std::chrono::seconds kMaximumCallTime{60};
 // Number of declared versions that are kept for each model.
 constexpr std::size_t kMaximumRememberedVersions = 16;
+// Range over which the blocks of the entries end.
+constexpr std::chrono::milliseconds kBlockSpread{20000};
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
+// A request blocks nothing but its repetitions, so one that crashed an endpoint
+// again after its first block gets the longer one.
+CrashSuspectSettings SettingsForRequests(CrashSuspectSettings settings,
+                                         kernel::Random& random) {
+  settings.certain_crashes = settings.blocking_crashes + 1;
+  settings.additional_block = std::chrono::milliseconds(
+      random.Below(static_cast<std::uint64_t>(kBlockSpread.count())));
+  return settings;
+}
+
 }  // namespace
 
 std::string_view ToText(Reason reason) {
@@ -51,6 +65,10 @@
       return "outdated";
     case Reason::kCrashingPrompt:
       return "crashing-prompt";
+    case Reason::kCrashingRequest:
+      return "crashing-request";
+    case Reason::kRequestOnTrial:
+      return "request-on-trial";
   }
   return "none";
 }
@@ -166,12 +184,6 @@
       return;
     }
   }
-  const std::string_view blocked =
-      state.crash_suspects.BlockedPart(now, request.prompt_parts);
-  if (!blocked.empty()) {
-    state.Refuse(now, request, id, kUnavailable, Reason::kCrashingPrompt);
-    return;
-  }
   Call call;
   call.id = id;
   call.route = *route;
@@ -189,7 +201,12 @@
     time = std::min(time, route->timeout);
   }
   call.deadline = request.received_at + time;
-  call.request = std::move(received);
+  call.request = received;
+  if (const Reason reason = state.BlockReason(now, call);
+      reason != Reason::kNone) {
+    state.Refuse(now, request, id, kUnavailable, reason);
+    return;
+  }
   Call& inserted = state.calls.emplace(id, std::move(call)).first->second;
   state.Pool(inserted.service).Budget().Earn();
   state.StartAttempt(now, inserted, /*require_free_capacity=*/true);
@@ -230,16 +247,26 @@
 }
 
 void Entry::OnCrashEvidence(kernel::Time now,
-                            std::span<const PartEvidence> evidence) {
-  m_state->crash_suspects.Merge(now, evidence);
+                            std::span<const SuspectEvidence> evidence) {
+  for (const SuspectEvidence& item : evidence) {
+    if (IsRequestDigest(item.signature)) {
+      m_state->suspect_requests.Merge(now, item);
+    } else {
+      m_state->suspect_parts.Merge(now, item);
+    }
+  }
 }
 
-std::vector<PartEvidence> Entry::CrashEvidence(kernel::Time now) const {
-  return m_state->crash_suspects.Evidence(now);
+std::vector<SuspectEvidence> Entry::CrashEvidence(kernel::Time now) const {
+  std::vector<SuspectEvidence> evidence = m_state->suspect_parts.Evidence(now);
+  std::ranges::move(m_state->suspect_requests.Evidence(now),
+                    std::back_inserter(evidence));
+  return evidence;
 }
 
 std::uint64_t Entry::CrashEvidenceRevision() const {
-  return m_state->crash_suspects.Revision();
+  return m_state->suspect_parts.Revision() +
+         m_state->suspect_requests.Revision();
 }
 
 void Entry::OnDrain() {
@@ -274,7 +301,8 @@
 Entry::State::State(EntrySettings initial_settings, kernel::Random generator)
     : settings(std::move(initial_settings)),
       random(generator),
-      crash_suspects(settings.crash_suspects) {}
+      suspect_parts(settings.crash_suspects),
+      suspect_requests(SettingsForRequests(settings.crash_suspects, random)) {}
 
 std::string Entry::State::ChooseService(const RouteRule& route) {
   std::uint64_t total = 0;
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -37,9 +37,9 @@
 // time do not all retry at the same time.
 constexpr milliseconds kMinimumRetryAfter{250};
 constexpr milliseconds kMaximumRetryAfter{900};
-// Retry-After for a prompt that crashes endpoints: the time that it is blocked
+// Retry-After for a request that crashes endpoints: the time that it is blocked
 // at least.
-constexpr milliseconds kCrashingPromptRetryAfter{30000};
+constexpr milliseconds kBlockedRetryAfter{30000};
 // Events of one attempt after which its prompt counts as harmless. An endpoint
 // that crashes on a prompt ends within two passes, one event each.
 constexpr std::uint64_t kHarmlessEvents = 4;
@@ -60,8 +60,8 @@
 }  // namespace
 
 milliseconds Entry::State::RetryAfter(Reason reason) {
-  if (reason == Reason::kCrashingPrompt) {
-    return kCrashingPromptRetryAfter;
+  if (reason == Reason::kCrashingPrompt || reason == Reason::kCrashingRequest) {
+    return kBlockedRetryAfter;
   }
   const auto range = static_cast<std::uint64_t>(
       (kMaximumRetryAfter - kMinimumRetryAfter).count());
@@ -157,8 +157,8 @@
     FailCall(now, call, Reason::kTimeout);
     return;
   }
-  if (!crash_suspects.BlockedPart(now, call.request->prompt_parts).empty()) {
-    FailCall(now, call, Reason::kCrashingPrompt);
+  if (const Reason reason = BlockReason(now, call); reason != Reason::kNone) {
+    FailCall(now, call, reason);
     return;
   }
   ServicePool& pool = Pool(call.service);
@@ -221,17 +221,19 @@
   RecordOutcome(now, call, CallRecord::Kind::kAttemptFailed, 0, reason);
   Pool(call.service).OnFailed(now, RunOf(*call.attempt));
   call.excluded.push_back(call.attempt->endpoint);
-  const std::vector<std::string>& parts = call.request->prompt_parts;
   if (reason == Reason::kBroken && !call.attempt->harmless) {
-    crash_suspects.OnBroken(now, parts,
-                            call.attempt->endpoint + "/" +
-                                std::to_string(call.attempt->incarnation));
+    NoteBroken(now, call);
   }
   call.attempt.reset();
-  if (crash_suspects.IsSuspicious(now, parts)) {
+  if (suspect_parts.IsSuspicious(now, call.request->prompt_parts)) {
     FailCall(now, call, Reason::kCrashingPrompt);
     return;
   }
+  if (reason == Reason::kBroken &&
+      suspect_requests.IsSuspicious(now, {&DigestOf(call), 1})) {
+    FailCall(now, call, Reason::kCrashingRequest);
+    return;
+  }
   const bool resumable =
       !call.response_started || (IsStream(call) && call.events.LastId());
   if (call.route.IsRepeatable() && resumable && TryReserveRetry(now, call)) {
@@ -262,42 +264,93 @@
   }
   if (call.events.EventsReturned() >=
       attempt.earlier_events + kHarmlessEvents) {
-    ClearPrompt(now, call);
+    ClearSuspicion(now, call);
   }
   Emit(SendResponseBody{call.id, std::move(events)});
 }
 
-void Entry::State::ClearPrompt(kernel::Time now, Call& call) {
-  if (!call.attempt->harmless) {
-    call.attempt->harmless = true;
-    crash_suspects.OnAnswered(now, call.request->prompt_parts);
+void Entry::State::ClearSuspicion(kernel::Time now, Call& call) {
+  if (call.attempt->harmless) {
+    return;
+  }
+  call.attempt->harmless = true;
+  suspect_parts.OnAnswered(now, call.request->prompt_parts);
+  if (!suspect_requests.IsEmpty()) {
+    suspect_requests.OnAnswered(now, {&DigestOf(call), 1});
+  }
+}
+
+void Entry::State::NoteBroken(kernel::Time now, Call& call) {
+  const CrashSighting crash{.run = RunName(*call.attempt),
+                            .seen_at = now,
+                            .began_at = call.attempt->started};
+  suspect_parts.OnBroken(call.request->prompt_parts, crash);
+  suspect_requests.OnBroken({&DigestOf(call), 1}, crash);
+}
+
+Reason Entry::State::BlockReason(kernel::Time now, Call& call) {
+  if (!suspect_parts.FindBlocked(now, call.request->prompt_parts).empty()) {
+    return Reason::kCrashingPrompt;
+  }
+  if (suspect_requests.IsEmpty()) {
+    return Reason::kNone;
+  }
+  const std::string& digest = DigestOf(call);
+  if (!suspect_requests.FindBlocked(now, {&digest, 1}).empty()) {
+    return Reason::kCrashingRequest;
   }
+  // Repetitions that run at the same time would crash one endpoint each.
+  if (suspect_requests.IsSuspicious(now, {&digest, 1}) &&
+      std::ranges::any_of(calls, [this, &call, &digest](auto& item) {
+        return item.first != call.id && item.second.attempt &&
+               DigestOf(item.second) == digest;
+      })) {
+    return Reason::kRequestOnTrial;
+  }
+  return Reason::kNone;
 }
 
 void Entry::State::StopBlockedCalls(kernel::Time now) {
-  for (std::string& part : crash_suspects.TakeNewlyBlocked()) {
+  for (std::string& part : suspect_parts.TakeNewlyBlocked()) {
     // An answer may have cleared the part meanwhile.
-    if (crash_suspects.BlockedPart(now, {&part, 1}).empty()) {
+    if (suspect_parts.FindBlocked(now, {&part, 1}).empty()) {
       continue;
     }
-    std::vector<CallId> affected;
-    for (const auto& [id, call] : calls) {
-      if (call.attempt && !call.attempt->harmless &&
-          std::ranges::find(call.request->prompt_parts, part) !=
-              call.request->prompt_parts.end()) {
-        affected.push_back(id);
-      }
+    StopCallsWith(now, Reason::kCrashingPrompt, [&part](const Call& call) {
+      return std::ranges::find(call.request->prompt_parts, part) !=
+             call.request->prompt_parts.end();
+    });
+    Emit(PartBlocked{std::move(part)});
+  }
+  for (std::string& digest : suspect_requests.TakeNewlyBlocked()) {
+    if (suspect_requests.FindBlocked(now, {&digest, 1}).empty()) {
+      continue;
     }
-    for (const CallId id : affected) {
-      Call& call = calls.at(id);
-      Emit(CancelAttempt{id});
-      if (call.attempt->sent) {
-        Pool(call.service).OnAbandoned(now, RunOf(*call.attempt));
-        call.may_have_run = true;
-      }
-      FailCall(now, call, Reason::kCrashingPrompt);
+    StopCallsWith(now, Reason::kCrashingRequest, [this, &digest](Call& call) {
+      return DigestOf(call) == digest;
+    });
+    Emit(RequestBlocked{std::move(digest)});
+  }
+}
+
+template <typename HasSignature>
+void Entry::State::StopCallsWith(kernel::Time now,
+                                 Reason reason,
+                                 HasSignature has_signature) {
+  std::vector<CallId> affected;
+  for (auto& [id, call] : calls) {
+    if (call.attempt && !call.attempt->harmless && has_signature(call)) {
+      affected.push_back(id);
     }
-    Emit(PartBlocked{std::move(part)});
+  }
+  for (const CallId id : affected) {
+    Call& call = calls.at(id);
+    Emit(CancelAttempt{id});
+    if (call.attempt->sent) {
+      Pool(call.service).OnAbandoned(now, RunOf(*call.attempt));
+      call.may_have_run = true;
+    }
+    FailCall(now, call, reason);
   }
 }
 
@@ -396,6 +449,11 @@
       *response.attempt_id != call->request->attempt_id) {
     return ResponseVerdict::kSkip;
   }
+  if (!response.wrong_endpoint) {
+    const std::string run = m_state->RunName(*call->attempt);
+    m_state->suspect_parts.OnResponded(run, call->attempt->started);
+    m_state->suspect_requests.OnResponded(run, call->attempt->started);
+  }
   if (response.wrong_endpoint || response.wrong_version ||
       response.not_executed) {
     const routing::Refusal refusal =
@@ -484,7 +542,7 @@
     pool.OnAnswered(now, m_state->RunOf(attempt),
                     {.first_byte = attempt.first_byte});
     if (IsSuccess(status) && !stream) {
-      m_state->ClearPrompt(now, *call);
+      m_state->ClearSuspicion(now, *call);
     }
   }
   if (call->response_started) {
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -30,7 +30,7 @@
   bool event_received = false;
   // Events of the call that were passed on before this attempt.
   std::uint64_t earlier_events = 0;
-  // The answer got so far that its prompt does not crash endpoints.
+  // The answer got so far that its request does not crash endpoints.
   bool harmless = false;
 };
 
@@ -84,10 +84,18 @@
   bool HasTooLittleTime(kernel::Time now, const Call& call) const;
   void HandleStreamData(kernel::Time now, Call& call, std::string_view data);
   void CheckTimeouts(kernel::Time now, Call& call);
-  // Notes that the endpoint's answer shows the prompt to be harmless.
-  void ClearPrompt(kernel::Time now, Call& call);
-  // Ends the calls whose prompts have a part that was blocked meanwhile.
+  // Notes that the endpoint's answer shows the request to be harmless.
+  void ClearSuspicion(kernel::Time now, Call& call);
+  // An attempt ended without an answer, as it does when its endpoint crashes.
+  void NoteBroken(kernel::Time now, Call& call);
+  // Why a call may not be tried at an endpoint at present; kNone: it may.
+  Reason BlockReason(kernel::Time now, Call& call);
+  // Ends the calls that have a signature which was blocked meanwhile.
   void StopBlockedCalls(kernel::Time now);
+  template <typename HasSignature>
+  void StopCallsWith(kernel::Time now,
+                     Reason reason,
+                     HasSignature has_signature);
   // Whether an attempt is still queued and could start on a superseded version.
   bool UsesOutdatedVersion(kernel::Time now, const Call& call);
   // Cancels an attempt without a response and starts another one if allowed.
@@ -102,6 +110,10 @@
   void RequireVersions(kernel::Time now);
   void UpdatePools(kernel::Time now);
   Call* FindCall(CallId id);
+  // Identifies an endpoint run in evidence of crashes.
+  std::string RunName(const CurrentAttempt& attempt) const {
+    return attempt.endpoint + "/" + std::to_string(attempt.incarnation);
+  }
   routing::EndpointRun RunOf(const CurrentAttempt& attempt) const {
     return {attempt.endpoint, attempt.incarnation};
   }
@@ -123,7 +135,8 @@
   kernel::Random random;
   ConfigurationTable configurations;
   ConfigurationAge age;
-  CrashSuspects crash_suspects;
+  CrashSuspects<PromptPartSignature> suspect_parts;
+  CrashSuspects<RequestSignature> suspect_requests;
   bool endpoints_known = false;
   bool draining = false;
   std::vector<ListedEndpoint> endpoints;
--- a/source/radishrudder/direct/request_digest.cc
+++ b/source/radishrudder/direct/request_digest.cc
@@ -5,6 +5,7 @@
 namespace radishrudder::direct {
 namespace {
 
+constexpr std::string_view kPrefix = "request:";
 constexpr std::size_t kHexDigits = 32;
 // Room for the short fields and the lengths.
 constexpr std::size_t kOtherBytes = 128;
@@ -31,7 +32,11 @@
               text);
   AppendField(request.body, text);
   const std::string digest = weights::ToText(weights::Sha256(text));
-  return "request:" + digest.substr(digest.find(':') + 1, kHexDigits);
+  return std::string(kPrefix) + digest.substr(digest.find(':') + 1, kHexDigits);
+}
+
+bool IsRequestDigest(std::string_view signature) {
+  return signature.starts_with(kPrefix);
 }
 
 }  // namespace radishrudder::direct
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -52,6 +52,7 @@
                                       kAttemptRefused,
                                       kCallAnswered,
                                       kPromptPartBlocked,
+                                      kRequestBlocked,
                                       kOrderSent,
                                       kOrderRefused,
                                       kVersionRunning,
--- a/source/radishrudder/peers/peer_report.cc
+++ b/source/radishrudder/peers/peer_report.cc
@@ -11,8 +11,8 @@
 // Limits of a report from another process.
 constexpr std::size_t kMaximumPeers = 256;
 constexpr std::size_t kMaximumDeclarations = 64;
-constexpr std::size_t kMaximumParts = 256;
-constexpr std::size_t kMaximumCrashesPerPart = 64;
+constexpr std::size_t kMaximumSuspects = 256;
+constexpr std::size_t kMaximumCrashesPerSuspect = 64;
 constexpr std::size_t kMaximumAddressLength = 64;
 constexpr std::uint64_t kMaximumAgeMilliseconds = 86'400'000;
 
@@ -45,26 +45,39 @@
   return declaration;
 }
 
-PartReport ParsePart(const Json& object, bool& valid) {
-  PartReport part{.part = object.at("part").get<std::string>(),
-                  .cleared = object.value("cleared", false)};
-  for (const Json& crash : object.at("crashes")) {
-    part.crashes.push_back(
-        {.run = crash.at("run").get<std::string>(),
-         .age = ToAge(crash.at("ageMs"), valid).value_or(milliseconds(0))});
+SuspectReport ParseSuspect(const Json& object, bool& valid) {
+  SuspectReport suspect{.signature = object.at("part").get<std::string>(),
+                        .cleared_age = ParseAge(object, "clearedMs", valid)};
+  if (!suspect.cleared_age && object.value("cleared", false)) {
+    suspect.cleared_age = milliseconds(0);
   }
-  valid = valid && part.crashes.size() <= kMaximumCrashesPerPart;
-  return part;
+  for (const Json& item : object.at("crashes")) {
+    CrashReport crash{
+        .run = item.at("run").get<std::string>(),
+        .age = ToAge(item.at("ageMs"), valid).value_or(milliseconds(0))};
+    crash.began_age = ParseAge(item, "beganMs", valid).value_or(crash.age);
+    valid = valid && crash.began_age >= crash.age;
+    suspect.crashes.push_back(std::move(crash));
+  }
+  valid = valid && suspect.crashes.size() <= kMaximumCrashesPerSuspect;
+  return suspect;
 }
 
-Json ToJson(const PartReport& part) {
+// The members are named after prompt parts, the first kind of signature.
+Json ToJson(const SuspectReport& suspect) {
   Json crashes = Json::array();
-  for (const CrashReport& crash : part.crashes) {
-    crashes.push_back({{"run", crash.run}, {"ageMs", crash.age.count()}});
+  for (const CrashReport& crash : suspect.crashes) {
+    crashes.push_back({{"run", crash.run},
+                       {"ageMs", crash.age.count()},
+                       {"beganMs", crash.began_age.count()}});
+  }
+  Json object{{"part", suspect.signature},
+              {"cleared", suspect.cleared_age.has_value()},
+              {"crashes", std::move(crashes)}};
+  if (suspect.cleared_age) {
+    object["clearedMs"] = suspect.cleared_age->count();
   }
-  return {{"part", part.part},
-          {"cleared", part.cleared},
-          {"crashes", std::move(crashes)}};
+  return object;
 }
 
 }  // namespace
@@ -87,8 +100,8 @@
     declarations.push_back(std::move(item));
   }
   Json& parts = text["parts"] = Json::array();
-  for (const PartReport& part : report.parts) {
-    parts.push_back(ToJson(part));
+  for (const SuspectReport& suspect : report.suspects) {
+    parts.push_back(ToJson(suspect));
   }
   return text.dump();
 }
@@ -106,9 +119,9 @@
       report.declarations.push_back(ParseDeclaration(item, valid));
     }
     for (const Json& item : document.value("parts", Json::array())) {
-      report.parts.push_back(ParsePart(item, valid));
+      report.suspects.push_back(ParseSuspect(item, valid));
     }
-    valid = valid && report.parts.size() <= kMaximumParts &&
+    valid = valid && report.suspects.size() <= kMaximumSuspects &&
             report.address.size() <= kMaximumAddressLength &&
             report.peers.size() <= kMaximumPeers &&
             report.declarations.size() <= kMaximumDeclarations;
--- a/tests/direct/crash_suspects_test.cc
+++ b/tests/direct/crash_suspects_test.cc
@@ -8,28 +8,38 @@
 namespace {
 
 using std::chrono::milliseconds;
+using SuspectParts = CrashSuspects<PromptPartSignature>;
 
 class CrashSuspectsTest : public testing::Test {
  protected:
   using Parts = std::vector<std::string>;
 
   // An endpoint ends, a moment later than the one before.
-  void Crash(CrashSuspects& suspects, const Parts& parts) {
+  void Crash(SuspectParts& suspects, const Parts& parts) {
     AdvanceTime(milliseconds(400));
-    suspects.OnBroken(m_now, parts, "i-" + std::to_string(++m_runs) + "/1");
+    suspects.OnBroken(parts, Sighting("i-" + std::to_string(++m_runs) + "/1"));
   }
   void AdvanceTime(milliseconds time) { m_now += time; }
-  std::string_view Blocked(const CrashSuspects& suspects, const Parts& parts) {
-    return suspects.BlockedPart(m_now, parts);
+  // A crash at this moment of an attempt that began long ago.
+  CrashSighting Sighting(std::string run) const {
+    return {std::move(run), m_now, m_now - std::chrono::minutes(1)};
+  }
+  std::string_view Blocked(const SuspectParts& suspects, const Parts& parts) {
+    return suspects.FindBlocked(m_now, parts);
+  }
+  void Tell(const SuspectParts& from, SuspectParts& to) {
+    for (const SuspectEvidence& item : from.Evidence(m_now)) {
+      to.Merge(m_now, item);
+    }
   }
   // Both tell each other what they know.
-  void Exchange(CrashSuspects& one, CrashSuspects& other) {
-    other.Merge(m_now, one.Evidence(m_now));
-    one.Merge(m_now, other.Evidence(m_now));
+  void Exchange(SuspectParts& one, SuspectParts& other) {
+    Tell(one, other);
+    Tell(other, one);
   }
 
-  CrashSuspects m_suspects{CrashSuspectSettings{}};
-  CrashSuspects m_other{CrashSuspectSettings{}};
+  SuspectParts m_suspects{CrashSuspectSettings{}};
+  SuspectParts m_other{CrashSuspectSettings{}};
   kernel::Time m_now{std::chrono::hours(1)};
   int m_runs = 0;
 };
@@ -70,7 +80,7 @@
 // A fault of the machines ends many endpoints at once, each with many calls.
 TEST_F(CrashSuspectsTest, EndpointsThatEndTogetherCountOnce) {
   for (int i = 0; i < 19; ++i) {
-    m_suspects.OnBroken(m_now, Parts{"new"}, "i-" + std::to_string(i));
+    m_suspects.OnBroken(Parts{"new"}, Sighting("i-" + std::to_string(i)));
     AdvanceTime(milliseconds(5));
   }
   EXPECT_FALSE(m_suspects.IsSuspicious(m_now, Parts{"new"}));
@@ -78,7 +88,7 @@
 
 TEST_F(CrashSuspectsTest, CallsOfOneEndpointCountOnce) {
   for (int i = 0; i < 8; ++i) {
-    m_suspects.OnBroken(m_now, Parts{"bad"}, "i-1/1");
+    m_suspects.OnBroken(Parts{"bad"}, Sighting("i-1/1"));
     AdvanceTime(milliseconds(400));
   }
   EXPECT_FALSE(m_suspects.IsSuspicious(m_now, Parts{"bad"}));
@@ -115,7 +125,7 @@
 TEST_F(CrashSuspectsTest, CertaintyCountsEndpoints) {
   for (int i = 0; i < 2; ++i) {
     Crash(m_suspects, {"bad"});
-    m_suspects.OnBroken(m_now, Parts{"bad"}, "other-" + std::to_string(i));
+    m_suspects.OnBroken(Parts{"bad"}, Sighting("other-" + std::to_string(i)));
   }
   Crash(m_suspects, {"bad"});
   AdvanceTime(milliseconds(120000));
@@ -179,7 +189,7 @@
   for (int i = 0; i < 20000; ++i) {
     AdvanceTime(milliseconds(1));
     m_suspects.OnAnswered(m_now, Parts{"part" + std::to_string(i)});
-    m_suspects.OnBroken(m_now, Parts{"other" + std::to_string(i)}, "i-1/1");
+    m_suspects.OnBroken(Parts{"other" + std::to_string(i)}, Sighting("i-1/1"));
   }
   EXPECT_LE(m_suspects.Size(), 10000U);
   EXPECT_LE(m_suspects.Evidence(m_now).size(), 256U);
--- a/tests/direct/prompt_fleet.cc
+++ b/tests/direct/prompt_fleet.cc
@@ -98,7 +98,11 @@
                   [index](const Work& work) { return work.entry == index; });
   }
   ListEndpoints();
-  Exchange(index, m_random.Below(m_entries.size()));
+  // A new process asks one of the others at once.
+  if (m_entries.size() > 1) {
+    Exchange(index, (index + 1 + m_random.Below(m_entries.size() - 1)) %
+                        m_entries.size());
+  }
 }
 
 milliseconds PromptFleet::Since(kernel::Time time) const {
@@ -196,6 +200,7 @@
                                       : "own" + std::to_string(call));
     request.body = "order";
   } else {
+    request.body = "prompt " + std::to_string(call);
     request.prompt_parts = {
         "first", crashing
                      ? crashing_name
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -15,8 +15,9 @@
       .store_lost = true,
       .declarations = {{"draft", 4, milliseconds(30), milliseconds(900), true},
                        {"draft", 3, milliseconds(70), std::nullopt, false}},
-      .parts = {{"5c1e", {{"i-1/7", milliseconds(40)}}, false},
-                {"91bd", {}, true}}};
+      .suspects = {
+          {"5c1e", {{"i-1/7", milliseconds(40), milliseconds(90)}}, {}},
+          {"91bd", {}, milliseconds(70)}}};
   const auto parsed = ParsePeerReport(ToText(report));
   ASSERT_TRUE(parsed);
   EXPECT_EQ(parsed->address, report.address);
@@ -31,12 +32,27 @@
   EXPECT_EQ(parsed->declarations[0].read_age, milliseconds(30));
   EXPECT_EQ(parsed->declarations[0].absent_age, milliseconds(900));
   EXPECT_FALSE(parsed->declarations[1].absent_age);
-  ASSERT_EQ(parsed->parts.size(), 2U);
-  EXPECT_EQ(parsed->parts[0].part, "5c1e");
-  ASSERT_EQ(parsed->parts[0].crashes.size(), 1U);
-  EXPECT_EQ(parsed->parts[0].crashes[0].run, "i-1/7");
-  EXPECT_EQ(parsed->parts[0].crashes[0].age, milliseconds(40));
-  EXPECT_TRUE(parsed->parts[1].cleared);
+  ASSERT_EQ(parsed->suspects.size(), 2U);
+  EXPECT_EQ(parsed->suspects[0].signature, "5c1e");
+  ASSERT_EQ(parsed->suspects[0].crashes.size(), 1U);
+  EXPECT_EQ(parsed->suspects[0].crashes[0].run, "i-1/7");
+  EXPECT_EQ(parsed->suspects[0].crashes[0].age, milliseconds(40));
+  EXPECT_EQ(parsed->suspects[0].crashes[0].began_age, milliseconds(90));
+  EXPECT_FALSE(parsed->suspects[0].cleared_age);
+  EXPECT_EQ(parsed->suspects[1].cleared_age, milliseconds(70));
+}
+
+// Processes of the release before may still run beside this one.
+TEST(PeerReportTest, ReadsSuspectsWithoutAges) {
+  const auto parsed = ParsePeerReport(
+      R"({"address":"a","peers":[],"declarations":[],"parts":[)"
+      R"({"part":"p","cleared":false,"crashes":[{"run":"r","ageMs":5}]},)"
+      R"({"part":"q","cleared":true,"crashes":[]}]})");
+  ASSERT_TRUE(parsed);
+  ASSERT_EQ(parsed->suspects.size(), 2U);
+  EXPECT_EQ(parsed->suspects[0].crashes[0].began_age, milliseconds(5));
+  EXPECT_FALSE(parsed->suspects[0].cleared_age);
+  EXPECT_EQ(parsed->suspects[1].cleared_age, milliseconds(0));
 }
 
 // Anything may arrive at the port for peers; it must not end the process.
@@ -59,6 +75,9 @@
                     R"("storeMs":"x"})",
                     R"({"address":"a","peers":[],"declarations":[],)"
                     R"("parts":[{"part":"p","crashes":[{"run":"r"}]}]})",
+                    R"({"address":"a","peers":[],"declarations":[],"parts":[)"
+                    R"({"part":"p","crashes":[{"run":"r","ageMs":5,)"
+                    R"("beganMs":4}]}]})",
                     R"({"address":"a","peers":[],"declarations":[],)"
                     R"("storeMs":-1})",
                     R"({"address":"a","peers":[],"declarations":[],)"
