--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -71,8 +71,10 @@
   kBroken,         // An attempt ended before its response was complete.
   kInvalidAnswer,  // Not the endpoint's response to this request.
   kTimeout,
-  kOutdated,        // Queued at an endpoint until its version was superseded.
-  kCrashingPrompt,  // A part of its prompt crashes endpoints.
+  kOutdated,         // Queued at an endpoint until its version was superseded.
+  kCrashingPrompt,   // A part of its prompt crashes endpoints.
+  kCrashingRequest,  // The request crashes endpoints.
+  kRequestOnTrial,   // The request may crash endpoints and is in progress.
 };
 std::string_view ToText(Reason reason);
 
@@ -136,12 +138,19 @@
   std::string detail{};
   std::uint64_t events = 0;  // Passed on to the caller.
   std::vector<std::string> prompt_parts{};
+  // Of an attempt or a call that failed; the same for each repetition of the
+  // request, see `RequestDigest`.
+  std::string request_digest{};
 };
 
 // A part of prompts is blocked because it crashes endpoints, for the log.
 struct PartBlocked {
   std::string part{};
 };
+// The same of a whole request.
+struct RequestBlocked {
+  std::string digest{};
+};
 
 using Output = std::variant<SendAttempt,
                             CancelAttempt,
@@ -151,7 +160,8 @@
                             FinishResponse,
                             AbortResponse,
                             CallRecord,
-                            PartBlocked>;
+                            PartBlocked,
+                            RequestBlocked>;
 
 // Why an attempt ended without a complete response.
 enum class AttemptFailure {
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -30,7 +30,7 @@
   bool event_received = false;
   // Events of the call that were passed on before this attempt.
   std::uint64_t earlier_events = 0;
-  // The answer got so far that its prompt does not crash endpoints.
+  // The answer got so far that its request does not crash endpoints.
   bool harmless = false;
 };
 
@@ -56,6 +56,7 @@
   // Weights version of the response that was started.
   std::optional<std::uint64_t> version{};
   std::string detail{};
+  std::string digest{};  // Computed when it is needed first; empty before.
 };
 
 struct Entry::State {
@@ -83,10 +84,18 @@
   bool HasTooLittleTime(kernel::Time now, const Call& call) const;
   void HandleStreamData(kernel::Time now, Call& call, std::string_view data);
   void CheckTimeouts(kernel::Time now, Call& call);
-  // Notes that the endpoint's answer shows the prompt to be harmless.
-  void ClearPrompt(kernel::Time now, Call& call);
-  // Ends the calls whose prompts have a part that was blocked meanwhile.
+  // Notes that the endpoint's answer shows the request to be harmless.
+  void ClearSuspicion(kernel::Time now, Call& call);
+  // An attempt ended without an answer, as it does when its endpoint crashes.
+  void NoteBroken(kernel::Time now, Call& call);
+  // Why a call may not be tried at an endpoint at present; kNone: it may.
+  Reason BlockReason(kernel::Time now, Call& call);
+  // Ends the calls that have a signature which was blocked meanwhile.
   void StopBlockedCalls(kernel::Time now);
+  template <typename HasSignature>
+  void StopCallsWith(kernel::Time now,
+                     Reason reason,
+                     HasSignature has_signature);
   // Whether an attempt is still queued and could start on a superseded version.
   bool UsesOutdatedVersion(kernel::Time now, const Call& call);
   // Cancels an attempt without a response and starts another one if allowed.
@@ -101,12 +110,17 @@
   void RequireVersions(kernel::Time now);
   void UpdatePools(kernel::Time now);
   Call* FindCall(CallId id);
+  // Identifies an endpoint run in evidence of crashes.
+  std::string RunName(const CurrentAttempt& attempt) const {
+    return attempt.endpoint + "/" + std::to_string(attempt.incarnation);
+  }
   routing::EndpointRun RunOf(const CurrentAttempt& attempt) const {
     return {attempt.endpoint, attempt.incarnation};
   }
+  const std::string& DigestOf(Call& call);
   void Emit(Output output) { outputs.push_back(std::move(output)); }
   void RecordOutcome(kernel::Time now,
-                     const Call& call,
+                     Call& call,
                      CallRecord::Kind kind,
                      int status,
                      Reason reason);
@@ -121,7 +135,8 @@
   kernel::Random random;
   ConfigurationTable configurations;
   ConfigurationAge age;
-  CrashSuspects crash_suspects;
+  CrashSuspects<PromptPartSignature> suspect_parts;
+  CrashSuspects<RequestSignature> suspect_requests;
   bool endpoints_known = false;
   bool draining = false;
   std::vector<ListedEndpoint> endpoints;
