--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -43,6 +43,18 @@
 }
 
 // Processes of the release before may still run beside this one.
+// Guards against a process that ends by an exception because a caller named a
+// prompt part that is not UTF-8.
+TEST(PeerReportTest, WritesSignaturesOfAnyBytes) {
+  const PeerReport report{.address = "10.0.0.1:80",
+                          .suspects = {{"\xff\xfe", {}, milliseconds(70)},
+                                       {"91bd", {}, milliseconds(70)}}};
+  const auto parsed = ParsePeerReport(ToText(report));
+  ASSERT_TRUE(parsed);
+  ASSERT_EQ(parsed->suspects.size(), 2U);
+  EXPECT_EQ(parsed->suspects[1].signature, "91bd");
+}
+
 TEST(PeerReportTest, ReadsSuspectsWithoutAges) {
   const auto parsed = ParsePeerReport(
       R"({"address":"a","peers":[],"declarations":[],"parts":[)"
