exchange: accept the connections in the backlog before a stop

At the end of the time for late arrivals a stop closed the acceptor. Connections that were established and not accepted yet were reset with the requests on them. They are accepted first.

StopTakesConnectionsThatWaitToBeAccepted got no request before and passes now.

--- a/include/radishrudder/exchange/caller_server.h
+++ b/include/radishrudder/exchange/caller_server.h
@@ -75,7 +75,7 @@
   void SetLimits(const CallerLimits& limits) { m_limits = limits; }
   // Answers from now on say that their connection closes after them.
   void CloseAfterAnswers() { m_closing = true; }
-  // Accepts no more connections.
+  // Accepts no more connections than those that are already established.
   void StopAccepting();
   // Closes connections without a request in progress that were silent for at
   // least `silent`.
@@ -89,6 +89,7 @@
   friend class Connection;
 
   void Accept();
+  void Add(asio::ip::tcp::socket socket);
 
   asio::io_context& m_context;
   asio::ip::tcp::acceptor m_acceptor;
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -417,8 +417,25 @@
 }
 
 void CallerServer::StopAccepting() {
-  std::error_code ignored;
-  m_acceptor.close(ignored);
+  // Connections that wait to be accepted would be reset by the close, with the
+  // requests on them.
+  std::error_code error;
+  m_acceptor.non_blocking(true, error);
+  while (m_acceptor.is_open() && !error) {
+    asio::ip::tcp::socket socket(m_context);
+    m_acceptor.accept(socket, error);
+    if (!error) {
+      Add(std::move(socket));
+    }
+  }
+  m_acceptor.close(error);
+}
+
+void CallerServer::Add(asio::ip::tcp::socket socket) {
+  const auto connection =
+      std::make_shared<Connection>(*this, std::move(socket));
+  m_connections.insert(connection);
+  connection->Start();
 }
 
 void CallerServer::CloseIdle(kernel::Time now,
@@ -454,10 +471,7 @@
           });
           return;
         }
-        const auto connection =
-            std::make_shared<Connection>(*this, std::move(socket));
-        m_connections.insert(connection);
-        connection->Start();
+        Add(std::move(socket));
         Accept();
       });
 }
--- a/tests/exchange/caller_server_test.cc
+++ b/tests/exchange/caller_server_test.cc
@@ -26,6 +26,8 @@
               std::stoi(address.substr(address.find(':') + 1)))};
 }
 
+constexpr std::chrono::milliseconds kPollLimit{1000};
+
 class ServerTest : public testing::Test {
  protected:
   ServerTest() {
@@ -52,6 +54,16 @@
     m_received.append(buffer.data(), size);
     m_ended = m_ended || (error && error != asio::error::would_block);
   }
+  // Lets the server work on what has arrived. Returns whether `done` holds
+  // within the limit.
+  bool PollUntil(const std::function<bool()>& done) {
+    const kernel::Time end = kernel::Now() + kPollLimit;
+    while (!done() && kernel::Now() < end) {
+      m_context.restart();
+      m_context.poll();
+    }
+    return done();
+  }
   void RunUntil(const std::function<bool()>& done) {
     while (!done()) {
       m_context.run_one();
@@ -133,6 +145,16 @@
   EXPECT_EQ(m_server.Connections(), 0U);
 }
 
+// Guards against a stop that resets connections which wait to be accepted.
+TEST_F(ServerTest, StopTakesConnectionsThatWaitToBeAccepted) {
+  Write("GET / HTTP/1.1\r\n\r\n");
+  m_server.StopAccepting();
+  ASSERT_TRUE(PollUntil([this] { return m_requests.size() == 1; }));
+  m_exchanges[0]->Reply({200, {}}, "taken");
+  ReadUntil("taken");
+  EXPECT_TRUE(m_received.ends_with("taken"));
+}
+
 struct RefusalCase {
   const char* name;
   std::string request;
