exchange: keep silent connections on which bytes have arrived

The idle limit and a planned stop closed connections by the time of the last answer, also when the next request was in the socket's buffer: a busy process reset it unread.

SilenceEndsWithARequestThatIsNotReadYet lost the request before and passes now.

--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -60,8 +60,10 @@
 
   void Start() { Read(); }
 
+  // Bytes that have arrived and are not read yet may be a request.
   bool IsIdle() const {
-    return !m_exchange && !m_begun && m_outgoing.empty() && !m_writing;
+    return !m_exchange && !m_begun && m_outgoing.empty() && !m_writing &&
+           !HasUnread();
   }
   kernel::Time SilentSince() const { return m_silent_since; }
 
@@ -163,6 +165,11 @@
         });
   }
 
+  bool HasUnread() const {
+    std::error_code error;
+    return m_socket.available(error) > 0;
+  }
+
   // Reads the next request once none is in progress.
   void Advance() {
     // A caller that sends on while its request runs is read no further than
--- a/tests/exchange/caller_server_test.cc
+++ b/tests/exchange/caller_server_test.cc
@@ -145,6 +145,19 @@
   EXPECT_EQ(m_server.Connections(), 0U);
 }
 
+// Guards against a stop, or the idle limit, that closes a connection on which a
+// request has arrived while the process was busy.
+TEST_F(ServerTest, SilenceEndsWithARequestThatIsNotReadYet) {
+  RunUntil([this] { return m_server.Connections() == 1; });
+  Write("GET / HTTP/1.1\r\n\r\n");
+  const kernel::Time later = kernel::Now() + std::chrono::minutes(2);
+  m_server.CloseIdle(later, std::chrono::minutes(1));
+  EXPECT_EQ(m_server.Connections(), 1U);
+  m_server.CheckTimes(later);
+  EXPECT_EQ(m_server.Connections(), 1U);
+  EXPECT_TRUE(PollUntil([this] { return m_requests.size() == 1; }));
+}
+
 // Guards against a stop that resets connections which wait to be accepted.
 TEST_F(ServerTest, StopTakesConnectionsThatWaitToBeAccepted) {
   Write("GET / HTTP/1.1\r\n\r\n");
