exchange: read on until the caller closes after the last answer

A connection was closed directly after its last answer. If the caller was still sending, the bytes left unread reset the connection, which can destroy the answer on its way. The server now ends its side, drops what arrives and closes when the caller does, or after one second. The readiness and metrics servers apply their time limits too.

LastAnswerIsNotResetByBytesThatFollow found the connection closed before and passes now.

--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -611,6 +611,8 @@
     if (now >= m_next_maintenance) {
       m_next_maintenance = now + kMaintenanceInterval;
       m_callers.CheckTimes(now);
+      m_readiness.CheckTimes(now);
+      m_metrics_server.CheckTimes(now);
       m_peer_server.CheckTimes(now);
       m_pool.CloseIdle(now);
       m_store_pool.CloseIdle(now);
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds kAcceptPause{50};
 // Unacknowledged bytes of an answer end the caller's connection after this.
 constexpr std::chrono::milliseconds kCallerSilence{6000};
+// From the end of the last answer on a connection until it is closed, unless
+// the caller closes it before.
+constexpr std::chrono::milliseconds kLingerTime{1000};
 
 constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
@@ -63,14 +66,18 @@
   // Bytes that have arrived and are not read yet may be a request.
   bool IsIdle() const {
     return !m_exchange && !m_begun && m_outgoing.empty() && !m_writing &&
-           !HasUnread();
+           !m_lingering_since && !HasUnread();
   }
   kernel::Time SilentSince() const { return m_silent_since; }
 
   void CheckTimes(kernel::Time now) {
     const CallerLimits& limits = m_server.m_limits;
-    if (m_begun && !m_exchange && !m_reader.HeadComplete() &&
-        now - *m_begun >= limits.head_timeout) {
+    if (m_lingering_since) {
+      if (now - *m_lingering_since >= kLingerTime) {
+        Close();
+      }
+    } else if (m_begun && !m_exchange && !m_reader.HeadComplete() &&
+               now - *m_begun >= limits.head_timeout) {
       Refuse(kRequestTimeout);
     } else if (IsIdle() && now - m_silent_since >= limits.idle_timeout) {
       Close();
@@ -157,9 +164,11 @@
             self->Close();
             return;
           }
-          self->m_incoming.append(self->m_buffer.data(), size);
-          self->Advance();
-          if (self->m_socket.is_open() && !self->m_refusing) {
+          if (!self->m_refusing && !self->m_lingering_since) {
+            self->m_incoming.append(self->m_buffer.data(), size);
+            self->Advance();
+          }
+          if (self->m_socket.is_open()) {
             self->Read();
           }
         });
@@ -359,12 +368,13 @@
 
   void OnWritten() {
     if (m_ending) {
-      // The caller may still be sending; its bytes unread would reset the
-      // connection and with it the answer.
+      // The caller may still be sending. Bytes left unread at the close would
+      // reset the connection and with it the answer: they are read and dropped
+      // until the caller closes.
       std::error_code ignored;
       m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
       m_ending = false;
-      CloseLater();
+      m_lingering_since = kernel::Now();
     } else if (m_next) {
       m_next = false;
       if (!m_incoming.empty()) {
@@ -388,6 +398,7 @@
   std::function<void()> m_gone;
   std::optional<kernel::Time> m_begun;  // First byte of the next request.
   kernel::Time m_silent_since;
+  std::optional<kernel::Time> m_lingering_since;  // Nothing more is sent.
   bool m_continued = false;
   bool m_keep = true;
   bool m_chunked_ok = true;
--- a/tests/exchange/caller_server_test.cc
+++ b/tests/exchange/caller_server_test.cc
@@ -52,7 +52,10 @@
     std::error_code error;
     const std::size_t size = m_client.read_some(asio::buffer(buffer), error);
     m_received.append(buffer.data(), size);
-    m_ended = m_ended || (error && error != asio::error::would_block);
+    if (error && error != asio::error::would_block) {
+      m_ended = true;
+      m_end = error;
+    }
   }
   // Lets the server work on what has arrived. Returns whether `done` holds
   // within the limit.
@@ -83,6 +86,7 @@
   asio::ip::tcp::socket m_client{m_context};
   std::string m_received;
   bool m_ended = false;
+  std::error_code m_end;  // How the connection ended.
 };
 
 TEST_F(ServerTest, AnswersOneRequestAfterTheOther) {
@@ -168,6 +172,32 @@
   EXPECT_TRUE(m_received.ends_with("taken"));
 }
 
+// Guards against a reset that destroys the last answer on its way, because the
+// caller's next bytes were unread when the connection closed.
+TEST_F(ServerTest, LastAnswerIsNotResetByBytesThatFollow) {
+  Write("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  Write(std::string(60000, 'x'));
+  m_exchanges[0]->Reply({200, {}}, "last");
+  ReadUntil("never");
+  EXPECT_TRUE(m_received.ends_with("last"));
+  EXPECT_EQ(m_end, asio::error::eof) << m_end.message();
+  // A connection with unread bytes that is closed is reset.
+  EXPECT_EQ(m_server.Connections(), 1U);
+  m_client.close();
+  EXPECT_TRUE(PollUntil([this] { return m_server.Connections() == 0; }));
+}
+
+// Guards against callers that hold a connection by never closing it.
+TEST_F(ServerTest, ConnectionThatCallerKeepsOpenAfterTheEndIsClosed) {
+  Write("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  m_exchanges[0]->Reply({200, {}}, "last");
+  ReadUntil("never");
+  m_server.CheckTimes(kernel::Now() + std::chrono::seconds(5));
+  EXPECT_TRUE(PollUntil([this] { return m_server.Connections() == 0; }));
+}
+
 struct RefusalCase {
   const char* name;
   std::string request;
