exchange: refuse requests whose body does not arrive

Only heads had a time limit. A caller that went silent in the middle of a body held its connection and memory until it left, and a stop waited for it until its timeout. Such a request is refused with 408 after the idle limit.

SilenceInABodyIsRefused got no answer before and passes now.

--- a/include/radishrudder/exchange/caller_server.h
+++ b/include/radishrudder/exchange/caller_server.h
@@ -24,7 +24,7 @@
   std::size_t body_bytes = 4194304;
   // From the first byte of a request to the end of its head.
   std::chrono::milliseconds head_timeout{3000};
-  // Without a request in progress.
+  // Without a request in progress, or without a byte of a request's body.
   std::chrono::milliseconds idle_timeout{15000};
 };
 
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -79,6 +79,9 @@
     } else if (m_begun && !m_exchange && !m_reader.HeadComplete() &&
                now - *m_begun >= limits.head_timeout) {
       Refuse(kRequestTimeout);
+    } else if (m_begun && !m_exchange && m_reader.HeadComplete() &&
+               now - m_read_at >= limits.idle_timeout && !HasUnread()) {
+      Refuse(kRequestTimeout);
     } else if (IsIdle() && now - m_silent_since >= limits.idle_timeout) {
       Close();
     }
@@ -164,6 +167,7 @@
             self->Close();
             return;
           }
+          self->m_read_at = kernel::Now();
           if (!self->m_refusing && !self->m_lingering_since) {
             self->m_incoming.append(self->m_buffer.data(), size);
             self->Advance();
@@ -398,6 +402,7 @@
   std::function<void()> m_gone;
   std::optional<kernel::Time> m_begun;  // First byte of the next request.
   kernel::Time m_silent_since;
+  kernel::Time m_read_at{};                       // When bytes were last read.
   std::optional<kernel::Time> m_lingering_since;  // Nothing more is sent.
   bool m_continued = false;
   bool m_keep = true;
--- a/tests/exchange/caller_server_test.cc
+++ b/tests/exchange/caller_server_test.cc
@@ -198,6 +198,22 @@
   EXPECT_TRUE(PollUntil([this] { return m_server.Connections() == 0; }));
 }
 
+// Guards against a caller that stops in the middle of a body holding its
+// connection and memory for good.
+TEST_F(ServerTest, SilenceInABodyIsRefused) {
+  Write("POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\npart");
+  RunUntil([this] { return m_server.Connections() == 1; });
+  m_context.poll();
+  const kernel::Time end = kernel::Now() + kPollLimit;
+  while (!m_ended && kernel::Now() < end) {
+    m_server.CheckTimes(kernel::Now() + std::chrono::seconds(20));
+    m_context.poll();
+    Receive();
+  }
+  EXPECT_TRUE(m_received.starts_with("HTTP/1.1 408")) << m_received;
+  EXPECT_TRUE(m_requests.empty());
+}
+
 struct RefusalCase {
   const char* name;
   std::string request;
