--- /dev/null
+++ b/tests/platform/platform_standin.cc
@@ -0,0 +1,213 @@
+#include "tests/platform/platform_standin.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <utility>
+
+#include "radishrudder/exchange/message_reader.h"
+#include "radishrudder/http/header.h"
+
+namespace radishrudder::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kServiceTime{20};
+constexpr milliseconds kWatchTime{300};
+constexpr milliseconds kAnswerLimit{8000};
+
+std::string FreeAddress(asio::io_context& context) {
+  const asio::ip::tcp::acceptor acceptor(
+      context, {asio::ip::address_v4::loopback(), std::uint16_t{0}});
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+std::string EncodeBase64(std::string_view bytes) {
+  constexpr std::string_view kDigits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string text;
+  for (std::size_t i = 0; i < bytes.size(); i += 3) {
+    std::uint32_t group = 0;
+    for (std::size_t j = i; j < i + 3; ++j) {
+      group = group << 8U |
+              (j < bytes.size() ? static_cast<unsigned char>(bytes[j]) : 0U);
+    }
+    for (std::size_t j = 0; j < 4; ++j) {
+      text +=
+          i + j > bytes.size() ? '=' : kDigits[group >> (18U - 6U * j) & 63U];
+    }
+  }
+  return text;
+}
+
+// Returns a connected socket, or -1.
+int Connect(std::string_view address, milliseconds limit) {
+  const std::size_t colon = address.find(':');
+  sockaddr_in peer{};
+  peer.sin_family = AF_INET;
+  peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  peer.sin_port = htons(static_cast<std::uint16_t>(
+      std::stoi(std::string(address.substr(colon + 1)))));
+  const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const timeval time{.tv_sec = limit.count() / 1000,
+                     .tv_usec = limit.count() % 1000 * 1000};
+  setsockopt(handle, SOL_SOCKET, SO_RCVTIMEO, &time, sizeof(time));
+  setsockopt(handle, SOL_SOCKET, SO_SNDTIMEO, &time, sizeof(time));
+  if (connect(handle, reinterpret_cast<const sockaddr*>(&peer), sizeof(peer)) !=
+      0) {
+    close(handle);
+    return -1;
+  }
+  return handle;
+}
+
+}  // namespace
+
+PlatformStandin::PlatformStandin(std::string_view store_address,
+                                 std::vector<StandinEntry> more_entries,
+                                 std::vector<std::string> watch_bodies)
+    : m_store(m_context,
+              [this](exchange::ReceivedRequest request, Exchange caller) {
+                AnswerStore(request, caller);
+              }),
+      m_endpoint(m_context,
+                 [this](exchange::ReceivedRequest request, Exchange caller) {
+                   AnswerCall(request, caller);
+                 }),
+      m_entries(std::move(more_entries)),
+      m_watch_bodies(std::move(watch_bodies)) {
+  const std::string endpoint = FreeAddress(m_context);
+  m_entries.push_back(
+      {"op/config",
+       R"({"version": 3, "routes": [{"name": "r", "host": "h.example",)"
+       R"("prefix": "/s/", "kind": "idempotent", "service": "plain",)"
+       R"("max_attempts": 2, "timeout_ms": 5000,)"
+       R"("target_latency_ms": 1000}], "services": [{"name": "plain",)"
+       R"("max_connections": 64}], "limits": {}})"});
+  m_entries.push_back(
+      {"servers/i-1",
+       R"({"service": "plain", "zone": "a", "slots": 32, "state": "ready",)"
+       R"("born": 1, "address": ")" +
+           endpoint + "\"}"});
+  m_store.Listen(store_address);
+  m_endpoint.Listen(endpoint);
+  m_thread = std::thread([this] { m_context.run(); });
+}
+
+PlatformStandin::~PlatformStandin() {
+  m_context.stop();
+  m_thread.join();
+}
+
+void PlatformStandin::AnswerStore(const exchange::ReceivedRequest& request,
+                                  const Exchange& caller) {
+  const std::string& target = request.head.target;
+  if (target.starts_with("/kv-watch")) {
+    std::string body = R"({"at": 9, "events": []})";
+    if (m_watches < m_watch_bodies.size()) {
+      body = m_watch_bodies[m_watches++];
+    }
+    ReplyLater(m_watches < m_watch_bodies.size() ? kServiceTime : kWatchTime,
+               caller, {200, {}}, std::move(body));
+    return;
+  }
+  const std::string_view prefix =
+      target.find("servers") == std::string::npos ? "op/" : "servers/";
+  std::string items;
+  for (const StandinEntry& entry : m_entries) {
+    if (entry.key.starts_with(prefix)) {
+      items += items.empty() ? "" : ", ";
+      items += R"({"key": ")" + entry.key + R"(", "revision": 7, "value": ")" +
+               EncodeBase64(entry.value) + "\"}";
+    }
+  }
+  caller->Reply({200, {}},
+                R"({"at": 9, "has_more": false, "items": [)" + items + "]}");
+}
+
+void PlatformStandin::AnswerCall(const exchange::ReceivedRequest& request,
+                                 const Exchange& caller) {
+  constexpr std::string_view kAttemptId = "Radishrudder-Attempt-Id";
+  exchange::AnswerHead head{
+      .status = 200, .headers = {{"Radishrudder-Response-Signature", "proof"}}};
+  head.headers.push_back(
+      {std::string(kAttemptId),
+       std::string(http::FindHeader(request.head.headers, kAttemptId))});
+  ReplyLater(kServiceTime, caller, std::move(head), "done");
+}
+
+void PlatformStandin::ReplyLater(milliseconds delay,
+                                 const Exchange& caller,
+                                 exchange::AnswerHead head,
+                                 std::string body) {
+  const auto timer = std::make_shared<asio::steady_timer>(m_context, delay);
+  timer->async_wait(
+      [timer, caller, head = std::move(head),
+       body = std::move(body)](std::error_code) { caller->Reply(head, body); });
+}
+
+StandinCaller::~StandinCaller() {
+  if (m_socket >= 0) {
+    close(m_socket);
+  }
+}
+
+StandinCaller::Result StandinCaller::Call(std::string_view request) {
+  if (m_socket < 0) {
+    m_socket = Connect(m_address, kAnswerLimit);
+  }
+  if (m_socket < 0) {
+    return Result::kNotConnected;
+  }
+  exchange::MessageReader reader(exchange::MessageReader::Kind::kResponse);
+  send(m_socket, request.data(), request.size(), MSG_NOSIGNAL);
+  std::array<char, 4096> buffer{};
+  auto state = exchange::ReadState::kHead;
+  while (state != exchange::ReadState::kComplete) {
+    const ssize_t size = recv(m_socket, buffer.data(), buffer.size(), 0);
+    state =
+        size > 0
+            ? reader.Feed({buffer.data(), static_cast<std::size_t>(size)}).state
+            : exchange::ReadState::kMalformed;
+    if (state == exchange::ReadState::kMalformed) {
+      close(std::exchange(m_socket, -1));
+      return Result::kLost;
+    }
+  }
+  m_status = reader.Response().status;
+  if (!reader.Response().keep_alive) {
+    close(std::exchange(m_socket, -1));
+  }
+  return Result::kAnswered;
+}
+
+std::string SendParts(std::string_view address,
+                      std::span<const std::string_view> parts,
+                      milliseconds pause,
+                      milliseconds limit) {
+  std::string received;
+  const int handle = Connect(address, limit);
+  if (handle < 0) {
+    return received;
+  }
+  for (const std::string_view part : parts) {
+    send(handle, part.data(), part.size(), MSG_NOSIGNAL);
+    std::this_thread::sleep_for(pause);
+  }
+  std::array<char, 4096> buffer{};
+  ssize_t size = 0;
+  while ((size = recv(handle, buffer.data(), buffer.size(), 0)) > 0) {
+    received.append(buffer.data(), static_cast<std::size_t>(size));
+  }
+  close(handle);
+  return received;
+}
+
+}  // namespace radishrudder::platform
--- /dev/null
+++ b/tests/platform/platform_standin.h
@@ -0,0 +1,86 @@
+#ifndef TESTS_PLATFORM_PLATFORM_STANDIN_H_
+#define TESTS_PLATFORM_PLATFORM_STANDIN_H_
+
+#include <asio/io_context.hpp>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "radishrudder/exchange/caller_server.h"
+
+namespace radishrudder::platform {
+
+struct StandinEntry {
+  std::string key{};
+  std::string value{};
+};
+
+// The platform's store with one configuration and one endpoint, and this
+// endpoint, on a thread of their own.
+class PlatformStandin {
+ public:
+  // `more_entries`: other entries of the store. `watch_bodies`: bodies of the
+  // first watches.
+  explicit PlatformStandin(std::string_view store_address,
+                           std::vector<StandinEntry> more_entries = {},
+                           std::vector<std::string> watch_bodies = {});
+  ~PlatformStandin();
+  PlatformStandin(const PlatformStandin&) = delete;
+  PlatformStandin& operator=(const PlatformStandin&) = delete;
+
+ private:
+  using Exchange = std::shared_ptr<exchange::CallerExchange>;
+
+  void AnswerStore(const exchange::ReceivedRequest& request,
+                   const Exchange& caller);
+  void AnswerCall(const exchange::ReceivedRequest& request,
+                  const Exchange& caller);
+  void ReplyLater(std::chrono::milliseconds delay,
+                  const Exchange& caller,
+                  exchange::AnswerHead head,
+                  std::string body);
+
+  asio::io_context m_context{1};
+  exchange::CallerServer m_store;
+  exchange::CallerServer m_endpoint;
+  std::vector<StandinEntry> m_entries;
+  std::vector<std::string> m_watch_bodies;
+  std::size_t m_watches = 0;
+  std::thread m_thread;
+};
+
+// Sends one request on a kept connection and waits for its answer.
+class StandinCaller {
+ public:
+  enum class Result { kAnswered, kNotConnected, kLost };
+
+  explicit StandinCaller(std::string_view address) : m_address(address) {}
+  ~StandinCaller();
+  StandinCaller(const StandinCaller&) = delete;
+  StandinCaller& operator=(const StandinCaller&) = delete;
+
+  // Opens a connection if none is kept.
+  Result Call(std::string_view request);
+  int Status() const { return m_status; }
+
+ private:
+  std::string m_address;
+  int m_status = 0;
+  int m_socket = -1;
+};
+
+// Sends parts on a connection of their own, with a pause between them. Returns
+// what came back before the connection ended or was silent for the limit.
+std::string SendParts(std::string_view address,
+                      std::span<const std::string_view> parts,
+                      std::chrono::milliseconds pause,
+                      std::chrono::milliseconds limit);
+
+}  // namespace radishrudder::platform
+
+#endif  // TESTS_PLATFORM_PLATFORM_STANDIN_H_
--- a/tests/platform/running_program.cc
+++ b/tests/platform/running_program.cc
@@ -80,20 +80,25 @@
   std::filesystem::remove_all(m_directory, ignored);
 }
 
+std::string RunningProgram::Address(int offset) const {
+  return "127.0.0.1:" + std::to_string(m_first_port + offset);
+}
+
 std::string RunningProgram::SettingsText(std::string_view bounds) const {
   const auto address = [this](int offset) {
-    return "\"127.0.0.1:" + std::to_string(m_first_port + offset) + "\"";
+    return "\"" + Address(offset) + "\"";
   };
   std::ostringstream text;
   text << R"({"node": "n-1", "ip": "127.0.0.1", "zone": "a", "region": "a",)"
        << R"("zones": {"a": "a"},)"
-       << R"("listen": {"front": )" << address(0) << R"(, "ready": )"
-       << address(1) << R"(, "control": )" << address(2) << "},"
-       << R"("internal_ports": [)" << m_first_port + 3 << ", "
-       << m_first_port + 4 << "],"
-       << R"("seeds": [], "app": )" << address(5)
+       << R"("listen": {"front": )" << address(kCallersPort) << R"(, "ready": )"
+       << address(kReadinessPort) << R"(, "control": )" << address(kControlPort)
+       << "},"
+       << R"("internal_ports": [)" << m_first_port + kPeersPort << ", "
+       << m_first_port + kMetricsPort << "],"
+       << R"("seeds": [], "app": )" << address(kStorePort)
        << R"(, "service": "draft", "limits": {"link_mbps": 7.6},)"
-       << R"("platform": {"address": )" << address(5) << "},"
+       << R"("platform": {"address": )" << address(kStorePort) << "},"
        << R"("bounds": {)" << bounds << "}}";
   return text.str();
 }
--- a/tests/platform/running_program.h
+++ b/tests/platform/running_program.h
@@ -28,6 +28,13 @@
   // Text of settings that the process can start with. `bounds` holds the
   // members of `bounds`, for example `"revoke_ms": 4000`.
   std::string SettingsText(std::string_view bounds) const;
+  // Addresses of the settings.
+  std::string CallersAddress() const { return Address(kCallersPort); }
+  std::string ReadinessAddress() const { return Address(kReadinessPort); }
+  std::string ControlAddress() const { return Address(kControlPort); }
+  std::string PeersAddress() const { return Address(kPeersPort); }
+  std::string MetricsAddress() const { return Address(kMetricsPort); }
+  std::string StoreAddress() const { return Address(kStorePort); }
   // Replaces the settings file; without a text, removes it.
   void WriteSettings(const std::optional<std::string>& text) const;
   void Start();
@@ -45,6 +52,15 @@
   bool IsRunning();
 
  private:
+  // Offsets from the first port.
+  static constexpr int kCallersPort = 0;
+  static constexpr int kReadinessPort = 1;
+  static constexpr int kControlPort = 2;
+  static constexpr int kPeersPort = 3;
+  static constexpr int kMetricsPort = 4;
+  static constexpr int kStorePort = 5;
+
+  std::string Address(int offset) const;
   std::string ReadLog() const;
 
   std::string m_program;  // File name.
--- /dev/null
+++ b/tests/platform/stop_under_load_test.cc
@@ -0,0 +1,169 @@
+// Tests that reloads and a planned stop of the entry, as a separate process,
+// leave no whole request without an answer.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/platform/platform_standin.h"
+#include "tests/platform/running_program.h"
+
+namespace radishrudder::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A loaded machine may delay a process by seconds.
+constexpr milliseconds kLimit{10000};
+// Callers open no new connections this long after the stop began.
+constexpr milliseconds kRedirectTime{1500};
+constexpr milliseconds kReloadPause{40};
+// Longer than a silent connection is kept in a stop.
+constexpr milliseconds kArrivalPause{800};
+constexpr int kCallers = 12;
+constexpr int kReloads = 12;
+constexpr char kSeveralSeeds[] = R"("seeds": ["127.0.0.1:9", "127.0.0.1:10"])";
+constexpr char kBounds[] = R"("revoke_ms": 5000, "grace_s": 8)";
+constexpr char kChangedBounds[] =
+    R"("revoke_ms": 4000, "grace_s": 6, "retry_budget_ratio": 0.1)";
+
+std::string Request(int caller) {
+  return "POST /s/1 HTTP/1.1\r\nHost: h.example\r\nRadishrudder-Attempt-Id: " +
+         std::to_string(caller) +
+         "\r\nRadishrudder-Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+// Calls over kept connections from several threads until they are told to end.
+class Load {
+ public:
+  explicit Load(const std::string& address) {
+    for (int i = 0; i < kCallers; ++i) {
+      m_threads.emplace_back([this, address, i] { Run(address, i); });
+    }
+  }
+  ~Load() { End(); }
+  Load(const Load&) = delete;
+  Load& operator=(const Load&) = delete;
+
+  void End() {
+    m_ending = true;
+    for (std::thread& thread : m_threads) {
+      thread.join();
+    }
+    m_threads.clear();
+  }
+  int Answered() const { return m_answered; }
+  int Lost() const { return m_lost; }
+  // Answers with another status than 200.
+  int Refused() const { return m_refused; }
+
+ private:
+  void Run(const std::string& address, int number) {
+    StandinCaller caller(address);
+    const std::string request = Request(number);
+    while (!m_ending) {
+      switch (caller.Call(request)) {
+        case StandinCaller::Result::kAnswered:
+          ++m_answered;
+          m_refused += caller.Status() == 200 ? 0 : 1;
+          break;
+        case StandinCaller::Result::kLost:
+          ++m_lost;
+          break;
+        case StandinCaller::Result::kNotConnected:
+          std::this_thread::sleep_for(milliseconds(5));
+          break;
+      }
+    }
+  }
+
+  std::atomic<bool> m_ending = false;
+  std::atomic<int> m_answered = 0;
+  std::atomic<int> m_refused = 0;
+  std::atomic<int> m_lost = 0;
+  std::vector<std::thread> m_threads;
+};
+
+class StopUnderLoadTest : public testing::Test {
+ protected:
+  StopUnderLoadTest() : m_standin(m_program.StoreAddress()) {
+    m_program.WriteSettings(m_program.SettingsText(kBounds));
+    m_program.Start();
+    EXPECT_TRUE(m_program.AwaitLog(" process-started ", 1, kLimit));
+    StandinCaller caller(m_program.CallersAddress());
+    const auto end = std::chrono::steady_clock::now() + kLimit;
+    while (std::chrono::steady_clock::now() < end && caller.Status() != 200) {
+      caller.Call(Request(0));
+    }
+    EXPECT_EQ(caller.Status(), 200);
+  }
+
+  // Changes seeds and limits, every other time back to the first ones.
+  void ChangeSettings(int number) const {
+    std::string text = m_program.SettingsText(kBounds);
+    if (number % 2 == 0) {
+      text = m_program.SettingsText(kChangedBounds);
+      const std::string no_seeds = R"("seeds": [])";
+      text.replace(text.find(no_seeds), no_seeds.size(), kSeveralSeeds);
+    }
+    m_program.WriteSettings(text);
+    m_program.Signal(SIGHUP);
+  }
+
+  RunningProgram m_program{"entry"};
+  PlatformStandin m_standin;
+};
+
+// Guards against reloads, and a stop that begins while one is due, cutting
+// kept connections on which requests arrive.
+TEST_F(StopUnderLoadTest, AnswersEveryRequestDuringReloadsAndTheStop) {
+  Load load(m_program.CallersAddress());
+  for (int i = 0; i < kReloads; ++i) {
+    ChangeSettings(i);
+    std::this_thread::sleep_for(kReloadPause);
+  }
+  EXPECT_TRUE(m_program.AwaitLog(" settings-reloaded ", 2, kLimit));
+  const int answered = load.Answered();
+  EXPECT_GT(answered, 0);
+  EXPECT_EQ(load.Refused(), 0);
+  ChangeSettings(0);
+  m_program.Signal(SIGTERM);
+  ChangeSettings(1);
+  std::this_thread::sleep_for(kRedirectTime);
+  load.End();
+  EXPECT_EQ(m_program.AwaitExit(kLimit), 0);
+  EXPECT_EQ(load.Lost(), 0);
+  EXPECT_EQ(load.Refused(), 0);
+  EXPECT_GT(load.Answered(), answered);
+}
+
+// Guards against a stop that cuts requests of which only a part has arrived.
+TEST_F(StopUnderLoadTest, AnswersRequestsThatAreStillArriving) {
+  const std::string request = Request(1);
+  const std::size_t splits[] = {9, request.size() - 2};
+  std::atomic<int> answered = 0;
+  std::vector<std::thread> callers;
+  for (const std::size_t split : splits) {
+    callers.emplace_back([&, split] {
+      const std::string_view text = request;
+      const std::string_view parts[] = {text.substr(0, split),
+                                        text.substr(split)};
+      const std::string answer =
+          SendParts(m_program.CallersAddress(), parts, kArrivalPause, kLimit);
+      answered += answer.starts_with("HTTP/1.1 200") ? 1 : 0;
+    });
+  }
+  std::this_thread::sleep_for(kArrivalPause / 2);
+  m_program.Signal(SIGTERM);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  EXPECT_EQ(answered, 2);
+  EXPECT_EQ(m_program.AwaitExit(kLimit), 0);
+}
+
+}  // namespace
+}  // namespace radishrudder::platform
