--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds kAcceptPause{50};
 // Unacknowledged bytes of an answer end the caller's connection after this.
 constexpr std::chrono::milliseconds kCallerSilence{6000};
+// From the end of the last answer on a connection until it is closed, unless
+// the caller closes it before.
+constexpr std::chrono::milliseconds kLingerTime{1000};
 
 constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
@@ -60,15 +63,24 @@
 
   void Start() { Read(); }
 
+  // Bytes that have arrived and are not read yet may be a request.
   bool IsIdle() const {
-    return !m_exchange && !m_begun && m_outgoing.empty() && !m_writing;
+    return !m_exchange && !m_begun && m_outgoing.empty() && !m_writing &&
+           !m_lingering_since && !HasUnread();
   }
   kernel::Time SilentSince() const { return m_silent_since; }
 
   void CheckTimes(kernel::Time now) {
     const CallerLimits& limits = m_server.m_limits;
-    if (m_begun && !m_exchange && !m_reader.HeadComplete() &&
-        now - *m_begun >= limits.head_timeout) {
+    if (m_lingering_since) {
+      if (now - *m_lingering_since >= kLingerTime) {
+        Close();
+      }
+    } else if (m_begun && !m_exchange && !m_reader.HeadComplete() &&
+               now - *m_begun >= limits.head_timeout) {
+      Refuse(kRequestTimeout);
+    } else if (m_begun && !m_exchange && m_reader.HeadComplete() &&
+               now - m_read_at >= limits.idle_timeout && !HasUnread()) {
       Refuse(kRequestTimeout);
     } else if (IsIdle() && now - m_silent_since >= limits.idle_timeout) {
       Close();
@@ -155,14 +167,22 @@
             self->Close();
             return;
           }
-          self->m_incoming.append(self->m_buffer.data(), size);
-          self->Advance();
-          if (self->m_socket.is_open() && !self->m_refusing) {
+          self->m_read_at = kernel::Now();
+          if (!self->m_refusing && !self->m_lingering_since) {
+            self->m_incoming.append(self->m_buffer.data(), size);
+            self->Advance();
+          }
+          if (self->m_socket.is_open()) {
             self->Read();
           }
         });
   }
 
+  bool HasUnread() const {
+    std::error_code error;
+    return m_socket.available(error) > 0;
+  }
+
   // Reads the next request once none is in progress.
   void Advance() {
     // A caller that sends on while its request runs is read no further than
@@ -352,12 +372,13 @@
 
   void OnWritten() {
     if (m_ending) {
-      // The caller may still be sending; its bytes unread would reset the
-      // connection and with it the answer.
+      // The caller may still be sending. Bytes left unread at the close would
+      // reset the connection and with it the answer: they are read and dropped
+      // until the caller closes.
       std::error_code ignored;
       m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
       m_ending = false;
-      CloseLater();
+      m_lingering_since = kernel::Now();
     } else if (m_next) {
       m_next = false;
       if (!m_incoming.empty()) {
@@ -381,6 +402,8 @@
   std::function<void()> m_gone;
   std::optional<kernel::Time> m_begun;  // First byte of the next request.
   kernel::Time m_silent_since;
+  kernel::Time m_read_at{};                       // When bytes were last read.
+  std::optional<kernel::Time> m_lingering_since;  // Nothing more is sent.
   bool m_continued = false;
   bool m_keep = true;
   bool m_chunked_ok = true;
@@ -417,8 +440,25 @@
 }
 
 void CallerServer::StopAccepting() {
-  std::error_code ignored;
-  m_acceptor.close(ignored);
+  // Connections that wait to be accepted would be reset by the close, with the
+  // requests on them.
+  std::error_code error;
+  m_acceptor.non_blocking(true, error);
+  while (m_acceptor.is_open() && !error) {
+    asio::ip::tcp::socket socket(m_context);
+    m_acceptor.accept(socket, error);
+    if (!error) {
+      Add(std::move(socket));
+    }
+  }
+  m_acceptor.close(error);
+}
+
+void CallerServer::Add(asio::ip::tcp::socket socket) {
+  const auto connection =
+      std::make_shared<Connection>(*this, std::move(socket));
+  m_connections.insert(connection);
+  connection->Start();
 }
 
 void CallerServer::CloseIdle(kernel::Time now,
@@ -454,10 +494,7 @@
           });
           return;
         }
-        const auto connection =
-            std::make_shared<Connection>(*this, std::move(socket));
-        m_connections.insert(connection);
-        connection->Start();
+        Add(std::move(socket));
         Accept();
       });
 }
