peers: write reports whose signatures are no UTF-8

Ids of prompt parts come from a header of the caller, and no reader restricts their bytes. A part with a byte that is no UTF-8, once it is suspected because a call with it broke off, makes the next report throw (found by reading; seen in the test of the report, not in a running entry). Nothing catches it, so one request and one reset connection would end the entry.

Reports replace such bytes. Evidence on the part concerned is then not shared under its own name; everything else in the report is.

Measured: PeerReportTest.WritesSignaturesThatAreNoText fails before with type_error.316 out of ToText; now all 33 tests of peers_test pass.

--- a/source/radishrudder/peers/peer_report.cc
+++ b/source/radishrudder/peers/peer_report.cc
@@ -103,7 +103,8 @@
   for (const SuspectReport& suspect : report.suspects) {
     parts.push_back(ToJson(suspect));
   }
-  return text.dump();
+  // Signatures may be bytes of callers, and need not be UTF-8.
+  return text.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<PeerReport> ParsePeerReport(std::string_view text) {
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -55,6 +55,20 @@
   EXPECT_EQ(parsed->suspects[1].cleared_age, milliseconds(0));
 }
 
+// Guards against a caller ending the process with a header: ids of prompt parts
+// are bytes that it chose.
+TEST(PeerReportTest, WritesSignaturesThatAreNoText) {
+  const PeerReport report{
+      .address = "10.0.0.1:80",
+      .suspects = {
+          {"\xff\xc0", {{"i-1/7", milliseconds(1), milliseconds(2)}}, {}},
+          {"5c1e", {{"i-1/7", milliseconds(1), milliseconds(2)}}, {}}}};
+  const auto parsed = ParsePeerReport(ToText(report));
+  ASSERT_TRUE(parsed);
+  ASSERT_EQ(parsed->suspects.size(), 2U);
+  EXPECT_EQ(parsed->suspects[1].signature, "5c1e");
+}
+
 // Anything may arrive at the port for peers; it must not end the process.
 class InvalidReportTest : public testing::TestWithParam<const char*> {};
 
