--- a/source/radishrudder/peers/peer_report.cc
+++ b/source/radishrudder/peers/peer_report.cc
@@ -14,7 +14,8 @@
 constexpr std::size_t kMaximumSuspects = 256;
 constexpr std::size_t kMaximumCrashesPerSuspect = 64;
 constexpr std::size_t kMaximumAddressLength = 64;
-constexpr std::uint64_t kMaximumAgeMilliseconds = 86'400'000;
+// Ten years, far within the range of `kernel::Duration`.
+constexpr std::uint64_t kMaximumAgeMilliseconds = 315'360'000'000;
 
 // Returns nothing and sets `valid` to false if the number is not an age.
 std::optional<milliseconds> ToAge(const Json& number, bool& valid) {
