direct: only responses that are the endpoint's own withdraw its crash

A response that arrives after a crash withdraws it, since then only a connection had ended. Every response but one with 421 and the name of another endpoint counted, also those that nothing ties to the endpoint: an unsigned 502 or 503 without an attempt id, or a 421 that names nobody, from whatever uses the address of the endpoint that ended. A request that had crashed three endpoints was then sent to the next ones as before.

Now the response must echo the attempt id and not be misdirected.

--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -53,6 +53,13 @@
          std::end(kNotExecutedStatuses);
 }
 
+// A response without an attempt id may come from anything at the address, and
+// one that reports another version does not always name its endpoint.
+bool IsFromSelectedEndpoint(const EndpointResponse& response) {
+  return response.attempt_id && !response.wrong_endpoint &&
+         !response.wrong_version;
+}
+
 milliseconds ToMilliseconds(kernel::Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration);
 }
@@ -449,7 +456,7 @@
       *response.attempt_id != call->request->attempt_id) {
     return ResponseVerdict::kSkip;
   }
-  if (!response.wrong_endpoint) {
+  if (IsFromSelectedEndpoint(response)) {
     const std::string run = m_state->RunName(*call->attempt);
     m_state->suspect_parts.OnResponded(run, call->attempt->started);
     m_state->suspect_requests.OnResponded(run, call->attempt->started);
--- a/tests/direct/entry_attempts_test.cc
+++ b/tests/direct/entry_attempts_test.cc
@@ -102,6 +102,71 @@
                                 Ending::kBroken, true, 0}),
     [](const auto& info) { return info.param.name; });
 
+struct ResponderCase {
+  const char* name;
+  EndpointResponse response;
+  bool echoes_attempt;  // With the id of the attempt that it responds to.
+  bool shows_that_endpoint_lives;
+};
+
+class ResponderTest : public EntryFixture,
+                      public testing::WithParamInterface<ResponderCase> {};
+
+// Guards against crashes being withdrawn because something else responds at the
+// address of an endpoint that ended.
+TEST_P(ResponderTest, WithdrawsCrashOnlyIfTheEndpointResponds) {
+  Start(Route(RouteKind::kNonIdempotent, false), 1);
+  for (const char* endpoint : {"2", "3", "4"}) {
+    AdvanceTime(milliseconds(400));
+    m_entry.OnEndpoints(m_now, {MakeEndpoint(endpoint)});
+    const CallId crashing = Call("key-1", "/a/crashing");
+    m_entry.OnSending(m_now, crashing);
+    AdvanceTime(milliseconds(50));
+    m_entry.OnAttemptFailed(m_now, crashing, AttemptFailure::kInterrupted);
+    AdvanceTime(milliseconds(10));
+    const CallId other = Call("key-1", "/a/other");
+    m_entry.OnSending(m_now, other);
+    EndpointResponse response = GetParam().response;
+    if (GetParam().echoes_attempt) {
+      response.attempt_id = "id-" + std::to_string(other);
+    }
+    m_entry.OnResponseHead(m_now, other, response);
+    m_entry.OnResponseEnd(m_now, other);
+  }
+  m_entry.OnEndpoints(m_now, {MakeEndpoint("5")});
+  TakeOutputsOf<SendAttempt>();
+  Call("key-1", "/a/crashing");
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(),
+            GetParam().shows_that_endpoint_lives ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ResponderTest,
+    testing::Values(
+        ResponderCase{"Answer",
+                      {.status = 200, .has_signature = true},
+                      true,
+                      true},
+        ResponderCase{"Refusal",
+                      {.status = 503, .not_executed = true},
+                      true,
+                      true},
+        ResponderCase{
+            "OtherEndpoint",
+            {.status = 421, .not_executed = true, .wrong_endpoint = true},
+            true,
+            false},
+        // Names no endpoint, so that it may be another one.
+        ResponderCase{
+            "Misdirected",
+            {.status = 421, .not_executed = true, .wrong_version = true},
+            true,
+            false},
+        ResponderCase{"Unidentified", {.status = 502}, false, false},
+        ResponderCase{"UnidentifiedRefusal", {.status = 503}, false, false}),
+    [](const auto& test) { return test.param.name; });
+
 class AttemptsTest : public EntryFixture {};
 
 // "Not executed" must hold for all attempts of the call.
