direct: a response long after a crash does not withdraw it

An endpoint can start again under the same id. Until its new entry in the list arrives it is still addressed as the run before, and its first response then withdrew the crash that had ended that run, for all suspected requests at once.

Responses count only if their attempt began within two seconds after the crash, less than an endpoint takes to start again. Runs that go on responding are remembered as such, so that other entries do not bring a withdrawn crash back.

--- a/include/radishrudder/direct/crash_suspects.h
+++ b/include/radishrudder/direct/crash_suspects.h
@@ -69,6 +69,10 @@
   // in the same fault, but only for a shorter time.
   std::chrono::milliseconds same_moment{100};
   std::chrono::milliseconds same_moment_of_later_attempt{40};
+  // An endpoint takes at least this long to start again. A response to an
+  // attempt that began later may be of its next run under the same id, listed
+  // late.
+  std::chrono::milliseconds minimum_restart_time{2000};
   // Evidence is forgotten after this time.
   std::chrono::seconds memory{600};
 };
@@ -125,6 +129,18 @@
     bool contested = false;  // Another entry suspects the signature.
   };
 
+  // Attempts of one run that were responded to, none of which began much later
+  // than the one before.
+  struct Responses {
+    kernel::Time first_began_at{};
+    kernel::Time last_began_at{};
+  };
+
+  // Whether the run was still there after it seemed to have ended.
+  bool HasOutlived(const Responses& responses, kernel::Time seen_at) const {
+    return seen_at <= responses.last_began_at &&
+           seen_at + m_settings.minimum_restart_time > responses.first_began_at;
+  }
   bool IsCleared(kernel::Time now, std::string_view signature) const;
   // Whether an answer shows that the crash had another cause.
   bool IsExcused(kernel::Time now,
@@ -145,9 +161,8 @@
   CrashSuspectSettings m_settings;
   std::map<std::string, Suspect, std::less<>> m_suspects;
   std::map<std::string, Cleared, std::less<>> m_cleared;
-  // Endpoint runs that responded while something was suspected, with the latest
-  // beginning of an attempt.
-  std::map<std::string, kernel::Time, std::less<>> m_responded;
+  // Endpoint runs that responded while something was suspected.
+  std::map<std::string, Responses, std::less<>> m_responded;
   std::vector<std::string> m_newly_blocked;
   std::uint64_t m_revision = 0;
 };
--- a/source/radishrudder/direct/crash_suspects.cc
+++ b/source/radishrudder/direct/crash_suspects.cc
@@ -54,14 +54,23 @@
   if (m_suspects.empty()) {
     return;
   }
-  kernel::Time& responded = m_responded[std::string(run)];
-  responded = std::max(responded, began_at);
+  Responses& known =
+      m_responded.try_emplace(std::string(run), Responses{began_at, began_at})
+          .first->second;
+  if (began_at >= known.last_began_at + m_settings.minimum_restart_time) {
+    known = {began_at, began_at};
+  } else if (began_at + m_settings.minimum_restart_time >
+             known.first_began_at) {
+    known = {std::min(known.first_began_at, began_at),
+             std::max(known.last_began_at, began_at)};
+  }
+  const Responses responses = known;
   ForgetOldest(m_responded, kMaximumResponded,
-               [](kernel::Time time) { return time; });
+               [](const Responses& item) { return item.last_began_at; });
   for (auto suspect = m_suspects.begin(); suspect != m_suspects.end();) {
     std::vector<CrashSighting>& crashes = suspect->second.crashes;
-    std::erase_if(crashes, [run, began_at](const CrashSighting& crash) {
-      return crash.run == run && crash.seen_at <= began_at;
+    std::erase_if(crashes, [this, run, &responses](const CrashSighting& crash) {
+      return crash.run == run && HasOutlived(responses, crash.seen_at);
     });
     suspect = crashes.empty() ? m_suspects.erase(suspect) : std::next(suspect);
   }
@@ -172,7 +181,8 @@
     return;
   }
   const auto responded = m_responded.find(crash.run);
-  if (responded != m_responded.end() && crash.seen_at <= responded->second) {
+  if (responded != m_responded.end() &&
+      HasOutlived(responded->second, crash.seen_at)) {
     return;
   }
   Suspect& suspect = m_suspects[signature];
--- a/tests/direct/request_suspects_test.cc
+++ b/tests/direct/request_suspects_test.cc
@@ -99,6 +99,35 @@
   EXPECT_EQ(m_suspects.Revision(), revision);
 }
 
+// Guards against an endpoint that starts again under the same id withdrawing
+// the crash of its run before, under which it is still listed.
+TEST_F(RequestSuspectsTest, LateResponseMayBeOfTheNextRun) {
+  for (int i = 0; i < 3; ++i) {
+    Crash({"bad"});
+  }
+  AdvanceTime(milliseconds(3500));
+  m_suspects.OnResponded("i-3/1", m_now);
+  m_suspects.OnResponded("i-3/1", m_now + milliseconds(100));
+  EXPECT_TRUE(IsBlocked({"bad"}));
+  Tell(m_suspects, m_other);
+  EXPECT_FALSE(m_other.FindBlocked(m_now, Digests{"bad"}).empty());
+}
+
+// Guards against a withdrawn crash coming back when its run goes on for longer
+// than an endpoint takes to start again.
+TEST_F(RequestSuspectsTest, RunThatRespondsAgainAndAgainGoesOn) {
+  for (int i = 0; i < 3; ++i) {
+    Crash({"slow"});
+  }
+  Tell(m_suspects, m_other);
+  for (int second = 0; second < 20; ++second) {
+    AdvanceTime(milliseconds(1000));
+    m_suspects.OnResponded("i-3/1", m_now);
+    Tell(m_other, m_suspects);
+    EXPECT_FALSE(IsBlocked({"slow"}));
+  }
+}
+
 // Guards against an old answer, told again and again by another entry, erasing
 // what was seen after it.
 TEST_F(RequestSuspectsTest, ToldAnswerExcusesEarlierCrashesOnly) {
