direct: forget suspects whose evidence has become too old

Suspects were forgotten only to make room for others.

Old evidence is now erased once a second.

Measured: RequestSuspectsTest.IsEmptyAgainWhenEvidenceIsOld fails with an empty OnTick, and passes now; all 137 tests of direct_test pass. The time saved was not measured.

--- a/include/radishrudder/direct/crash_suspects.h
+++ b/include/radishrudder/direct/crash_suspects.h
@@ -97,6 +97,9 @@
   // not ended before: only connections to it had.
   void OnResponded(std::string_view run, kernel::Time began_at);
 
+  // Forgets evidence that has become too old.
+  void OnTick(kernel::Time now);
+
   // Returns the first of the signatures that is blocked; empty: none is.
   std::string_view FindBlocked(kernel::Time now,
                                std::span<const std::string> signatures) const;
@@ -165,6 +168,7 @@
   std::map<std::string, Responses, std::less<>> m_responded;
   std::vector<std::string> m_newly_blocked;
   std::uint64_t m_revision = 0;
+  kernel::Time m_next_cleanup{};
 };
 
 extern template class CrashSuspects<PromptPartSignature>;
--- a/source/radishrudder/direct/crash_suspects.cc
+++ b/source/radishrudder/direct/crash_suspects.cc
@@ -17,6 +17,8 @@
 // many.
 constexpr std::size_t kMaximumReported = 64;
 
+constexpr std::chrono::seconds kCleanupInterval{1};
+
 template <typename Map, typename TimeOf>
 void ForgetOldest(Map& map, std::size_t maximum, TimeOf time_of) {
   while (map.size() > maximum) {
@@ -76,6 +78,25 @@
   }
 }
 
+template <SignatureKind Kind>
+void CrashSuspects<Kind>::OnTick(kernel::Time now) {
+  if (now < m_next_cleanup) {
+    return;
+  }
+  m_next_cleanup = now + kCleanupInterval;
+  const auto is_old = [this, now](kernel::Time time) {
+    return now - time >= m_settings.memory;
+  };
+  std::erase_if(m_suspects, [&is_old](const auto& item) {
+    return is_old(item.second.crashes.back().seen_at);
+  });
+  std::erase_if(m_cleared,
+                [&is_old](const auto& item) { return is_old(item.second.at); });
+  std::erase_if(m_responded, [&is_old](const auto& item) {
+    return is_old(item.second.last_began_at);
+  });
+}
+
 template <SignatureKind Kind>
 std::string_view CrashSuspects<Kind>::FindBlocked(
     kernel::Time now,
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -231,6 +231,8 @@
   State& state = *m_state;
   state.RequireVersions(now);
   state.StopBlockedCalls(now);
+  state.suspect_parts.OnTick(now);
+  state.suspect_requests.OnTick(now);
   for (const auto& [service, pool] : state.pools) {
     pool->OnTick(now);
   }
--- a/tests/direct/request_suspects_test.cc
+++ b/tests/direct/request_suspects_test.cc
@@ -60,6 +60,24 @@
   EXPECT_TRUE(IsBlocked({"bad"}));
 }
 
+// Guards against the digest of each request being computed for the rest of the
+// process's life once a single call has broken off.
+TEST_F(RequestSuspectsTest, IsEmptyAgainWhenEvidenceIsOld) {
+  Crash({"r"});
+  Crash({"answered"});
+  m_suspects.OnResponded("i-0/1", m_now);
+  m_suspects.OnAnswered(m_now, Digests{"answered"});
+  AdvanceTime(std::chrono::minutes(5));
+  m_suspects.OnTick(m_now);
+  EXPECT_FALSE(m_suspects.IsEmpty());
+  const std::uint64_t revision = m_suspects.Revision();
+  AdvanceTime(std::chrono::minutes(5));
+  m_suspects.OnTick(m_now);
+  EXPECT_TRUE(m_suspects.IsEmpty());
+  EXPECT_EQ(m_suspects.Size(), 0U);
+  EXPECT_EQ(m_suspects.Revision(), revision);
+}
+
 TEST_F(RequestSuspectsTest, RemembersNoAnswerToWhatIsNotSuspected) {
   for (int i = 0; i < 100; ++i) {
     m_suspects.OnAnswered(m_now, Digests{std::to_string(i)});
