direct: a complete short stream ends the suspicion of its request

Only a stream with four events cleared its request and its prompt parts, since one that ends with its connection looks complete although its endpoint may have crashed. A request with shorter answers was never cleared: after two broken connections its repetitions were refused while one was in progress, and after three it was blocked, though it was answered in between.

A stream of at least one event whose end is marked, by chunks or a length, now counts as an answer.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -50,6 +50,9 @@
   bool wrong_endpoint = false;  // Another endpoint uses the address now.
   bool wrong_version = false;   // The endpoint runs another model version.
   bool encoded = false;         // The body has a content encoding.
+  // The end of the body is marked, so that it differs from the end of the
+  // endpoint.
+  bool delimited = false;
   std::optional<routing::LoadReport> load{};
   // Version of the weights that produced the response.
   std::optional<std::uint64_t> version{};
--- a/include/radishrudder/exchange/message_reader.h
+++ b/include/radishrudder/exchange/message_reader.h
@@ -27,6 +27,7 @@
   bool keep_alive = true;  // The connection may be used again.
   // Absent for chunked bodies and those that the connection's end ends.
   std::optional<std::uint64_t> length{};
+  bool chunked = false;
 };
 
 // What a reader knows after some bytes.
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -548,7 +548,9 @@
   } else {
     pool.OnAnswered(now, m_state->RunOf(attempt),
                     {.first_byte = attempt.first_byte});
-    if (IsSuccess(status) && !stream) {
+    // Without a marked end, a stream may have ended with its endpoint.
+    if (IsSuccess(status) &&
+        (!stream || (attempt.event_received && attempt.response->delimited))) {
       m_state->ClearSuspicion(now, *call);
     }
   }
--- a/source/radishrudder/exchange/message_reader.cc
+++ b/source/radishrudder/exchange/message_reader.cc
@@ -61,8 +61,8 @@
     }
     state.response.status = static_cast<int>(parser->status_code);
     state.response.keep_alive = keep_alive;
-    if (parser->content_length != kUnknownLength &&
-        (parser->flags & F_CHUNKED) == 0) {
+    state.response.chunked = (parser->flags & F_CHUNKED) != 0;
+    if (parser->content_length != kUnknownLength && !state.response.chunked) {
       state.response.length = parser->content_length;
     }
     state.interim = state.response.status < kFirstFinalStatus;
--- a/tests/direct/entry_attempts_test.cc
+++ b/tests/direct/entry_attempts_test.cc
@@ -167,6 +167,61 @@
         ResponderCase{"UnidentifiedRefusal", {.status = 503}, false, false}),
     [](const auto& test) { return test.param.name; });
 
+struct ShortStreamCase {
+  const char* name;
+  bool delimited;
+  int events;
+  bool harmless;
+};
+
+class ShortStreamTest : public EntryFixture,
+                        public testing::WithParamInterface<ShortStreamCase> {
+ protected:
+  CallId SendTo(const char* endpoint) {
+    AdvanceTime(milliseconds(400));
+    m_entry.OnEndpoints(m_now, {MakeEndpoint(endpoint)});
+    const CallId call = Call("key-1", "/a/short");
+    m_entry.OnSending(m_now, call);
+    return call;
+  }
+  void Break(const char* endpoint) {
+    const CallId call = SendTo(endpoint);
+    AdvanceTime(milliseconds(50));
+    m_entry.OnAttemptFailed(m_now, call, AttemptFailure::kInterrupted);
+  }
+};
+
+// Guards against a request being blocked although its answers are complete, but
+// too short to show by their number of events that it is harmless.
+TEST_P(ShortStreamTest, CompleteAnswerEndsSuspicion) {
+  Start(Route(RouteKind::kStream, false), 1);
+  Break("2");
+  Break("3");
+  const CallId call = SendTo("4");
+  EndpointResponse response = SignedResponse(call, 200);
+  response.delimited = GetParam().delimited;
+  m_entry.OnResponseHead(m_now, call, response);
+  for (int event = 1; event <= GetParam().events; ++event) {
+    m_entry.OnResponseBody(m_now, call,
+                           "id: " + std::to_string(event) + "\ndata: a\n\n");
+  }
+  m_entry.OnResponseEnd(m_now, call);
+  Break("5");
+  TakeOutputsOf<SendAttempt>();
+  SendTo("6");
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(), GetParam().harmless ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ShortStreamTest,
+    testing::Values(ShortStreamCase{"TwoEvents", true, 2, true},
+                    ShortStreamCase{"NoEvent", true, 0, false},
+                    // Ends like one whose endpoint has crashed.
+                    ShortStreamCase{"EndsWithItsConnection", false, 2, false},
+                    ShortStreamCase{"ManyEvents", false, 4, true}),
+    [](const auto& test) { return test.param.name; });
+
 class AttemptsTest : public EntryFixture {};
 
 // "Not executed" must hold for all attempts of the call.
--- a/tests/exchange/message_reader_test.cc
+++ b/tests/exchange/message_reader_test.cc
@@ -97,6 +97,17 @@
   EXPECT_EQ(reader.Response().length, 9U);
 }
 
+// Guards against the end of a connection being taken for a marked end.
+TEST(MessageReaderTest, TellsWhetherTheEndOfTheBodyIsMarked) {
+  MessageReader chunked(kResponse);
+  chunked.Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  EXPECT_TRUE(chunked.Response().chunked);
+  MessageReader open(kResponse);
+  open.Feed("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+  EXPECT_FALSE(open.Response().chunked);
+  EXPECT_FALSE(open.Response().length);
+}
+
 TEST(MessageReaderTest, ReadsTheNextMessageAfterReset) {
   MessageReader reader(kRequest);
   const std::string_view two =
--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -150,6 +150,14 @@
   EXPECT_TRUE(answer.has_signature);
 }
 
+TEST(CallCodecTest, TellsWhetherTheEndOfTheBodyIsMarked) {
+  EXPECT_TRUE(
+      CallCodec::DecodeResponse({.status = 200, .length = 3}, "i-1").delimited);
+  EXPECT_TRUE(CallCodec::DecodeResponse({.status = 200, .chunked = true}, "i-1")
+                  .delimited);
+  EXPECT_FALSE(CallCodec::DecodeResponse({.status = 200}, "i-1").delimited);
+}
+
 TEST(CallCodecTest, GeneratedResponseHasRetryAfter) {
   const exchange::AnswerHead head = CallCodec::EncodeGeneratedResponse(
       503, "id-1", std::chrono::milliseconds(450));
