--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -233,6 +233,8 @@
   state.RequireVersions(now);
   state.StopBlockedCalls(now);
   state.demand.OnTick(now);
+  state.suspect_parts.OnTick(now);
+  state.suspect_requests.OnTick(now);
   for (const auto& [service, pool] : state.pools) {
     pool->OnTick(now);
   }
--- a/tests/direct/request_suspects_test.cc
+++ b/tests/direct/request_suspects_test.cc
@@ -60,6 +60,24 @@
   EXPECT_TRUE(IsBlocked({"bad"}));
 }
 
+// Guards against the digest of each request being computed for the rest of the
+// process's life once a single call has broken off.
+TEST_F(RequestSuspectsTest, IsEmptyAgainWhenEvidenceIsOld) {
+  Crash({"r"});
+  Crash({"answered"});
+  m_suspects.OnResponded("i-0/1", m_now);
+  m_suspects.OnAnswered(m_now, Digests{"answered"});
+  AdvanceTime(std::chrono::minutes(5));
+  m_suspects.OnTick(m_now);
+  EXPECT_FALSE(m_suspects.IsEmpty());
+  const std::uint64_t revision = m_suspects.Revision();
+  AdvanceTime(std::chrono::minutes(5));
+  m_suspects.OnTick(m_now);
+  EXPECT_TRUE(m_suspects.IsEmpty());
+  EXPECT_EQ(m_suspects.Size(), 0U);
+  EXPECT_EQ(m_suspects.Revision(), revision);
+}
+
 TEST_F(RequestSuspectsTest, RemembersNoAnswerToWhatIsNotSuspected) {
   for (int i = 0; i < 100; ++i) {
     m_suspects.OnAnswered(m_now, Digests{std::to_string(i)});
@@ -99,6 +117,35 @@
   EXPECT_EQ(m_suspects.Revision(), revision);
 }
 
+// Guards against an endpoint that starts again under the same id withdrawing
+// the crash of its run before, under which it is still listed.
+TEST_F(RequestSuspectsTest, LateResponseMayBeOfTheNextRun) {
+  for (int i = 0; i < 3; ++i) {
+    Crash({"bad"});
+  }
+  AdvanceTime(milliseconds(3500));
+  m_suspects.OnResponded("i-3/1", m_now);
+  m_suspects.OnResponded("i-3/1", m_now + milliseconds(100));
+  EXPECT_TRUE(IsBlocked({"bad"}));
+  Tell(m_suspects, m_other);
+  EXPECT_FALSE(m_other.FindBlocked(m_now, Digests{"bad"}).empty());
+}
+
+// Guards against a withdrawn crash coming back when its run goes on for longer
+// than an endpoint takes to start again.
+TEST_F(RequestSuspectsTest, RunThatRespondsAgainAndAgainGoesOn) {
+  for (int i = 0; i < 3; ++i) {
+    Crash({"slow"});
+  }
+  Tell(m_suspects, m_other);
+  for (int second = 0; second < 20; ++second) {
+    AdvanceTime(milliseconds(1000));
+    m_suspects.OnResponded("i-3/1", m_now);
+    Tell(m_other, m_suspects);
+    EXPECT_FALSE(IsBlocked({"slow"}));
+  }
+}
+
 // Guards against an old answer, told again and again by another entry, erasing
 // what was seen after it.
 TEST_F(RequestSuspectsTest, ToldAnswerExcusesEarlierCrashesOnly) {
