direct: an answer that is told again is no news

Reports carry ages, which the receiver counts from the arrival. So the time of an answer appeared later at each entry that was told of it, each took it for a newer answer, counted it as news and passed it on to four others, which told it back. The time also moved on towards crashes that came after the answer, and excused them.

An entry now takes a later answer from a report only if it excuses a crash that is still held against the request here.

Both new tests failed before and pass now; direct_test passes (130 tests).

--- a/include/radishrudder/direct/crash_suspects.h
+++ b/include/radishrudder/direct/crash_suspects.h
@@ -130,6 +130,11 @@
   bool IsExcused(kernel::Time now,
                  std::string_view signature,
                  const CrashSighting& crash) const;
+  // Whether an answer came after a crash that is still held against the
+  // signature. Times from reports appear later with each report, so a later
+  // time alone is no news.
+  bool ExcusesKnownCrashes(std::string_view signature,
+                           kernel::Time answered_at) const;
   void AddCrash(kernel::Time now,
                 const std::string& signature,
                 const CrashSighting& crash);
--- a/source/radishrudder/direct/crash_suspects.cc
+++ b/source/radishrudder/direct/crash_suspects.cc
@@ -123,10 +123,9 @@
                                 const SuspectEvidence& evidence) {
   const std::string& signature = evidence.signature;
   if (evidence.cleared_at) {
-    const bool known =
-        IsCleared(now, signature) &&
-        (Kind::kAnswerExcusesLaterCrashes ||
-         m_cleared.find(signature)->second.at >= *evidence.cleared_at);
+    const bool known = IsCleared(now, signature) &&
+                       (Kind::kAnswerExcusesLaterCrashes ||
+                        !ExcusesKnownCrashes(signature, *evidence.cleared_at));
     if (!known) {
       Clear(now, signature, *evidence.cleared_at, /*contested=*/true);
     }
@@ -164,6 +163,17 @@
           crash.seen_at <= m_cleared.find(signature)->second.at);
 }
 
+template <SignatureKind Kind>
+bool CrashSuspects<Kind>::ExcusesKnownCrashes(std::string_view signature,
+                                              kernel::Time answered_at) const {
+  const auto suspect = m_suspects.find(signature);
+  return suspect != m_suspects.end() &&
+         std::ranges::any_of(suspect->second.crashes,
+                             [answered_at](const CrashSighting& crash) {
+                               return crash.seen_at <= answered_at;
+                             });
+}
+
 template <SignatureKind Kind>
 void CrashSuspects<Kind>::AddCrash(kernel::Time now,
                                    const std::string& signature,
--- a/tests/direct/request_suspects_test.cc
+++ b/tests/direct/request_suspects_test.cc
@@ -27,6 +27,24 @@
     }
   }
 
+  // As between processes: a report carries ages, which the receiver counts
+  // from its arrival, so that what it tells of appears to be later.
+  void TellLate(const SuspectRequests& from, SuspectRequests& to) {
+    std::vector<SuspectEvidence> report = from.Evidence(m_now);
+    AdvanceTime(kTransit);
+    for (SuspectEvidence& item : report) {
+      for (CrashSighting& crash : item.crashes) {
+        crash.seen_at += kTransit;
+        crash.began_at += kTransit;
+      }
+      if (item.cleared_at) {
+        *item.cleared_at += kTransit;
+      }
+      to.Merge(m_now, item);
+    }
+  }
+
+  static constexpr milliseconds kTransit{5};
   SuspectRequests m_suspects{CrashSuspectSettings{}};
   SuspectRequests m_other{CrashSuspectSettings{}};
   kernel::Time m_now{std::chrono::hours(1)};
@@ -118,6 +136,39 @@
   EXPECT_EQ(m_suspects.Revision() + m_other.Revision(), settled);
 }
 
+// Guards against entries passing on one answer to each other without end, for
+// it appears to be later at each of them.
+TEST_F(RequestSuspectsTest, LateReportsOfAnAnswerAreNoNews) {
+  Crash({"r"});
+  TellLate(m_suspects, m_other);
+  m_suspects.OnAnswered(m_now, Digests{"r"});
+  TellLate(m_suspects, m_other);
+  TellLate(m_other, m_suspects);
+  const std::uint64_t settled = m_suspects.Revision() + m_other.Revision();
+  for (int i = 0; i < 200; ++i) {
+    TellLate(m_suspects, m_other);
+    TellLate(m_other, m_suspects);
+  }
+  EXPECT_EQ(m_suspects.Revision() + m_other.Revision(), settled);
+}
+
+// Guards against an old answer excusing crashes that came after it, once it has
+// been told to and fro for some time.
+TEST_F(RequestSuspectsTest, LateReportsDoNotDelayAnAnswer) {
+  Crash({"r"});
+  TellLate(m_suspects, m_other);
+  m_suspects.OnAnswered(m_now, Digests{"r"});
+  for (int i = 0; i < 3; ++i) {
+    AdvanceTime(milliseconds(1000));
+    Crash({"r"});
+    for (int k = 0; k < 200; ++k) {
+      TellLate(m_suspects, m_other);
+      TellLate(m_other, m_suspects);
+    }
+  }
+  EXPECT_TRUE(IsBlocked({"r"}));
+}
+
 // Guards against memory and reports that grow with the number of requests that
 // break off, and against such a flood pushing out what is blocked.
 TEST_F(RequestSuspectsTest, FloodOfRequestsIsBoundedAndKeepsTheBlockedOne) {
