direct: the latest answers are told first

An entry that had more than 64 answers to suspected requests or prompt parts to tell of told the others of the first 64 in the order of their digests. A later answer with a higher digest was never told, and the others went on blocking a request that had been answered.

Reports now carry the latest ones, as the limit's comment says.

RequestSuspectsTest.LatestAnswersAreToldFirst failed before and passes now; direct_test passes (131 tests).

--- a/source/radishrudder/direct/crash_suspects.cc
+++ b/source/radishrudder/direct/crash_suspects.cc
@@ -108,13 +108,19 @@
   if (evidence.size() > kMaximumReported) {
     evidence.resize(kMaximumReported);
   }
-  std::size_t reported = 0;
+  std::vector<SuspectEvidence> answers;
   for (const auto& [signature, cleared] : m_cleared) {
-    if (cleared.contested && IsCleared(now, signature) &&
-        reported++ < kMaximumReported) {
-      evidence.push_back({.signature = signature, .cleared_at = cleared.at});
+    if (cleared.contested && IsCleared(now, signature)) {
+      answers.push_back({.signature = signature, .cleared_at = cleared.at});
     }
   }
+  const std::size_t reported = std::min(answers.size(), kMaximumReported);
+  std::ranges::partial_sort(
+      answers, answers.begin() + static_cast<std::ptrdiff_t>(reported),
+      std::ranges::greater{},
+      [](const SuspectEvidence& item) { return *item.cleared_at; });
+  answers.resize(reported);
+  std::ranges::move(answers, std::back_inserter(evidence));
   return evidence;
 }
 
--- a/tests/direct/request_suspects_test.cc
+++ b/tests/direct/request_suspects_test.cc
@@ -169,6 +169,24 @@
   EXPECT_TRUE(IsBlocked({"r"}));
 }
 
+// Guards against an answer never being told to the others because earlier ones
+// fill the reports.
+TEST_F(RequestSuspectsTest, LatestAnswersAreToldFirst) {
+  for (int i = 0; i < 200; ++i) {
+    const Digests earlier{"a-" + std::to_string(i)};
+    Crash(earlier);
+    m_suspects.OnAnswered(m_now, earlier);
+  }
+  for (int i = 0; i < 3; ++i) {
+    Crash({"z"});
+  }
+  Tell(m_suspects, m_other);
+  EXPECT_FALSE(m_other.FindBlocked(m_now, Digests{"z"}).empty());
+  m_suspects.OnAnswered(m_now, Digests{"z"});
+  Tell(m_suspects, m_other);
+  EXPECT_TRUE(m_other.FindBlocked(m_now, Digests{"z"}).empty());
+}
+
 // Guards against memory and reports that grow with the number of requests that
 // break off, and against such a flood pushing out what is blocked.
 TEST_F(RequestSuspectsTest, FloodOfRequestsIsBoundedAndKeepsTheBlockedOne) {
