--- a/source/radishrudder/direct/crash_suspects.cc
+++ b/source/radishrudder/direct/crash_suspects.cc
@@ -138,13 +138,19 @@
   if (evidence.size() > kMaximumReported) {
     evidence.resize(kMaximumReported);
   }
-  std::size_t reported = 0;
+  std::vector<SuspectEvidence> answers;
   for (const auto& [signature, cleared] : m_cleared) {
-    if (cleared.contested && IsCleared(now, signature) &&
-        reported++ < kMaximumReported) {
-      evidence.push_back({.signature = signature, .cleared_at = cleared.at});
+    if (cleared.contested && IsCleared(now, signature)) {
+      answers.push_back({.signature = signature, .cleared_at = cleared.at});
     }
   }
+  const std::size_t reported = std::min(answers.size(), kMaximumReported);
+  std::ranges::partial_sort(
+      answers, answers.begin() + static_cast<std::ptrdiff_t>(reported),
+      std::ranges::greater{},
+      [](const SuspectEvidence& item) { return *item.cleared_at; });
+  answers.resize(reported);
+  std::ranges::move(answers, std::back_inserter(evidence));
   return evidence;
 }
 
@@ -153,10 +159,9 @@
                                 const SuspectEvidence& evidence) {
   const std::string& signature = evidence.signature;
   if (evidence.cleared_at) {
-    const bool known =
-        IsCleared(now, signature) &&
-        (Kind::kAnswerExcusesLaterCrashes ||
-         m_cleared.find(signature)->second.at >= *evidence.cleared_at);
+    const bool known = IsCleared(now, signature) &&
+                       (Kind::kAnswerExcusesLaterCrashes ||
+                        !ExcusesKnownCrashes(signature, *evidence.cleared_at));
     if (!known) {
       Clear(now, signature, *evidence.cleared_at, /*contested=*/true);
     }
@@ -194,6 +199,17 @@
           crash.seen_at <= m_cleared.find(signature)->second.at);
 }
 
+template <SignatureKind Kind>
+bool CrashSuspects<Kind>::ExcusesKnownCrashes(std::string_view signature,
+                                              kernel::Time answered_at) const {
+  const auto suspect = m_suspects.find(signature);
+  return suspect != m_suspects.end() &&
+         std::ranges::any_of(suspect->second.crashes,
+                             [answered_at](const CrashSighting& crash) {
+                               return crash.seen_at <= answered_at;
+                             });
+}
+
 template <SignatureKind Kind>
 void CrashSuspects<Kind>::AddCrash(kernel::Time now,
                                    const std::string& signature,
