platform, daemon: a flood of SIGHUP does not keep a process from stopping

A process that got SIGHUP without a pause did not stop at SIGTERM for over 10 s, and did nothing else meanwhile: StraySignalTest failed for entryHup and agentHup, then for platform-entry and -agent as well, in up to 17 of 58 repetitions on a loaded machine.

Cause: asio reads all signals that have arrived before it does anything else, and each one that it reads makes room for the next.

--- a/source/radishrudder/daemon/run.cc
+++ b/source/radishrudder/daemon/run.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <string>
 
+#include "radishrudder/kernel/process_signals.h"
 #include "radishrudder/logging/events.h"
 
 namespace radishrudder::daemon {
@@ -20,7 +21,7 @@
 // process that is stopping; this one is never destroyed.
 struct ProcessSignals {
   asio::io_context context{};
-  asio::signal_set signals{context, SIGTERM, SIGINT, SIGHUP};
+  asio::signal_set signals{context, SIGTERM, SIGINT};
 };
 
 // Waits for signals and ends the drain.
@@ -29,7 +30,7 @@
   Supervisor(const NodeSettings& settings, const DaemonControls& controls)
       : m_settings(settings),
         m_controls(controls),
-        m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
+        m_signals(m_context, SIGTERM, SIGINT),
         m_timer(m_context) {}
 
   void Wait() {
@@ -39,19 +40,11 @@
 
  private:
   void AwaitSignal() {
-    m_signals.async_wait([this](const std::error_code& error, int signal) {
+    m_signals.async_wait([this](const std::error_code& error, int) {
       if (error) {
         return;
       }
-      if (signal == SIGHUP) {
-        // Flags and environment variables do not change while the process runs.
-        logging::Log(logging::kSettingsReloaded,
-                     {{"instance", m_settings.instance},
-                      {"trigger", "signal"},
-                      {"applied", "none"},
-                      {"pending", "none"}});
-        AwaitSignal();
-      } else if (m_draining) {
+      if (m_draining) {
         End("second signal");
       } else {
         BeginDrain();
@@ -114,6 +107,10 @@
 int Run(std::string_view program,
         const NodeSettings& settings,
         const DaemonControls& controls) {
+  // SIGHUP among them: flags and environment variables do not change while the
+  // process runs. Signals that `asio` reads keep its loop busy for as long as
+  // they arrive without a pause, and SIGTERM waits behind them.
+  kernel::IgnoreStraySignals();
   static const ProcessSignals* const signals = new ProcessSignals;
   static_cast<void>(signals);
   logging::Initialize(program, settings.log_level);
