direct: end attempts whose event has no end

A stream's bytes are kept until their event is complete, without a bound: an endpoint that sent on without ending an event filled the entry's memory until the call's deadline. The attempt is cancelled once an event exceeds 1 MiB.

EventWithoutEndEndsTheAttempt kept 2.5 MiB before and passes now. That only whole events count as progress is tested too.

--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -33,6 +33,8 @@
 constexpr double kProgressTimeoutShare = 0.5;
 // A larger body is passed on before it is complete.
 constexpr std::size_t kMaximumBufferedBytes = 256U << 10U;
+// An event that is larger ends the attempt.
+constexpr std::size_t kMaximumEventBytes = 1U << 20U;
 // Range of Retry-After. Values are random, so that callers refused at the same
 // time do not all retry at the same time.
 constexpr milliseconds kMinimumRetryAfter{250};
@@ -248,6 +250,10 @@
                                     std::string_view data) {
   std::string events = call.events.Feed(data);
   if (events.empty()) {
+    if (call.events.PendingBytes() > kMaximumEventBytes) {
+      Emit(CancelAttempt{call.id});
+      HandleFailure(now, call, Reason::kInvalidAnswer);
+    }
     return;
   }
   CurrentAttempt& attempt = *call.attempt;
--- a/tests/direct/entry_attempts_test.cc
+++ b/tests/direct/entry_attempts_test.cc
@@ -380,6 +380,39 @@
   EXPECT_EQ(TakeOutputsOf<AbortResponse>().size(), 1U);
 }
 
+// Guards against a stalled stream that lasts because bytes which complete no
+// event still arrive.
+TEST_F(StreamTest, BytesWithoutAnEventAreNoProgress) {
+  const CallId call = StartStream(true);
+  for (int i = 0; i < 17; ++i) {
+    AdvanceTime(milliseconds(100));
+    m_entry.OnResponseBody(m_now, call, "x");
+  }
+  EXPECT_EQ(TakeOutputsOf<CancelAttempt>().size(), 1U);
+}
+
+// Guards against a slow stream that is sound being taken for a stalled one.
+TEST_F(StreamTest, SlowEventsAreProgress) {
+  const CallId call = StartStream(true);
+  m_entry.OnResponseBody(m_now, call, "ta: b\n\n");
+  for (int i = 3; i < 5; ++i) {
+    AdvanceTime(milliseconds(1500));
+    m_entry.OnResponseBody(m_now, call,
+                           "id: " + std::to_string(i) + "\ndata: c\n\n");
+  }
+  EXPECT_TRUE(TakeOutputsOf<CancelAttempt>().empty());
+}
+
+// Guards against an event without end that fills the memory.
+TEST_F(StreamTest, EventWithoutEndEndsTheAttempt) {
+  const CallId call = StartStream(false);
+  for (int i = 0; i < 40; ++i) {
+    m_entry.OnResponseBody(m_now, call, std::string(65536, 'x'));
+  }
+  EXPECT_EQ(TakeOutputsOf<CancelAttempt>().size(), 1U);
+  EXPECT_EQ(TakeOutputsOf<AbortResponse>().size(), 1U);
+}
+
 TEST_F(StreamTest, RetriesOnAnotherEndpointWhenStreamStalls) {
   Start(Route(RouteKind::kStream, true));
   const CallId call = Call();
