peers, dissemination: entries share the closest bound of a declaration

Cause: the grace counts from an entry's last complete read. A change ends the watches of all entries together; with equal waits they stay aligned, so that all of them date the next declaration by up to a whole watch.

Change: the first watch after a change is held for a random part of its time, and an entry whose bound is more than 100 ms old asks four random peers once for theirs.

--- a/include/radishrudder/dissemination/store_reader.h
+++ b/include/radishrudder/dissemination/store_reader.h
@@ -79,6 +79,11 @@
   // Maximum time that the store holds a watch open. An unresponsive store is
   // detected after this time plus the response timeout of the client.
   std::chrono::milliseconds watch_wait{1000};
+  // Holds the first watch after a change open for a random part of that time.
+  // A change ends the watches of all processes together; without this, later
+  // watches also end together, and none of them bounds the time of the next
+  // change better than the others.
+  bool spread_watches = false;
   // Delay of the next watch after one that returned changes, so that changes in
   // quick succession are delivered together.
   std::chrono::milliseconds next_watch_delay{100};
@@ -128,6 +133,8 @@
   bool m_request_in_progress = false;
   kernel::Time m_next_request{};
   kernel::Time m_request_sent{};
+  std::chrono::milliseconds m_wait{};  // Of the latest watch.
+  bool m_shorten_watch = false;
   kernel::BootTime m_request_started_at{};
   kernel::BootTime m_read_started_at{};
   std::optional<kernel::BootTime> m_complete_at;
--- a/include/radishrudder/peers/peer_exchange.h
+++ b/include/radishrudder/peers/peer_exchange.h
@@ -41,6 +41,11 @@
   // complete read has missed some time: it asks all peers. Two watches and the
   // delay between them take 2.1 s.
   std::chrono::milliseconds contact_threshold{2200};
+  // One that reads it in time, but later than this after its preceding complete
+  // read, asks this many random peers once. Their watches end at other times,
+  // so the latest of their bounds is closer to the declaration.
+  std::chrono::milliseconds close_bound{100};
+  std::size_t close_bound_fan_out = 4;
   // Requests that fail for at least this long count as a loss of the store.
   std::chrono::milliseconds loss_threshold{1000};
   std::chrono::milliseconds question_interval{300};
@@ -120,10 +125,12 @@
     Declaration declaration{};
     kernel::Time next_round{};
     std::map<std::string, Evidence> answers{};
+    bool read_late = true;
   };
 
   void Learn(std::string_view address, bool seed);
   void PassOnNews(kernel::Time now);
+  void ContactRandomPeers(std::size_t count);
   void Contact(const std::string& address, Peer& peer);
   Evidence EvidenceOf(kernel::Time sent_at,
                       const Declaration& declaration,
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -92,14 +92,15 @@
               caller->Reply({kOk, {{"Content-Type", "text/plain"}}},
                             m_journal.MetricsText());
             }),
-        m_operator_follower(
-            context,
-            m_fetcher,
-            {m_settings.store_address, std::string(Platform::kOperatorPrefix)},
-            kernel::Random(random.Next()),
-            [this](dissemination::StoreOutput output) {
-              OnOperatorOutput(std::move(output));
-            }),
+        m_operator_follower(context,
+                            m_fetcher,
+                            {.address = m_settings.store_address,
+                             .prefix = std::string(Platform::kOperatorPrefix),
+                             .reader = {.spread_watches = true}},
+                            kernel::Random(random.Next()),
+                            [this](dissemination::StoreOutput output) {
+                              OnOperatorOutput(std::move(output));
+                            }),
         m_endpoint_follower(
             context,
             m_fetcher,
--- a/source/radishrudder/dissemination/store_reader.cc
+++ b/source/radishrudder/dissemination/store_reader.cc
@@ -22,7 +22,12 @@
   m_request_sent = now;
   m_request_started_at = boot_now;
   if (m_phase == Phase::kWatching) {
-    m_outputs.emplace_back(WatchChanges{m_revision, m_settings.watch_wait});
+    m_wait = m_settings.watch_wait;
+    if (std::exchange(m_shorten_watch, false)) {
+      m_wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+          m_wait * m_random.Uniform());
+    }
+    m_outputs.emplace_back(WatchChanges{m_revision, m_wait});
     return;
   }
   if (m_read_items.empty()) {
@@ -65,15 +70,14 @@
   const bool unchanged = items.empty();
   m_next_request = unchanged ? now : now + m_settings.next_watch_delay;
   if (!unchanged) {
+    m_shorten_watch = m_settings.spread_watches;
     m_outputs.emplace_back(
         PrefixChanges{std::move(items), m_complete_at, m_failed_for});
   }
   // The store ends a watch without changes only after its whole wait.
-  const bool waited =
-      unchanged && now - m_request_sent >= m_settings.watch_wait;
+  const bool waited = unchanged && now - m_request_sent >= m_wait;
   Confirm(m_request_started_at,
-          waited ? m_request_started_at + m_settings.watch_wait
-                 : m_request_started_at);
+          waited ? m_request_started_at + m_wait : m_request_started_at);
 }
 
 void StoreReader::Confirm(kernel::BootTime requested_at,
--- a/source/radishrudder/peers/peer_exchange.cc
+++ b/source/radishrudder/peers/peer_exchange.cc
@@ -70,11 +70,18 @@
   if (m_declarations.size() > kMaximumDeclarations) {
     m_declarations.erase(m_declarations.begin());
   }
-  if (!absent_at || now - *absent_at > m_settings.contact_threshold) {
-    m_questions.push_back(
-        {.declaration = m_declarations.back(), .next_round = now});
-    OnTick(now);
+  const bool read_late =
+      !absent_at || now - *absent_at > m_settings.contact_threshold;
+  if (!read_late && now - *absent_at <= m_settings.close_bound) {
+    return;
+  }
+  m_questions.push_back({.declaration = m_declarations.back(),
+                         .next_round = now,
+                         .read_late = read_late});
+  if (!read_late) {
+    ContactRandomPeers(m_settings.close_bound_fan_out);
   }
+  OnTick(now);
 }
 
 void PeerExchange::OnTick(kernel::Time now) {
@@ -86,7 +93,7 @@
     return true;
   });
   for (Question& question : m_questions) {
-    if (now < question.next_round) {
+    if (!question.read_late || now < question.next_round) {
       continue;
     }
     question.next_round = now + m_settings.question_interval;
@@ -112,12 +119,16 @@
   }
   --m_news_rounds;
   m_next_news = now + m_settings.news_interval;
+  ContactRandomPeers(m_settings.news_fan_out);
+}
+
+void PeerExchange::ContactRandomPeers(std::size_t count) {
   std::vector<std::pair<std::uint64_t, std::string>> order;
   for (const auto& [address, peer] : m_peers) {
     order.emplace_back(m_random.Next(), address);
   }
   std::ranges::sort(order);
-  order.resize(std::min(order.size(), m_settings.news_fan_out));
+  order.resize(std::min(order.size(), count));
   for (const auto& [rank, address] : order) {
     Contact(address, m_peers.find(address)->second);
   }
@@ -258,7 +269,7 @@
 }
 
 void PeerExchange::Decide(Question& question) {
-  if (!question.declaration.store_lost) {
+  if (!question.read_late || !question.declaration.store_lost) {
     return;
   }
   std::size_t without_store = 0;
--- a/tests/dissemination/store_reader_test.cc
+++ b/tests/dissemination/store_reader_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace radishrudder::dissemination {
 namespace {
 
@@ -65,6 +67,29 @@
   EXPECT_EQ(TakeLast<PrefixConfirmed>()->requested_at, requested_at);
 }
 
+// Entries whose watches all end together after a change cannot date the next
+// declaration better than by a whole watch.
+TEST_F(StoreReaderTest, WatchesOfSeveralReadersSpreadAfterChange) {
+  std::set<milliseconds> ends;
+  for (std::uint64_t seed = 0; seed < 16; ++seed) {
+    m_reader = StoreReader({.spread_watches = true}, kernel::Random(seed));
+    ReadSnapshot(5);
+    ASSERT_EQ(TickAndTakeRequest<WatchChanges>()->wait, milliseconds(1000));
+    m_reader.OnChanges(m_now, {{"k", "w", 6, false}}, 6);
+    AdvanceTime(milliseconds(100));
+    const kernel::BootTime started_at = m_boot;
+    const auto first = TickAndTakeRequest<WatchChanges>();
+    ASSERT_LE(first->wait, milliseconds(1000));
+    AdvanceTime(first->wait);
+    m_reader.OnChanges(m_now, {}, 6);
+    EXPECT_EQ(TakeLast<PrefixConfirmed>()->complete_at,
+              started_at + first->wait);
+    EXPECT_EQ(TickAndTakeRequest<WatchChanges>()->wait, milliseconds(1000));
+    ends.insert(first->wait / 250);
+  }
+  EXPECT_GE(ends.size(), 4U);
+}
+
 TEST_F(StoreReaderTest, FailureKeepsRevisionAndBacksOff) {
   ReadSnapshot(5);
   ASSERT_TRUE(TickAndTakeRequest<WatchChanges>());
