--- a/source/radishrudder/direct/crash_suspects.cc
+++ b/source/radishrudder/direct/crash_suspects.cc
@@ -17,6 +17,8 @@
 // many.
 constexpr std::size_t kMaximumReported = 64;
 
+constexpr std::chrono::seconds kCleanupInterval{1};
+
 template <typename Map, typename TimeOf>
 void ForgetOldest(Map& map, std::size_t maximum, TimeOf time_of) {
   while (map.size() > maximum) {
@@ -54,19 +56,47 @@
   if (m_suspects.empty()) {
     return;
   }
-  kernel::Time& responded = m_responded[std::string(run)];
-  responded = std::max(responded, began_at);
+  Responses& known =
+      m_responded.try_emplace(std::string(run), Responses{began_at, began_at})
+          .first->second;
+  if (began_at >= known.last_began_at + m_settings.minimum_restart_time) {
+    known = {began_at, began_at};
+  } else if (began_at + m_settings.minimum_restart_time >
+             known.first_began_at) {
+    known = {std::min(known.first_began_at, began_at),
+             std::max(known.last_began_at, began_at)};
+  }
+  const Responses responses = known;
   ForgetOldest(m_responded, kMaximumResponded,
-               [](kernel::Time time) { return time; });
+               [](const Responses& item) { return item.last_began_at; });
   for (auto suspect = m_suspects.begin(); suspect != m_suspects.end();) {
     std::vector<CrashSighting>& crashes = suspect->second.crashes;
-    std::erase_if(crashes, [run, began_at](const CrashSighting& crash) {
-      return crash.run == run && crash.seen_at <= began_at;
+    std::erase_if(crashes, [this, run, &responses](const CrashSighting& crash) {
+      return crash.run == run && HasOutlived(responses, crash.seen_at);
     });
     suspect = crashes.empty() ? m_suspects.erase(suspect) : std::next(suspect);
   }
 }
 
+template <SignatureKind Kind>
+void CrashSuspects<Kind>::OnTick(kernel::Time now) {
+  if (now < m_next_cleanup) {
+    return;
+  }
+  m_next_cleanup = now + kCleanupInterval;
+  const auto is_old = [this, now](kernel::Time time) {
+    return now - time >= m_settings.memory;
+  };
+  std::erase_if(m_suspects, [&is_old](const auto& item) {
+    return is_old(item.second.crashes.back().seen_at);
+  });
+  std::erase_if(m_cleared,
+                [&is_old](const auto& item) { return is_old(item.second.at); });
+  std::erase_if(m_responded, [&is_old](const auto& item) {
+    return is_old(item.second.last_began_at);
+  });
+}
+
 template <SignatureKind Kind>
 std::string_view CrashSuspects<Kind>::FindBlocked(
     kernel::Time now,
@@ -108,13 +138,19 @@
   if (evidence.size() > kMaximumReported) {
     evidence.resize(kMaximumReported);
   }
-  std::size_t reported = 0;
+  std::vector<SuspectEvidence> answers;
   for (const auto& [signature, cleared] : m_cleared) {
-    if (cleared.contested && IsCleared(now, signature) &&
-        reported++ < kMaximumReported) {
-      evidence.push_back({.signature = signature, .cleared_at = cleared.at});
+    if (cleared.contested && IsCleared(now, signature)) {
+      answers.push_back({.signature = signature, .cleared_at = cleared.at});
     }
   }
+  const std::size_t reported = std::min(answers.size(), kMaximumReported);
+  std::ranges::partial_sort(
+      answers, answers.begin() + static_cast<std::ptrdiff_t>(reported),
+      std::ranges::greater{},
+      [](const SuspectEvidence& item) { return *item.cleared_at; });
+  answers.resize(reported);
+  std::ranges::move(answers, std::back_inserter(evidence));
   return evidence;
 }
 
@@ -123,10 +159,9 @@
                                 const SuspectEvidence& evidence) {
   const std::string& signature = evidence.signature;
   if (evidence.cleared_at) {
-    const bool known =
-        IsCleared(now, signature) &&
-        (Kind::kAnswerExcusesLaterCrashes ||
-         m_cleared.find(signature)->second.at >= *evidence.cleared_at);
+    const bool known = IsCleared(now, signature) &&
+                       (Kind::kAnswerExcusesLaterCrashes ||
+                        !ExcusesKnownCrashes(signature, *evidence.cleared_at));
     if (!known) {
       Clear(now, signature, *evidence.cleared_at, /*contested=*/true);
     }
@@ -164,6 +199,17 @@
           crash.seen_at <= m_cleared.find(signature)->second.at);
 }
 
+template <SignatureKind Kind>
+bool CrashSuspects<Kind>::ExcusesKnownCrashes(std::string_view signature,
+                                              kernel::Time answered_at) const {
+  const auto suspect = m_suspects.find(signature);
+  return suspect != m_suspects.end() &&
+         std::ranges::any_of(suspect->second.crashes,
+                             [answered_at](const CrashSighting& crash) {
+                               return crash.seen_at <= answered_at;
+                             });
+}
+
 template <SignatureKind Kind>
 void CrashSuspects<Kind>::AddCrash(kernel::Time now,
                                    const std::string& signature,
@@ -172,7 +218,8 @@
     return;
   }
   const auto responded = m_responded.find(crash.run);
-  if (responded != m_responded.end() && crash.seen_at <= responded->second) {
+  if (responded != m_responded.end() &&
+      HasOutlived(responded->second, crash.seen_at)) {
     return;
   }
   Suspect& suspect = m_suspects[signature];
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -33,6 +33,8 @@
 constexpr double kProgressTimeoutShare = 0.5;
 // A larger body is passed on before it is complete.
 constexpr std::size_t kMaximumBufferedBytes = 256U << 10U;
+// An event that is larger ends the attempt.
+constexpr std::size_t kMaximumEventBytes = 1U << 20U;
 // Range of Retry-After. Values are random, so that callers refused at the same
 // time do not all retry at the same time.
 constexpr milliseconds kMinimumRetryAfter{250};
@@ -53,6 +55,13 @@
          std::end(kNotExecutedStatuses);
 }
 
+// A response without an attempt id may come from anything at the address, and
+// one that reports another version does not always name its endpoint.
+bool IsFromSelectedEndpoint(const EndpointResponse& response) {
+  return response.attempt_id && !response.wrong_endpoint &&
+         !response.wrong_version;
+}
+
 milliseconds ToMilliseconds(kernel::Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration);
 }
@@ -165,7 +174,8 @@
   const EndpointRequirements requirements{
       .excluded = call.excluded,
       .version = call.response_started ? call.version : std::nullopt,
-      .require_free_capacity = require_free_capacity};
+      .require_free_capacity = require_free_capacity,
+      .capacity_share = demand.Share(now, call.service)};
   const SelectedEndpoint selected = pool.SelectEndpoint(now, requirements);
   if (selected.id.empty()) {
     const bool busy = selected.reason == routing::NoRoute::kNoFreeCapacity ||
@@ -248,6 +258,10 @@
                                     std::string_view data) {
   std::string events = call.events.Feed(data);
   if (events.empty()) {
+    if (call.events.PendingBytes() > kMaximumEventBytes) {
+      Emit(CancelAttempt{call.id});
+      HandleFailure(now, call, Reason::kInvalidAnswer);
+    }
     return;
   }
   CurrentAttempt& attempt = *call.attempt;
@@ -449,7 +463,7 @@
       *response.attempt_id != call->request->attempt_id) {
     return ResponseVerdict::kSkip;
   }
-  if (!response.wrong_endpoint) {
+  if (IsFromSelectedEndpoint(response)) {
     const std::string run = m_state->RunName(*call->attempt);
     m_state->suspect_parts.OnResponded(run, call->attempt->started);
     m_state->suspect_requests.OnResponded(run, call->attempt->started);
@@ -541,7 +555,9 @@
   } else {
     pool.OnAnswered(now, m_state->RunOf(attempt),
                     {.first_byte = attempt.first_byte});
-    if (IsSuccess(status) && !stream) {
+    // Without a marked end, a stream may have ended with its endpoint.
+    if (IsSuccess(status) &&
+        (!stream || (attempt.event_received && attempt.response->delimited))) {
       m_state->ClearSuspicion(now, *call);
     }
   }
--- a/tests/direct/request_suspects_test.cc
+++ b/tests/direct/request_suspects_test.cc
@@ -27,6 +27,24 @@
     }
   }
 
+  // As between processes: a report carries ages, which the receiver counts
+  // from its arrival, so that what it tells of appears to be later.
+  void TellLate(const SuspectRequests& from, SuspectRequests& to) {
+    std::vector<SuspectEvidence> report = from.Evidence(m_now);
+    AdvanceTime(kTransit);
+    for (SuspectEvidence& item : report) {
+      for (CrashSighting& crash : item.crashes) {
+        crash.seen_at += kTransit;
+        crash.began_at += kTransit;
+      }
+      if (item.cleared_at) {
+        *item.cleared_at += kTransit;
+      }
+      to.Merge(m_now, item);
+    }
+  }
+
+  static constexpr milliseconds kTransit{5};
   SuspectRequests m_suspects{CrashSuspectSettings{}};
   SuspectRequests m_other{CrashSuspectSettings{}};
   kernel::Time m_now{std::chrono::hours(1)};
@@ -60,6 +78,24 @@
   EXPECT_TRUE(IsBlocked({"bad"}));
 }
 
+// Guards against the digest of each request being computed for the rest of the
+// process's life once a single call has broken off.
+TEST_F(RequestSuspectsTest, IsEmptyAgainWhenEvidenceIsOld) {
+  Crash({"r"});
+  Crash({"answered"});
+  m_suspects.OnResponded("i-0/1", m_now);
+  m_suspects.OnAnswered(m_now, Digests{"answered"});
+  AdvanceTime(std::chrono::minutes(5));
+  m_suspects.OnTick(m_now);
+  EXPECT_FALSE(m_suspects.IsEmpty());
+  const std::uint64_t revision = m_suspects.Revision();
+  AdvanceTime(std::chrono::minutes(5));
+  m_suspects.OnTick(m_now);
+  EXPECT_TRUE(m_suspects.IsEmpty());
+  EXPECT_EQ(m_suspects.Size(), 0U);
+  EXPECT_EQ(m_suspects.Revision(), revision);
+}
+
 TEST_F(RequestSuspectsTest, RemembersNoAnswerToWhatIsNotSuspected) {
   for (int i = 0; i < 100; ++i) {
     m_suspects.OnAnswered(m_now, Digests{std::to_string(i)});
@@ -99,6 +135,35 @@
   EXPECT_EQ(m_suspects.Revision(), revision);
 }
 
+// Guards against an endpoint that starts again under the same id withdrawing
+// the crash of its run before, under which it is still listed.
+TEST_F(RequestSuspectsTest, LateResponseMayBeOfTheNextRun) {
+  for (int i = 0; i < 3; ++i) {
+    Crash({"bad"});
+  }
+  AdvanceTime(milliseconds(3500));
+  m_suspects.OnResponded("i-3/1", m_now);
+  m_suspects.OnResponded("i-3/1", m_now + milliseconds(100));
+  EXPECT_TRUE(IsBlocked({"bad"}));
+  Tell(m_suspects, m_other);
+  EXPECT_FALSE(m_other.FindBlocked(m_now, Digests{"bad"}).empty());
+}
+
+// Guards against a withdrawn crash coming back when its run goes on for longer
+// than an endpoint takes to start again.
+TEST_F(RequestSuspectsTest, RunThatRespondsAgainAndAgainGoesOn) {
+  for (int i = 0; i < 3; ++i) {
+    Crash({"slow"});
+  }
+  Tell(m_suspects, m_other);
+  for (int second = 0; second < 20; ++second) {
+    AdvanceTime(milliseconds(1000));
+    m_suspects.OnResponded("i-3/1", m_now);
+    Tell(m_other, m_suspects);
+    EXPECT_FALSE(IsBlocked({"slow"}));
+  }
+}
+
 // Guards against an old answer, told again and again by another entry, erasing
 // what was seen after it.
 TEST_F(RequestSuspectsTest, ToldAnswerExcusesEarlierCrashesOnly) {
@@ -118,6 +183,57 @@
   EXPECT_EQ(m_suspects.Revision() + m_other.Revision(), settled);
 }
 
+// Guards against entries passing on one answer to each other without end, for
+// it appears to be later at each of them.
+TEST_F(RequestSuspectsTest, LateReportsOfAnAnswerAreNoNews) {
+  Crash({"r"});
+  TellLate(m_suspects, m_other);
+  m_suspects.OnAnswered(m_now, Digests{"r"});
+  TellLate(m_suspects, m_other);
+  TellLate(m_other, m_suspects);
+  const std::uint64_t settled = m_suspects.Revision() + m_other.Revision();
+  for (int i = 0; i < 200; ++i) {
+    TellLate(m_suspects, m_other);
+    TellLate(m_other, m_suspects);
+  }
+  EXPECT_EQ(m_suspects.Revision() + m_other.Revision(), settled);
+}
+
+// Guards against an old answer excusing crashes that came after it, once it has
+// been told to and fro for some time.
+TEST_F(RequestSuspectsTest, LateReportsDoNotDelayAnAnswer) {
+  Crash({"r"});
+  TellLate(m_suspects, m_other);
+  m_suspects.OnAnswered(m_now, Digests{"r"});
+  for (int i = 0; i < 3; ++i) {
+    AdvanceTime(milliseconds(1000));
+    Crash({"r"});
+    for (int k = 0; k < 200; ++k) {
+      TellLate(m_suspects, m_other);
+      TellLate(m_other, m_suspects);
+    }
+  }
+  EXPECT_TRUE(IsBlocked({"r"}));
+}
+
+// Guards against an answer never being told to the others because earlier ones
+// fill the reports.
+TEST_F(RequestSuspectsTest, LatestAnswersAreToldFirst) {
+  for (int i = 0; i < 200; ++i) {
+    const Digests earlier{"a-" + std::to_string(i)};
+    Crash(earlier);
+    m_suspects.OnAnswered(m_now, earlier);
+  }
+  for (int i = 0; i < 3; ++i) {
+    Crash({"z"});
+  }
+  Tell(m_suspects, m_other);
+  EXPECT_FALSE(m_other.FindBlocked(m_now, Digests{"z"}).empty());
+  m_suspects.OnAnswered(m_now, Digests{"z"});
+  Tell(m_suspects, m_other);
+  EXPECT_TRUE(m_other.FindBlocked(m_now, Digests{"z"}).empty());
+}
+
 // Guards against memory and reports that grow with the number of requests that
 // break off, and against such a flood pushing out what is blocked.
 TEST_F(RequestSuspectsTest, FloodOfRequestsIsBoundedAndKeepsTheBlockedOne) {
--- a/tests/exchange/caller_server_test.cc
+++ b/tests/exchange/caller_server_test.cc
@@ -26,6 +26,8 @@
               std::stoi(address.substr(address.find(':') + 1)))};
 }
 
+constexpr std::chrono::milliseconds kPollLimit{1000};
+
 class ServerTest : public testing::Test {
  protected:
   ServerTest() {
@@ -50,7 +52,20 @@
     std::error_code error;
     const std::size_t size = m_client.read_some(asio::buffer(buffer), error);
     m_received.append(buffer.data(), size);
-    m_ended = m_ended || (error && error != asio::error::would_block);
+    if (error && error != asio::error::would_block) {
+      m_ended = true;
+      m_end = error;
+    }
+  }
+  // Lets the server work on what has arrived. Returns whether `done` holds
+  // within the limit.
+  bool PollUntil(const std::function<bool()>& done) {
+    const kernel::Time end = kernel::Now() + kPollLimit;
+    while (!done() && kernel::Now() < end) {
+      m_context.restart();
+      m_context.poll();
+    }
+    return done();
   }
   void RunUntil(const std::function<bool()>& done) {
     while (!done()) {
@@ -71,6 +86,7 @@
   asio::ip::tcp::socket m_client{m_context};
   std::string m_received;
   bool m_ended = false;
+  std::error_code m_end;  // How the connection ended.
 };
 
 TEST_F(ServerTest, AnswersOneRequestAfterTheOther) {
@@ -133,6 +149,71 @@
   EXPECT_EQ(m_server.Connections(), 0U);
 }
 
+// Guards against a stop, or the idle limit, that closes a connection on which a
+// request has arrived while the process was busy.
+TEST_F(ServerTest, SilenceEndsWithARequestThatIsNotReadYet) {
+  RunUntil([this] { return m_server.Connections() == 1; });
+  Write("GET / HTTP/1.1\r\n\r\n");
+  const kernel::Time later = kernel::Now() + std::chrono::minutes(2);
+  m_server.CloseIdle(later, std::chrono::minutes(1));
+  EXPECT_EQ(m_server.Connections(), 1U);
+  m_server.CheckTimes(later);
+  EXPECT_EQ(m_server.Connections(), 1U);
+  EXPECT_TRUE(PollUntil([this] { return m_requests.size() == 1; }));
+}
+
+// Guards against a stop that resets connections which wait to be accepted.
+TEST_F(ServerTest, StopTakesConnectionsThatWaitToBeAccepted) {
+  Write("GET / HTTP/1.1\r\n\r\n");
+  m_server.StopAccepting();
+  ASSERT_TRUE(PollUntil([this] { return m_requests.size() == 1; }));
+  m_exchanges[0]->Reply({200, {}}, "taken");
+  ReadUntil("taken");
+  EXPECT_TRUE(m_received.ends_with("taken"));
+}
+
+// Guards against a reset that destroys the last answer on its way, because the
+// caller's next bytes were unread when the connection closed.
+TEST_F(ServerTest, LastAnswerIsNotResetByBytesThatFollow) {
+  Write("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  Write(std::string(60000, 'x'));
+  m_exchanges[0]->Reply({200, {}}, "last");
+  ReadUntil("never");
+  EXPECT_TRUE(m_received.ends_with("last"));
+  EXPECT_EQ(m_end, asio::error::eof) << m_end.message();
+  // A connection with unread bytes that is closed is reset.
+  EXPECT_EQ(m_server.Connections(), 1U);
+  m_client.close();
+  EXPECT_TRUE(PollUntil([this] { return m_server.Connections() == 0; }));
+}
+
+// Guards against callers that hold a connection by never closing it.
+TEST_F(ServerTest, ConnectionThatCallerKeepsOpenAfterTheEndIsClosed) {
+  Write("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  m_exchanges[0]->Reply({200, {}}, "last");
+  ReadUntil("never");
+  m_server.CheckTimes(kernel::Now() + std::chrono::seconds(5));
+  EXPECT_TRUE(PollUntil([this] { return m_server.Connections() == 0; }));
+}
+
+// Guards against a caller that stops in the middle of a body holding its
+// connection and memory for good.
+TEST_F(ServerTest, SilenceInABodyIsRefused) {
+  Write("POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\npart");
+  RunUntil([this] { return m_server.Connections() == 1; });
+  m_context.poll();
+  const kernel::Time end = kernel::Now() + kPollLimit;
+  while (!m_ended && kernel::Now() < end) {
+    m_server.CheckTimes(kernel::Now() + std::chrono::seconds(20));
+    m_context.poll();
+    Receive();
+  }
+  EXPECT_TRUE(m_received.starts_with("HTTP/1.1 408")) << m_received;
+  EXPECT_TRUE(m_requests.empty());
+}
+
 struct RefusalCase {
   const char* name;
   std::string request;
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -15,9 +15,11 @@
       .store_lost = true,
       .declarations = {{"draft", 4, milliseconds(30), milliseconds(900), true},
                        {"draft", 3, milliseconds(70), std::nullopt, false}},
-      .suspects = {
-          {"5c1e", {{"i-1/7", milliseconds(40), milliseconds(90)}}, {}},
-          {"91bd", {}, milliseconds(70)}}};
+      .suspects = {{"5c1e",
+                    {{"i-1/7", milliseconds(40), milliseconds(90)}},
+                    {}},
+                   {"91bd", {}, milliseconds(70)}},
+      .demands = {{"entry-1", "service", 12.5, milliseconds(900)}}};
   const auto parsed = ParsePeerReport(ToText(report));
   ASSERT_TRUE(parsed);
   EXPECT_EQ(parsed->address, report.address);
@@ -40,6 +42,23 @@
   EXPECT_EQ(parsed->suspects[0].crashes[0].began_age, milliseconds(90));
   EXPECT_FALSE(parsed->suspects[0].cleared_age);
   EXPECT_EQ(parsed->suspects[1].cleared_age, milliseconds(70));
+  ASSERT_EQ(parsed->demands.size(), 1U);
+  EXPECT_EQ(parsed->demands[0].entry, "entry-1");
+  EXPECT_EQ(parsed->demands[0].service, "service");
+  EXPECT_EQ(parsed->demands[0].calls_per_second, 12.5);
+  EXPECT_EQ(parsed->demands[0].age, milliseconds(900));
+}
+
+// Guards against a process that ends by an exception because a caller named a
+// prompt part that is not UTF-8.
+TEST(PeerReportTest, WritesSignaturesOfAnyBytes) {
+  const PeerReport report{.address = "10.0.0.1:80",
+                          .suspects = {{"\xff\xfe", {}, milliseconds(70)},
+                                       {"91bd", {}, milliseconds(70)}}};
+  const auto parsed = ParsePeerReport(ToText(report));
+  ASSERT_TRUE(parsed);
+  ASSERT_EQ(parsed->suspects.size(), 2U);
+  EXPECT_EQ(parsed->suspects[1].signature, "91bd");
 }
 
 // Processes of the release before may still run beside this one.
@@ -55,6 +74,24 @@
   EXPECT_EQ(parsed->suspects[1].cleared_age, milliseconds(0));
 }
 
+// Guards against processes that no longer understand each other once they have
+// run for longer than a day: a declaration is reported as long as it is known.
+TEST(PeerReportTest, ReadsAgesOfProcessesThatRunForMonths) {
+  constexpr std::chrono::days kAge{100};
+  const PeerReport report{
+      .address = "10.0.0.1:80",
+      .store_age = kAge,
+      .declarations = {{"draft", 4, kAge, kAge, false}},
+      .suspects = {
+          {"5c1e", {{"i-1/7", milliseconds(1), milliseconds(2)}}, {}}}};
+  const auto parsed = ParsePeerReport(ToText(report));
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ(parsed->store_age, kAge);
+  ASSERT_EQ(parsed->declarations.size(), 1U);
+  EXPECT_EQ(parsed->declarations[0].read_age, kAge);
+  EXPECT_EQ(parsed->suspects.size(), 1U);
+}
+
 // Anything may arrive at the port for peers; it must not end the process.
 class InvalidReportTest : public testing::TestWithParam<const char*> {};
 
@@ -65,25 +102,32 @@
 INSTANTIATE_TEST_SUITE_P(
     All,
     InvalidReportTest,
-    testing::Values("",
-                    "[]",
-                    "{}",
-                    R"({"address":1,"peers":[],"declarations":[]})",
-                    R"({"address":"a","peers":[1],"declarations":[]})",
-                    R"({"address":"a","peers":[],"declarations":[{}]})",
-                    R"({"address":"a","peers":[],"declarations":[],)"
-                    R"("storeMs":"x"})",
-                    R"({"address":"a","peers":[],"declarations":[],)"
-                    R"("parts":[{"part":"p","crashes":[{"run":"r"}]}]})",
-                    R"({"address":"a","peers":[],"declarations":[],"parts":[)"
-                    R"({"part":"p","crashes":[{"run":"r","ageMs":5,)"
-                    R"("beganMs":4}]}]})",
-                    R"({"address":"a","peers":[],"declarations":[],)"
-                    R"("storeMs":-1})",
-                    R"({"address":"a","peers":[],"declarations":[],)"
-                    R"("storeMs":4294967296})",
-                    R"({"address":"a","peers":[],"declarations":[{"model":"m",)"
-                    R"("version":1,"readMs":9,"absentMs":8}]})"));
+    testing::Values(
+        "",
+        "[]",
+        "{}",
+        R"({"address":1,"peers":[],"declarations":[]})",
+        R"({"address":"a","peers":[1],"declarations":[]})",
+        R"({"address":"a","peers":[],"declarations":[{}]})",
+        R"({"address":"a","peers":[],"declarations":[],)"
+        R"("storeMs":"x"})",
+        R"({"address":"a","peers":[],"declarations":[],)"
+        R"("parts":[{"part":"p","crashes":[{"run":"r"}]}]})",
+        R"({"address":"a","peers":[],"declarations":[],"parts":[)"
+        R"({"part":"p","crashes":[{"run":"r","ageMs":5,)"
+        R"("beganMs":4}]}]})",
+        R"({"address":"a","peers":[],"declarations":[],"demands":)"
+        R"([{"entry":"e","service":"s","perSecond":-1,"ageMs":0}]})",
+        R"({"address":"a","peers":[],"declarations":[],"demands":)"
+        R"([{"entry":"e","service":"s","perSecond":"x"}]})",
+        R"({"address":"a","peers":[],"declarations":[],)"
+        R"("storeMs":-1})",
+        R"({"address":"a","peers":[],"declarations":[],)"
+        R"("storeMs":315360000001})",
+        R"({"address":"a","peers":[],"declarations":[],)"
+        R"("storeMs":18446744073709551615})",
+        R"({"address":"a","peers":[],"declarations":[{"model":"m",)"
+        R"("version":1,"readMs":9,"absentMs":8}]})"));
 
 }  // namespace
 }  // namespace radishrudder::peers
