tests: a crashing request that arrives at all entries at once, known red

Traced in the fleet: four endpoints end in the first wave and two by the repetitions; the second wave is the third moment, and reaches one endpoint from each of four entries.

--- a/tests/direct/prompt_fleet.cc
+++ b/tests/direct/prompt_fleet.cc
@@ -126,7 +126,12 @@
     m_crashing_due += m_load.crashing_per_second * seconds;
   }
   for (; m_crashing_due >= 1; m_crashing_due -= 1) {
-    Offer(m_random.Below(m_entries.size()), /*crashing=*/true);
+    const std::size_t first = m_random.Below(m_entries.size());
+    const std::size_t count =
+        m_load.crashing_at_all_entries ? m_entries.size() : 1;
+    for (std::size_t i = 0; i < count; ++i) {
+      Offer((first + i) % m_entries.size(), /*crashing=*/true);
+    }
   }
   if (m_load.all_endpoints_end && Since(m_now) >= *m_load.all_endpoints_end) {
     m_load.all_endpoints_end.reset();
--- a/tests/direct/prompt_fleet.h
+++ b/tests/direct/prompt_fleet.h
@@ -30,6 +30,8 @@
   // crashes endpoints as a whole. `crashing_parts` is the number of these.
   bool plain = false;
   bool repeatable = true;
+  // Each crashing request arrives at all entries at the same time.
+  bool crashing_at_all_entries = false;
   // Times at which one entry is started anew, without evidence.
   std::vector<std::chrono::milliseconds> entry_restarts{};
   std::chrono::milliseconds duration{40000};
