--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -201,7 +201,7 @@
     time = std::min(time, route->timeout);
   }
   call.deadline = request.received_at + time;
-  call.request = received;
+  call.request = std::move(received);
   if (const Reason reason = state.BlockReason(now, call);
       reason != Reason::kNone) {
     state.Refuse(now, request, id, kUnavailable, reason);
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -76,11 +76,7 @@
       if (now - *m_lingering_since >= kLingerTime) {
         Close();
       }
-    } else if (m_begun && !m_exchange && !m_reader.HeadComplete() &&
-               now - *m_begun >= limits.head_timeout) {
-      Refuse(kRequestTimeout);
-    } else if (m_begun && !m_exchange && m_reader.HeadComplete() &&
-               now - m_read_at >= limits.idle_timeout && !HasUnread()) {
+    } else if (m_begun && !m_exchange && IsRequestTooSlow(now)) {
       Refuse(kRequestTimeout);
     } else if (IsIdle() && now - m_silent_since >= limits.idle_timeout) {
       Close();
@@ -178,6 +174,14 @@
         });
   }
 
+  // Whether the rest of a request that has begun takes too long to arrive.
+  bool IsRequestTooSlow(kernel::Time now) const {
+    const CallerLimits& limits = m_server.m_limits;
+    return m_reader.HeadComplete()
+               ? now - m_read_at >= limits.idle_timeout && !HasUnread()
+               : now - *m_begun >= limits.head_timeout;
+  }
+
   bool HasUnread() const {
     std::error_code error;
     return m_socket.available(error) > 0;
--- a/tests/platform/malformed_input_test.cc
+++ b/tests/platform/malformed_input_test.cc
@@ -53,11 +53,11 @@
       "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n",
       "POST / HTTP/1.1\r\nContent-Length: 18446744073709551615\r\n\r\nx",
       "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
-      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-      "ffffffffffffffff\r\nx",
+      ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "ffffffffffffffff\r\nx"),
       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-      "0\r\nTrailer: x\r\n\r\n",
+      ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "0\r\nTrailer: x\r\n\r\n"),
       "GET /" + std::string(20000, 'a') + " HTTP/1.1\r\n\r\n",
       WithHeaders("X: " + std::string(20000, 'b')),
       WithHeaders("Radishrudder-Deadline-Ms: 99999999999999999999"),
@@ -107,8 +107,8 @@
       "{}",
       R"({"service": 7, "address": [], "state": "ready"})",
       R"({"service": "plain", "address": "nowhere", "state": "ready"})",
-      R"({"service": "plain", "address": "127.0.0.1:99999", "zone": 5,)"
-      R"("state": "ready", "slots": -4})",
+      (R"({"service": "plain", "address": "127.0.0.1:99999", "zone": 5,)"
+       R"("state": "ready", "slots": -4})"),
       R"({"service": "plain", "address": "127.0.0.1:9", "state": "draining",)"
       R"("slots": )" +
           huge + R"(, "born": 1e300, "models": [{"version": -1}, 7]})",
@@ -122,22 +122,24 @@
   return entries;
 }
 
-const std::vector<std::string> kWatchBodies = {
-    "",
-    "null",
-    "[]",
-    "\xff\xfe",
-    R"({"at": -1, "events": []})",
-    R"({"at": 1e300, "events": 7})",
-    R"({"at": 18446744073709551615, "events": [null, 7, {}]})",
-    R"({"at": 9, "events": [{"key": 7, "revision": "x", "value": 7}]})",
-    R"({"at": 9, "events": [{"key": "servers/x", "revision": 8,)"
-    R"("value": "===="}]})",
-    R"({"at": 9, "events": [{"key": "servers/x", "revision": 8,)"
-    R"("value": "\ud800"}]})",
-    R"({"at": 9, "events": [{"key": "", "revision": 8,)"
-    R"("tombstone": "yes"}]})",
-};
+std::vector<std::string> WatchBodies() {
+  return {
+      "",
+      "null",
+      "[]",
+      "\xff\xfe",
+      R"({"at": -1, "events": []})",
+      R"({"at": 1e300, "events": 7})",
+      R"({"at": 18446744073709551615, "events": [null, 7, {}]})",
+      R"({"at": 9, "events": [{"key": 7, "revision": "x", "value": 7}]})",
+      (R"({"at": 9, "events": [{"key": "servers/x", "revision": 8,)"
+       R"("value": "===="}]})"),
+      (R"({"at": 9, "events": [{"key": "servers/x", "revision": 8,)"
+       R"("value": "\ud800"}]})"),
+      (R"({"at": 9, "events": [{"key": "", "revision": 8,)"
+       R"("tombstone": "yes"}]})"),
+  };
+}
 
 class MalformedInputTest : public testing::Test {
  protected:
@@ -190,7 +192,7 @@
 }
 
 TEST_F(MalformedInputTest, InTheStoreEndsNoProcess) {
-  Start(HostileEntries(), kWatchBodies);
+  Start(HostileEntries(), WatchBodies());
   // Each failed watch is repeated after a pause.
   std::this_thread::sleep_for(milliseconds(1500));
   ExpectAnswersCalls();
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -74,13 +74,12 @@
                                  std::vector<StandinEntry> more_entries,
                                  std::vector<std::string> watch_bodies)
     : m_store(m_context,
-              [this](exchange::ReceivedRequest request, Exchange caller) {
-                AnswerStore(request, caller);
-              }),
-      m_endpoint(m_context,
-                 [this](exchange::ReceivedRequest request, Exchange caller) {
-                   AnswerCall(request, caller);
-                 }),
+              [this](const exchange::ReceivedRequest& request,
+                     const Exchange& caller) { AnswerStore(request, caller); }),
+      m_endpoint(
+          m_context,
+          [this](const exchange::ReceivedRequest& request,
+                 const Exchange& caller) { AnswerCall(request, caller); }),
       m_entries(std::move(more_entries)),
       m_watch_bodies(std::move(watch_bodies)) {
   const std::string endpoint = FreeAddress(m_context);
