direct: entries try a request that crashed several endpoints one after the other

A request that arrives at four entries at once, every five seconds, reached four endpoints late for three (known red): crashes within 100 ms count as one moment, since a fault of the machines looks the same, so that the second wave was let through by every entry.

Cause: below the number of moments that blocks, nothing kept the entries apart.

It leaves the list of known faults.

--- a/source/radishrudder/direct/crash_suspects.cc
+++ b/source/radishrudder/direct/crash_suspects.cc
@@ -298,8 +298,13 @@
 template <SignatureKind Kind>
 bool CrashSuspects<Kind>::IsBlocked(kernel::Time now,
                                     const Suspect& suspect) const {
-  if (Moments(now, suspect) < m_settings.blocking_crashes) {
-    return false;
+  const std::uint32_t moments = Moments(now, suspect);
+  if (moments < m_settings.blocking_crashes) {
+    // Enough endpoints ended, though at too few moments to tell a fault of the
+    // machines: entries try one after the other.
+    return moments >= m_settings.suspicious_crashes &&
+           suspect.crashes.size() >= m_settings.blocking_crashes &&
+           now - suspect.crashes.back().seen_at < m_settings.additional_block;
   }
   const std::chrono::seconds duration =
       suspect.crashes.size() >= m_settings.certain_crashes
