platform, direct: read how long an endpoint wants no requests

The records of refused attempts could not tell whether an endpoint had asked for a pause: Retry-After of its 503 was not read. It is decoded now and named in the record with the status, as is a value that cannot be read. Nothing is decided by it yet.

CallCodec PauseTest: nine cases.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -54,6 +54,11 @@
   // endpoint.
   bool delimited = false;
   std::optional<routing::LoadReport> load{};
+  // How long the endpoint wants no requests from this process.
+  std::optional<std::chrono::milliseconds> requested_pause{};
+  // What the endpoint says of itself in a form that could not be read, for the
+  // log; empty: nothing.
+  std::string unreadable{};
   // Version of the weights that produced the response.
   std::optional<std::uint64_t> version{};
   std::vector<http::Header> response_headers{};  // Sent on to the caller.
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -66,6 +66,19 @@
   return std::chrono::duration_cast<milliseconds>(duration);
 }
 
+// What an endpoint says of itself in a response, for the record of the attempt.
+std::string Describe(const EndpointResponse& response) {
+  std::string text = "status " + std::to_string(response.status);
+  if (response.requested_pause) {
+    text += ", asks for a pause of " +
+            std::to_string(response.requested_pause->count()) + " ms";
+  }
+  if (!response.unreadable.empty()) {
+    text += ", unreadable " + response.unreadable;
+  }
+  return text;
+}
+
 }  // namespace
 
 milliseconds Entry::State::RetryAfter(Reason reason) {
@@ -474,6 +487,7 @@
         response.wrong_endpoint  ? routing::Refusal::kLeaving
         : response.wrong_version ? routing::Refusal::kNotReady
                                  : routing::Refusal::kOverloaded;
+    call->detail = Describe(response);
     m_state->HandleRefusal(now, *call, refusal);
     return ResponseVerdict::kReject;
   }
@@ -481,7 +495,7 @@
       response.attempt_id && response.has_signature && !response.encoded;
   if (!is_authentic || ImpliesNotExecuted(response.status) ||
       (call->response_started && !IsSuccess(response.status))) {
-    call->detail = "status " + std::to_string(response.status) +
+    call->detail = Describe(response) +
                    (response.has_signature ? "" : " without a signature");
     m_state->HandleFailure(now, *call, Reason::kInvalidAnswer);
     return ResponseVerdict::kReject;
--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -134,6 +134,47 @@
                      true}),
     [](const auto& info) { return info.param.name; });
 
+struct PauseCase {
+  const char* name;
+  int status;
+  const char* retry_after;
+  std::optional<std::chrono::milliseconds> pause;
+  const char* unreadable;
+};
+
+class PauseTest : public testing::TestWithParam<PauseCase> {};
+
+// Guards against an endpoint's request for a pause being lost or misread, which
+// nothing in the log would show.
+TEST_P(PauseTest, DecodesHowLongTheEndpointWantsNoRequests) {
+  exchange::ResponseHead head;
+  head.status = GetParam().status;
+  head.headers = {{"Retry-After", GetParam().retry_after}};
+  const direct::EndpointResponse response =
+      CallCodec::DecodeResponse(head, "i-1");
+  EXPECT_EQ(response.requested_pause, GetParam().pause);
+  EXPECT_EQ(response.unreadable, GetParam().unreadable);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    PauseTest,
+    testing::Values(
+        PauseCase{"WholeSeconds", 503, "3", std::chrono::milliseconds(3000),
+                  ""},
+        PauseCase{"Fraction", 503, "0.25", std::chrono::milliseconds(250), ""},
+        PauseCase{"Zero", 503, "0", std::chrono::milliseconds(0), ""},
+        PauseCase{"Huge", 503, "1e300", std::chrono::milliseconds(86'400'000),
+                  ""},
+        PauseCase{"Endless", 503, "inf", std::chrono::milliseconds(86'400'000),
+                  ""},
+        PauseCase{"Negative", 503, "-1", std::nullopt, "Retry-After: -1"},
+        PauseCase{"NoNumber", 503, "nan", std::nullopt, "Retry-After: nan"},
+        PauseCase{"Date", 503, "Fri, 04 Dec 2026 15:00:00 GMT", std::nullopt,
+                  "Retry-After: Fri, 04 Dec 2026 15:00:00 GMT"},
+        PauseCase{"OtherStatus", 429, "3", std::nullopt, ""}),
+    [](const auto& test) { return test.param.name; });
+
 TEST(CallCodecTest, DecodesLoadAndVersion) {
   exchange::ResponseHead head;
   head.status = 200;
