direct: endpoints get no calls in a pause that they asked for

Cause: an endpoint that answers 503 with Retry-After wants nothing from this entry for so long. The entry took it for full: the time was not read, the router keeps an endpoint out for 50 ms after a refusal without one, cuts longer times to 2 s, lets a later refusal replace a longer time, and forgets it with the listing. A call for which the endpoint had been selected before was sent when its connection opened. Callers saw nothing of it; the endpoint got about the calls that it would have got without asking.

Change: EndpointPauses keeps the end of the pause by endpoint run, whatever is listed, never shortens it and bounds it to ten minutes; selection leaves such endpoints out and counts their capacity for nothing; an attempt whose endpoint asked for a pause meanwhile is cancelled before it is sent and goes elsewhere. After the pause one call at a time tries the endpoint. If all endpoints of a service are paused, callers are refused at once with a Retry-After spread from the moment at which the first of them returns. Event 508 and radishrudder_endpoint_pauses_total tell of pauses.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -74,6 +74,7 @@
   kUnknownKey,
   kNoEndpoint,     // No known endpoint may take the call.
   kAllBusy,        // All endpoints that may take the call are full.
+  kAllPaused,      // All endpoints want no requests for a time.
   kRefused,        // Endpoints confirmed that they did not execute it.
   kUnreachable,    // No connection to an endpoint could be opened.
   kBroken,         // An attempt ended before its response was complete.
@@ -160,6 +161,15 @@
   std::string digest{};
 };
 
+// An endpoint asked for a pause, for the log.
+struct EndpointPaused {
+  std::string service{};
+  std::string endpoint{};
+  std::string attempt_id{};  // Of the call that it answered so.
+  std::chrono::milliseconds requested{0};
+  std::chrono::milliseconds duration{0};  // Less if a limit applies.
+};
+
 using Output = std::variant<SendAttempt,
                             CancelAttempt,
                             SendResponse,
@@ -169,7 +179,8 @@
                             AbortResponse,
                             CallRecord,
                             PartBlocked,
-                            RequestBlocked>;
+                            RequestBlocked,
+                            EndpointPaused>;
 
 // Why an attempt ended without a complete response.
 enum class AttemptFailure {
--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -103,7 +103,8 @@
                  kernel::BootTime boot_now,
                  CallId call,
                  std::shared_ptr<const CallerRequest> request);
-  // A connection is open and the request is about to be sent.
+  // A connection is open and the request is about to be sent. It must not be if
+  // the outputs cancel the attempt.
   void OnSending(kernel::Time now, CallId call);
   ResponseVerdict OnResponseHead(kernel::Time now,
                                  CallId call,
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -153,6 +153,9 @@
 inline constexpr Event kRequestBlocked{
     507, Level::kWarning, "request-blocked",
     "A request crashes endpoints; repetitions of it are refused."};
+inline constexpr Event kEndpointPaused{
+    508, Level::kInfo, "endpoint-paused",
+    "An endpoint wants no requests for a time and gets none."};
 inline constexpr Event kOrderSent{601, Level::kInfo, "order-sent",
                                   "The agent sent its endpoint an order."};
 inline constexpr Event kOrderRefused{602, Level::kWarning, "order-refused",
--- a/include/radishrudder/serving/call_journal.h
+++ b/include/radishrudder/serving/call_journal.h
@@ -20,6 +20,7 @@
   explicit CallJournal(std::string instance);
 
   void Record(kernel::Time now, const direct::CallRecord& record);
+  void RecordPause(kernel::Time now, const direct::EndpointPaused& pause);
   void LogFindings(const kernel::Findings& findings);
   void CountCallerDisconnected() {
     m_metrics.Count("radishrudder_callers_gone_total", {});
@@ -28,6 +29,8 @@
 
  private:
   bool MayLog(kernel::Time now, const direct::CallRecord& record);
+  // Takes a line from the budget, or counts it as suppressed.
+  bool TryTakeLine(kernel::Time now);
 
   std::string m_instance;
   metrics::Metrics m_metrics;
--- a/include/radishrudder/serving/call_session.h
+++ b/include/radishrudder/serving/call_session.h
@@ -56,7 +56,11 @@
   }
   void Cancel(exchange::EndpointPool& pool) { pool.Cancel(m_exchange); }
 
-  void OnSending() override { m_process.Core().OnSending(kernel::Now(), m_id); }
+  void OnSending() override {
+    Process& process = m_process;
+    process.Core().OnSending(kernel::Now(), m_id);
+    process.TakeOutputs();
+  }
   exchange::HeadVerdict OnHead(const exchange::ResponseHead& head) override {
     Process& process = m_process;
     const direct::ResponseVerdict verdict = process.Core().OnResponseHead(
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -309,6 +309,9 @@
     logging::Log(logging::kRequestBlocked, {{"instance", m_settings.entry.name},
                                             {"request", output.digest}});
   }
+  void Execute(direct::EndpointPaused& output) {
+    m_journal.RecordPause(kernel::Now(), output);
+  }
   void Execute(direct::PartBlocked& output) {
     logging::Log(logging::kPromptPartBlocked,
                  {{"instance", m_settings.entry.name}, {"part", output.part}});
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -51,6 +51,8 @@
       return "no-endpoint";
     case Reason::kAllBusy:
       return "all-busy";
+    case Reason::kAllPaused:
+      return "all-paused";
     case Reason::kRefused:
       return "refused";
     case Reason::kUnreachable:
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -81,14 +81,18 @@
 
 }  // namespace
 
-milliseconds Entry::State::RetryAfter(Reason reason) {
+milliseconds Entry::State::RetryAfter(Reason reason,
+                                      kernel::Duration available_after) {
   if (reason == Reason::kCrashingPrompt || reason == Reason::kCrashingRequest) {
     return kBlockedRetryAfter;
   }
-  const auto range = static_cast<std::uint64_t>(
-      (kMaximumRetryAfter - kMinimumRetryAfter).count());
-  return kMinimumRetryAfter +
-         milliseconds(static_cast<std::int64_t>(random.Below(range)));
+  const milliseconds wait = std::chrono::ceil<milliseconds>(available_after);
+  // The longer callers had to wait, the more of them return.
+  const milliseconds spread =
+      std::max(kMaximumRetryAfter - kMinimumRetryAfter, wait / 2);
+  return std::max(wait, kMinimumRetryAfter) +
+         milliseconds(static_cast<std::int64_t>(
+             random.Below(static_cast<std::uint64_t>(spread.count()))));
 }
 
 void Entry::State::Refuse(kernel::Time now,
@@ -146,7 +150,10 @@
   calls.erase(call.id);
 }
 
-void Entry::State::FailCall(kernel::Time now, Call& call, Reason reason) {
+void Entry::State::FailCall(kernel::Time now,
+                            Call& call,
+                            Reason reason,
+                            kernel::Duration available_after) {
   if (call.response_started) {
     Emit(AbortResponse{call.id});
     End(now, call, 0, reason);
@@ -155,7 +162,7 @@
   SendResponse reply{.call = call.id};
   if (!call.may_have_run) {
     reply.status = kUnavailable;
-    reply.retry_after = RetryAfter(reason);
+    reply.retry_after = RetryAfter(reason, available_after);
   } else {
     reply.status = reason == Reason::kTimeout ? kGatewayTimeout : kBadGateway;
   }
@@ -190,6 +197,10 @@
       .require_free_capacity = require_free_capacity,
       .capacity_share = demand.Share(now, call.service)};
   const SelectedEndpoint selected = pool.SelectEndpoint(now, requirements);
+  if (selected.available_after) {
+    FailCall(now, call, Reason::kAllPaused, *selected.available_after);
+    return;
+  }
   if (selected.id.empty()) {
     const bool busy = selected.reason == routing::NoRoute::kNoFreeCapacity ||
                       selected.reason == routing::NoRoute::kRefusing;
@@ -454,11 +465,39 @@
          !call.response_started && TryReserveRetry(now, call);
 }
 
+void Entry::State::NoteState(kernel::Time now,
+                             Call& call,
+                             const EndpointResponse& response) {
+  if (response.wrong_endpoint) {
+    return;
+  }
+  ServicePool& pool = Pool(call.service);
+  const routing::EndpointRun run = RunOf(*call.attempt);
+  if (!response.requested_pause) {
+    pool.OnResponded(now, run);
+  } else if (const auto until =
+                 pool.OnPauseRequested(now, run, *response.requested_pause)) {
+    Emit(EndpointPaused{.service = call.service,
+                        .endpoint = call.attempt->endpoint,
+                        .attempt_id = call.request->attempt_id,
+                        .requested = *response.requested_pause,
+                        .duration = ToMilliseconds(*until - now)});
+  }
+}
+
 void Entry::OnSending(kernel::Time now, CallId id) {
   Call* call = m_state->FindCall(id);
   if (call == nullptr || !call->attempt) {
     return;
   }
+  if (!m_state->Pool(call->service)
+           .MaySend(now, m_state->RunOf(*call->attempt))) {
+    // The endpoint said so while this attempt waited for a connection.
+    m_state->Emit(CancelAttempt{id});
+    call->attempt.reset();
+    m_state->StartAttempt(now, *call, /*require_free_capacity=*/true);
+    return;
+  }
   call->attempt->sent = true;
   ++call->attempts;
   m_state->Pool(call->service).OnSent(now, m_state->RunOf(*call->attempt));
@@ -476,6 +515,7 @@
       *response.attempt_id != call->request->attempt_id) {
     return ResponseVerdict::kSkip;
   }
+  m_state->NoteState(now, *call, response);
   if (IsFromSelectedEndpoint(response)) {
     const std::string run = m_state->RunName(*call->attempt);
     m_state->suspect_parts.OnResponded(run, call->attempt->started);
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -72,7 +72,10 @@
   void End(kernel::Time now, Call& call, int status, Reason reason);
   // Ends a call that no further attempt can serve, with an error response or,
   // if its response has started, by aborting it.
-  void FailCall(kernel::Time now, Call& call, Reason reason);
+  void FailCall(kernel::Time now,
+                Call& call,
+                Reason reason,
+                kernel::Duration available_after = {});
 
   void StartAttempt(kernel::Time now, Call& call, bool require_free_capacity);
   // An attempt ended without a complete response of the endpoint.
@@ -125,7 +128,13 @@
                      CallRecord::Kind kind,
                      int status,
                      Reason reason);
-  std::chrono::milliseconds RetryAfter(Reason reason);
+  // `available_after`: time until an endpoint is expected to take calls.
+  std::chrono::milliseconds RetryAfter(Reason reason,
+                                       kernel::Duration available_after = {});
+  // Takes note of what the endpoint says of itself in any response.
+  void NoteState(kernel::Time now,
+                 Call& call,
+                 const EndpointResponse& response);
 
   struct DeclaredVersion {
     std::uint64_t version = 0;
--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -78,14 +78,23 @@
     kernel::Time now,
     const EndpointRequirements& requirements) {
   const std::string version = VersionName(requirements.version.value_or(0));
+  Unavailable unavailable = FindUnavailable(now);
+  if (unavailable.first_available_at) {
+    return {.reason = routing::NoRoute::kRefusing,
+            .available_after = *unavailable.first_available_at - now};
+  }
+  std::vector<std::string>& excluded = unavailable.ids;
+  excluded.insert(excluded.end(), requirements.excluded.begin(),
+                  requirements.excluded.end());
   routing::RouteRequest request{
       .manifest_digest = version,
-      .excluded = requirements.excluded,
+      .excluded = excluded,
       .require_free_capacity = requirements.require_free_capacity};
   routing::Route route = m_router.Choose(now, request);
   if (route.instance.empty() &&
       route.reason == routing::NoRoute::kNoFreeCapacity &&
-      IsBelowShare(requirements.capacity_share)) {
+      IsBelowShare(requirements.capacity_share,
+                   m_capacity - unavailable.capacity)) {
     request.require_free_capacity = false;
     route = m_router.Choose(now, request);
   }
@@ -96,10 +105,55 @@
     selected.id = found->first;
     selected.address = found->second.address;
     selected.model_version = found->second.model_version;
+    m_pauses.OnSelected(now, {found->first, route.incarnation});
   }
   return selected;
 }
 
+ServicePool::Unavailable ServicePool::FindUnavailable(kernel::Time now) const {
+  Unavailable unavailable;
+  if (m_pauses.IsEmpty()) {
+    return unavailable;
+  }
+  kernel::Time first = kernel::Time::max();
+  bool others = false;
+  for (const auto& [id, listed] : m_listed) {
+    if (!CanBeUsed(listed)) {
+      continue;
+    }
+    const kernel::Time available_at =
+        m_pauses.AvailableAt({id, listed.started});
+    if (available_at <= now) {
+      others = true;
+      continue;
+    }
+    first = std::min(first, available_at);
+    unavailable.ids.push_back(id);
+    unavailable.capacity += CapacityOf(listed.slots);
+  }
+  if (!others && !unavailable.ids.empty()) {
+    unavailable.first_available_at = first;
+  }
+  return unavailable;
+}
+
+std::optional<kernel::Time> ServicePool::OnPauseRequested(
+    kernel::Time now,
+    const routing::EndpointRun& run,
+    kernel::Duration pause) {
+  return m_pauses.OnRequested(now, run, pause);
+}
+
+void ServicePool::OnResponded(kernel::Time now,
+                              const routing::EndpointRun& run) {
+  m_pauses.OnAnswered(now, run);
+}
+
+bool ServicePool::MaySend(kernel::Time now,
+                          const routing::EndpointRun& run) const {
+  return !m_pauses.IsPaused(now, run);
+}
+
 void ServicePool::OnLoad(kernel::Time now,
                          std::string_view id,
                          const routing::LoadReport& load) {
@@ -115,8 +169,8 @@
   m_router.OnEndpoint(now, endpoint);
 }
 
-bool ServicePool::IsBelowShare(double share) const {
-  return m_attempts + 1 <= share * kUsableShare * m_capacity;
+bool ServicePool::IsBelowShare(double share, double capacity) const {
+  return m_attempts + 1 <= share * kUsableShare * capacity;
 }
 
 std::uint32_t ServicePool::CapacityOf(std::uint32_t slots) const {
@@ -186,6 +240,7 @@
 }
 
 void ServicePool::OnTick(kernel::Time now) {
+  m_pauses.OnTick(now);
   bool changed = false;
   for (auto item = m_response_states.begin();
        item != m_response_states.end();) {
@@ -209,6 +264,17 @@
   }
 }
 
+bool ServicePool::CanBeUsed(const ListedEndpoint& listed) const {
+  const auto state = m_response_states.find(listed.id);
+  const bool excluded =
+      state != m_response_states.end() && state->second.excluded_from_routing;
+  // An endpoint without a complete model, or with too old a version, cannot
+  // serve calls.
+  return !listed.leaving && !excluded &&
+         (!m_engine || (listed.model_version > 0 &&
+                        listed.model_version >= m_required_version));
+}
+
 routing::Endpoint ServicePool::ToRouterEndpoint(
     const ListedEndpoint& listed) const {
   routing::Endpoint endpoint;
@@ -216,14 +282,7 @@
   endpoint.incarnation = listed.started;
   endpoint.data_centre = listed.data_centre;
   endpoint.distance_seconds = DistanceSeconds(listed.data_centre);
-  // An endpoint without a complete model, or with too old a version, cannot
-  // serve calls; the router treats it as leaving.
-  const auto state = m_response_states.find(listed.id);
-  const bool excluded =
-      state != m_response_states.end() && state->second.excluded_from_routing;
-  endpoint.leaving = listed.leaving || excluded ||
-                     (m_engine && (listed.model_version == 0 ||
-                                   listed.model_version < m_required_version));
+  endpoint.leaving = !CanBeUsed(listed);
   endpoint.running_digest = VersionName(listed.model_version);
   endpoint.load_known = false;
   return endpoint;
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -16,6 +16,7 @@
 #include "radishrudder/direct/entry.h"
 #include "radishrudder/kernel/random.h"
 #include "radishrudder/routing/router.h"
+#include "source/radishrudder/direct/endpoint_pauses.h"
 
 namespace radishrudder::direct {
 
@@ -26,6 +27,9 @@
   std::uint64_t incarnation = 0;
   std::uint64_t model_version = 0;
   routing::NoRoute reason = routing::NoRoute::kNone;
+  // Set if all endpoints want no requests at present: time until the first of
+  // them takes one again.
+  std::optional<kernel::Duration> available_after{};
 };
 
 // What an attempt requires of its endpoint.
@@ -68,6 +72,16 @@
   void OnFailed(kernel::Time now, const routing::EndpointRun& run);
   void OnAbandoned(kernel::Time now, const routing::EndpointRun& run);
 
+  // The endpoint wants no requests for a time. Returns the end of that time if
+  // it was not known before.
+  std::optional<kernel::Time> OnPauseRequested(kernel::Time now,
+                                               const routing::EndpointRun& run,
+                                               kernel::Duration pause);
+  // The endpoint answered without asking for a pause.
+  void OnResponded(kernel::Time now, const routing::EndpointRun& run);
+  // Whether an attempt for which the run was selected may still be sent to it.
+  bool MaySend(kernel::Time now, const routing::EndpointRun& run) const;
+
   // Bytes of a response arrived from an endpoint.
   void OnDataReceived(kernel::Time now, std::string_view id);
   // Excludes endpoints that have attempts in progress and stopped responding,
@@ -81,8 +95,18 @@
 
  private:
   std::uint32_t CapacityOf(std::uint32_t slots) const;
-  // Whether this entry uses less of the capacity than its share.
-  bool IsBelowShare(double share) const;
+  // Endpoints that want no requests at present.
+  struct Unavailable {
+    std::vector<std::string> ids{};
+    double capacity = 0;
+    // Set if no other endpoint can be used.
+    std::optional<kernel::Time> first_available_at{};
+  };
+
+  Unavailable FindUnavailable(kernel::Time now) const;
+  bool CanBeUsed(const ListedEndpoint& listed) const;
+  // Whether this entry uses less than its share of a capacity.
+  bool IsBelowShare(double share, double capacity) const;
   // Whether an endpoint responds to its attempts.
   struct ResponseState {
     std::uint32_t attempts = 0;  // In progress.
@@ -106,6 +130,7 @@
   const EntrySettings& m_settings;
   routing::Router m_router;
   calls::RetryBudget m_budget;
+  EndpointPauses m_pauses;
   std::optional<EngineRule> m_engine;
   std::map<std::string, ListedEndpoint, std::less<>> m_listed;
   std::map<std::string, ResponseState, std::less<>> m_response_states;
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -53,6 +53,7 @@
                                       kCallAnswered,
                                       kPromptPartBlocked,
                                       kRequestBlocked,
+                                      kEndpointPaused,
                                       kOrderSent,
                                       kOrderRefused,
                                       kVersionRunning,
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -57,6 +57,10 @@
   if (IsSuccess(record) && m_successes++ % kSuccessSampleInterval != 0) {
     return false;
   }
+  return TryTakeLine(now);
+}
+
+bool CallJournal::TryTakeLine(kernel::Time now) {
   if (m_line_budget.TryTake(now, 1)) {
     return true;
   }
@@ -64,6 +68,21 @@
   return false;
 }
 
+void CallJournal::RecordPause(kernel::Time now,
+                              const direct::EndpointPaused& pause) {
+  m_metrics.Count("radishrudder_endpoint_pauses_total",
+                  {{"service", pause.service}});
+  if (TryTakeLine(now)) {
+    logging::Log(logging::kEndpointPaused,
+                 {{"instance", m_instance},
+                  {"service", pause.service},
+                  {"endpoint", pause.endpoint},
+                  {"id", pause.attempt_id},
+                  {"requested_ms", std::to_string(pause.requested.count())},
+                  {"duration_ms", std::to_string(pause.duration.count())}});
+  }
+}
+
 void CallJournal::Record(kernel::Time now, const direct::CallRecord& record) {
   const std::string reason(direct::ToText(record.reason));
   if (record.kind == direct::CallRecord::Kind::kEnded) {
