--- a/tests/exchange/endpoint_pool_test.cc
+++ b/tests/exchange/endpoint_pool_test.cc
@@ -163,6 +163,36 @@
   EXPECT_FALSE(recorder.Done());
 }
 
+// Cancels its exchange when the connection is open.
+class Canceller : public Recorder {
+ public:
+  explicit Canceller(EndpointPool& pool) : m_pool(pool) {}
+  void OnSending() override {
+    ++sendings;
+    m_pool.Cancel(exchange);
+  }
+
+  EndpointPool::ExchangeId exchange = 0;
+
+ private:
+  EndpointPool& m_pool;
+};
+
+// Guards against a request being written although its endpoint, while the
+// connection was opening, said that it wants none.
+TEST_F(PoolTest, RequestCancelledAsItsConnectionOpensIsNotWritten) {
+  ScriptedPeer peer(m_context, {{kOk}});
+  Canceller canceller(m_pool);
+  canceller.exchange =
+      m_pool.Start(peer.Address(), "GET / HTTP/1.1\r\n\r\n", false, canceller);
+  while (canceller.sendings == 0) {
+    m_context.run_one();
+  }
+  EXPECT_EQ(Send(peer.Address())->body, "ok");
+  EXPECT_EQ(peer.Requests().size(), 1U);
+  EXPECT_FALSE(canceller.Done());
+}
+
 // Bytes that a narrow or cut link still holds must not reach the endpoint long
 // after the caller has left.
 TEST_F(PoolTest, CancelResetsTheConnection) {
