routing: a later refusal does not shorten an earlier one

An endpoint that had refused a call as leaving, and so gets none for 60 s, got calls again 50 ms after it refused another one, which had been on its way, as overloaded.

--- a/source/radishrudder/routing/router.cc
+++ b/source/radishrudder/routing/router.cc
@@ -146,8 +146,11 @@
       refusal == Refusal::kLeaving
           ? kLeavingRefusalTime
           : std::clamp(retry_after, kMinimumRefusalTime, kMaximumRefusalTime);
-  m_tracked[*slot].refusal = refusal;
-  m_tracked[*slot].refusing_until = now + duration;
+  Tracked& tracked = m_tracked[*slot];
+  if (now + duration > tracked.refusing_until) {
+    tracked.refusal = refusal;
+    tracked.refusing_until = now + duration;
+  }
 }
 
 void Router::OnFailed(kernel::Time now, const EndpointRun& run) {
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -120,6 +120,35 @@
   EXPECT_EQ(route.retry_after, std::chrono::milliseconds(300));
 }
 
+struct RefusalOrder {
+  const char* name;
+  Refusal first;
+  Refusal second;
+};
+
+class LaterRefusalTest : public RouterTest,
+                         public testing::WithParamInterface<RefusalOrder> {};
+
+// Guards against an endpoint that is leaving getting calls again because it
+// then refuses a call that was on its way for another reason, with less time.
+TEST_P(LaterRefusalTest, DoesNotShortenTheTimeWithoutCalls) {
+  m_router.OnEndpoints(At(0), Endpoints(2));
+  Refuse(0, "runner-0", GetParam().first);
+  Refuse(20, "runner-0", GetParam().second);
+  EXPECT_EQ(ChooseRepeatedly(2'000), (InstanceNames{"runner-1"}));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    LaterRefusalTest,
+    testing::Values(RefusalOrder{"OverloadedAfterLeaving", Refusal::kLeaving,
+                                 Refusal::kOverloaded},
+                    RefusalOrder{"NotReadyAfterLeaving", Refusal::kLeaving,
+                                 Refusal::kNotReady},
+                    RefusalOrder{"LeavingAfterOverloaded", Refusal::kOverloaded,
+                                 Refusal::kLeaving}),
+    [](const auto& test) { return std::string(test.param.name); });
+
 TEST_F(RouterTest, ExcludesAnEndpointThatRefusedAsLeaving) {
   m_router.OnEndpoints(At(0), Endpoints(1));
   Refuse(0, "runner-0", Refusal::kLeaving);
