direct, peers: entries know the limits that endpoints name

Nothing in logs or metrics told whether an endpoint had named a limit, to whom, and when. Server-Limit is decoded; each entry keeps the latest answer of an endpoint run, tells the others of a change as urgent news and of the rest with its reports, and logs event 509. Nothing is decided by it yet.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -56,6 +56,9 @@
   std::optional<routing::LoadReport> load{};
   // How long the endpoint wants no requests from this process.
   std::optional<std::chrono::milliseconds> requested_pause{};
+  // Requests that the endpoint takes from all entries together; absent if it
+  // names no limit.
+  std::optional<double> requests_per_second{};
   // What the endpoint says of itself in a form that could not be read, for the
   // log; empty: nothing.
   std::string unreadable{};
@@ -170,6 +173,14 @@
   std::chrono::milliseconds duration{0};  // Less if a limit applies.
 };
 
+// An endpoint named another limit than before, or none any more, for the log.
+struct EndpointLimited {
+  std::string service{};
+  std::string endpoint{};
+  std::string attempt_id{};  // Of the call that it answered so.
+  std::optional<double> requests_per_second{};
+};
+
 using Output = std::variant<SendAttempt,
                             CancelAttempt,
                             SendResponse,
@@ -180,7 +191,8 @@
                             CallRecord,
                             PartBlocked,
                             RequestBlocked,
-                            EndpointPaused>;
+                            EndpointPaused,
+                            EndpointLimited>;
 
 // Why an attempt ended without a complete response.
 enum class AttemptFailure {
--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -15,6 +15,7 @@
 #include "radishrudder/direct/call.h"
 #include "radishrudder/direct/configuration.h"
 #include "radishrudder/direct/crash_suspects.h"
+#include "radishrudder/direct/endpoint_limits.h"
 #include "radishrudder/direct/endpoint_list.h"
 #include "radishrudder/kernel/boot_time.h"
 #include "radishrudder/kernel/random.h"
@@ -126,6 +127,13 @@
   void OnDemands(kernel::Time now, std::span<const routing::Demand> demands);
   std::vector<routing::Demand> Demands(kernel::Time now) const;
 
+  // The limits that endpoints named, as another entry knows them, and what this
+  // entry knows of them. The revision increases with each change.
+  void OnEndpointLimits(kernel::Time now,
+                        std::span<const EndpointLimit> limits);
+  std::vector<EndpointLimit> KnownEndpointLimits() const;
+  std::uint64_t EndpointLimitsRevision() const;
+
   // Applies deadlines and timeouts; must be called every few tens of
   // milliseconds.
   void OnTick(kernel::Time now);
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -156,6 +156,9 @@
 inline constexpr Event kEndpointPaused{
     508, Level::kInfo, "endpoint-paused",
     "An endpoint wants no requests for a time and gets none."};
+inline constexpr Event kEndpointLimited{
+    509, Level::kInfo, "endpoint-limited",
+    "An endpoint named the rate of requests that it takes, or no longer does."};
 inline constexpr Event kOrderSent{601, Level::kInfo, "order-sent",
                                   "The agent sent its endpoint an order."};
 inline constexpr Event kOrderRefused{602, Level::kWarning, "order-refused",
--- a/include/radishrudder/peers/peer_report.h
+++ b/include/radishrudder/peers/peer_report.h
@@ -49,6 +49,15 @@
   std::chrono::milliseconds age{0};
 };
 
+// The rate of requests that an endpoint run takes from all entries together, as
+// of one of its answers.
+struct LimitReport {
+  std::string endpoint{};
+  std::uint64_t incarnation = 0;
+  std::optional<double> requests_per_second{};  // Nothing: it named none.
+  std::chrono::milliseconds age{0};             // Of the answer.
+};
+
 // What one entry tells another. Both the request and the response of an
 // exchange are a report.
 struct PeerReport {
@@ -61,6 +70,7 @@
   std::vector<DeclarationReport> declarations{};
   std::vector<SuspectReport> suspects{};
   std::vector<DemandReport> demands{};  // Of the sender and of others.
+  std::vector<LimitReport> limits{};    // Named to the sender or to others.
 };
 
 // Encodes a report as JSON.
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -312,6 +312,9 @@
   void Execute(direct::EndpointPaused& output) {
     m_journal.RecordPause(kernel::Now(), output);
   }
+  void Execute(direct::EndpointLimited& output) {
+    m_journal.RecordLimit(kernel::Now(), output);
+  }
   void Execute(direct::PartBlocked& output) {
     logging::Log(logging::kPromptPartBlocked,
                  {{"instance", m_settings.entry.name}, {"part", output.part}});
@@ -500,6 +503,10 @@
                                 known.calls_per_second,
                                 age(known.measured_at)});
     }
+    for (const direct::EndpointLimit& known : m_core.KnownEndpointLimits()) {
+      report.limits.push_back({known.endpoint, known.incarnation,
+                               known.requests_per_second, age(known.named_at)});
+    }
     return report;
   }
 
@@ -524,13 +531,20 @@
                          now - demand.age});
     }
     m_core.OnDemands(now, demands);
+    std::vector<direct::EndpointLimit> limits;
+    for (const peers::LimitReport& limit : report.limits) {
+      limits.push_back({limit.endpoint, limit.incarnation,
+                        limit.requests_per_second, now - limit.age});
+    }
+    m_core.OnEndpointLimits(now, limits);
   }
 
-  // Lets the other entries know soon if the evidence has changed.
-  void PassOnEvidence() {
-    const std::uint64_t revision = m_core.CrashEvidenceRevision();
-    if (revision != m_told_evidence) {
-      m_told_evidence = revision;
+  // Lets the other entries know soon if this one has learned something.
+  void PassOnNews() {
+    const std::uint64_t revision =
+        m_core.CrashEvidenceRevision() + m_core.EndpointLimitsRevision();
+    if (revision != m_told_revision) {
+      m_told_revision = revision;
       m_peers.OnNews();
     }
   }
@@ -620,7 +634,7 @@
     const kernel::Time now = kernel::Now();
     m_core.OnTick(now);
     TakeOutputs();
-    PassOnEvidence();
+    PassOnNews();
     m_peers.OnTick(now);
     TakePeerOutputs();
     if (now >= m_next_maintenance) {
@@ -686,7 +700,7 @@
   StoreFollower<typename Platform::Store> m_endpoint_follower;
   exchange::CallerServer m_peer_server;
   peers::PeerExchange m_peers;
-  std::uint64_t m_told_evidence = 0;  // Revision that peers were told of.
+  std::uint64_t m_told_revision = 0;  // What peers were told of.
   asio::steady_timer m_tick;
   kernel::Time m_next_maintenance{};
   std::optional<kernel::Time> m_stop_started;
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -235,6 +235,7 @@
   state.RequireVersions(now);
   state.StopBlockedCalls(now);
   state.demand.OnTick(now);
+  state.limits.OnTick(now);
   state.suspect_parts.OnTick(now);
   state.suspect_requests.OnTick(now);
   for (const auto& [service, pool] : state.pools) {
@@ -284,6 +285,19 @@
   return m_state->demand.Demands(now);
 }
 
+void Entry::OnEndpointLimits(kernel::Time now,
+                             std::span<const EndpointLimit> limits) {
+  m_state->limits.Merge(now, limits);
+}
+
+std::vector<EndpointLimit> Entry::KnownEndpointLimits() const {
+  return m_state->limits.Known();
+}
+
+std::uint64_t Entry::EndpointLimitsRevision() const {
+  return m_state->limits.Revision();
+}
+
 void Entry::OnDrain() {
   m_state->draining = true;
 }
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -62,6 +62,11 @@
          !response.wrong_version;
 }
 
+// Whether the response is the endpoint's own and complete as far as its head.
+bool IsAuthentic(const EndpointResponse& response) {
+  return response.attempt_id && response.has_signature && !response.encoded;
+}
+
 milliseconds ToMilliseconds(kernel::Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration);
 }
@@ -73,6 +78,9 @@
     text += ", asks for a pause of " +
             std::to_string(response.requested_pause->count()) + " ms";
   }
+  if (response.requests_per_second) {
+    text += ", names a limit";
+  }
   if (!response.unreadable.empty()) {
     text += ", unreadable " + response.unreadable;
   }
@@ -483,6 +491,14 @@
                         .requested = *response.requested_pause,
                         .duration = ToMilliseconds(*until - now)});
   }
+  // Only an answer that is certainly the endpoint's own ends a limit.
+  if ((response.requests_per_second || IsAuthentic(response)) &&
+      limits.OnNamed(now, run, response.requests_per_second)) {
+    Emit(EndpointLimited{.service = call.service,
+                         .endpoint = call.attempt->endpoint,
+                         .attempt_id = call.request->attempt_id,
+                         .requests_per_second = response.requests_per_second});
+  }
 }
 
 void Entry::OnSending(kernel::Time now, CallId id) {
@@ -531,9 +547,7 @@
     m_state->HandleRefusal(now, *call, refusal);
     return ResponseVerdict::kReject;
   }
-  const bool is_authentic =
-      response.attempt_id && response.has_signature && !response.encoded;
-  if (!is_authentic || ImpliesNotExecuted(response.status) ||
+  if (!IsAuthentic(response) || ImpliesNotExecuted(response.status) ||
       (call->response_started && !IsSuccess(response.status))) {
     call->detail = Describe(response) +
                    (response.has_signature ? "" : " without a signature");
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -148,6 +148,7 @@
   CrashSuspects<PromptPartSignature> suspect_parts;
   CrashSuspects<RequestSignature> suspect_requests;
   routing::DemandShares demand;
+  EndpointLimits limits;
   bool endpoints_known = false;
   bool draining = false;
   std::vector<ListedEndpoint> endpoints;
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -54,6 +54,7 @@
                                       kPromptPartBlocked,
                                       kRequestBlocked,
                                       kEndpointPaused,
+                                      kEndpointLimited,
                                       kOrderSent,
                                       kOrderRefused,
                                       kVersionRunning,
--- a/source/radishrudder/peers/peer_report.cc
+++ b/source/radishrudder/peers/peer_report.cc
@@ -14,6 +14,7 @@
 constexpr std::size_t kMaximumSuspects = 256;
 constexpr std::size_t kMaximumCrashesPerSuspect = 64;
 constexpr std::size_t kMaximumDemands = 16384;
+constexpr std::size_t kMaximumLimits = 1024;
 constexpr double kMaximumCallsPerSecond = 1e6;
 constexpr std::size_t kMaximumAddressLength = 64;
 // Ten years, far within the range of `kernel::Duration`.
@@ -77,6 +78,30 @@
   return demand;
 }
 
+LimitReport ParseLimit(const Json& object, bool& valid) {
+  LimitReport limit{
+      .endpoint = object.at("endpoint").get<std::string>(),
+      .incarnation = object.at("incarnation").get<std::uint64_t>(),
+      .age = ToAge(object.at("ageMs"), valid).value_or(milliseconds(0))};
+  const auto rate = object.find("perSecond");
+  if (rate != object.end()) {
+    limit.requests_per_second = rate->get<double>();
+    valid = valid && *limit.requests_per_second >= 0 &&
+            *limit.requests_per_second <= kMaximumCallsPerSecond;
+  }
+  return limit;
+}
+
+Json ToJson(const LimitReport& limit) {
+  Json object{{"endpoint", limit.endpoint},
+              {"incarnation", limit.incarnation},
+              {"ageMs", limit.age.count()}};
+  if (limit.requests_per_second) {
+    object["perSecond"] = *limit.requests_per_second;
+  }
+  return object;
+}
+
 Json ToJson(const DemandReport& demand) {
   return {{"entry", demand.entry},
           {"service", demand.service},
@@ -128,6 +153,10 @@
   for (const DemandReport& demand : report.demands) {
     demands.push_back(ToJson(demand));
   }
+  Json& limits = text["limits"] = Json::array();
+  for (const LimitReport& limit : report.limits) {
+    limits.push_back(ToJson(limit));
+  }
   // Signatures come from callers' headers and may be any bytes.
   return text.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -150,7 +179,11 @@
     for (const Json& item : document.value("demands", Json::array())) {
       report.demands.push_back(ParseDemand(item, valid));
     }
-    valid = valid && report.demands.size() <= kMaximumDemands &&
+    for (const Json& item : document.value("limits", Json::array())) {
+      report.limits.push_back(ParseLimit(item, valid));
+    }
+    valid = valid && report.limits.size() <= kMaximumLimits &&
+            report.demands.size() <= kMaximumDemands &&
             report.suspects.size() <= kMaximumSuspects &&
             report.address.size() <= kMaximumAddressLength &&
             report.peers.size() <= kMaximumPeers &&
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -83,6 +83,23 @@
   }
 }
 
+void CallJournal::RecordLimit(kernel::Time now,
+                              const direct::EndpointLimited& limit) {
+  m_metrics.Count("radishrudder_endpoint_limit_changes_total",
+                  {{"service", limit.service}});
+  if (TryTakeLine(now)) {
+    logging::Log(
+        logging::kEndpointLimited,
+        {{"instance", m_instance},
+         {"service", limit.service},
+         {"endpoint", limit.endpoint},
+         {"id", limit.attempt_id},
+         {"requests_per_second",
+          limit.requests_per_second ? std::to_string(*limit.requests_per_second)
+                                    : std::string()}});
+  }
+}
+
 void CallJournal::Record(kernel::Time now, const direct::CallRecord& record) {
   const std::string reason(direct::ToText(record.reason));
   if (record.kind == direct::CallRecord::Kind::kEnded) {
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -19,7 +19,9 @@
                     {{"i-1/7", milliseconds(40), milliseconds(90)}},
                     {}},
                    {"91bd", {}, milliseconds(70)}},
-      .demands = {{"entry-1", "service", 12.5, milliseconds(900)}}};
+      .demands = {{"entry-1", "service", 12.5, milliseconds(900)}},
+      .limits = {{"i-1", 7, 1.5, milliseconds(60)},
+                 {"i-2", 8, std::nullopt, milliseconds(80)}}};
   const auto parsed = ParsePeerReport(ToText(report));
   ASSERT_TRUE(parsed);
   EXPECT_EQ(parsed->address, report.address);
@@ -47,6 +49,12 @@
   EXPECT_EQ(parsed->demands[0].service, "service");
   EXPECT_EQ(parsed->demands[0].calls_per_second, 12.5);
   EXPECT_EQ(parsed->demands[0].age, milliseconds(900));
+  ASSERT_EQ(parsed->limits.size(), 2U);
+  EXPECT_EQ(parsed->limits[0].endpoint, "i-1");
+  EXPECT_EQ(parsed->limits[0].incarnation, 7U);
+  EXPECT_EQ(parsed->limits[0].requests_per_second, 1.5);
+  EXPECT_EQ(parsed->limits[0].age, milliseconds(60));
+  EXPECT_FALSE(parsed->limits[1].requests_per_second);
 }
 
 // Guards against a process that ends by an exception because a caller named a
@@ -120,6 +128,11 @@
         R"([{"entry":"e","service":"s","perSecond":-1,"ageMs":0}]})",
         R"({"address":"a","peers":[],"declarations":[],"demands":)"
         R"([{"entry":"e","service":"s","perSecond":"x"}]})",
+        R"({"address":"a","peers":[],"declarations":[],"limits":)"
+        R"([{"endpoint":"i","incarnation":1,"perSecond":-1,"ageMs":0}]})",
+        R"({"address":"a","peers":[],"declarations":[],"limits":)"
+        R"([{"endpoint":"i","incarnation":"x","ageMs":0}]})",
+        R"({"address":"a","peers":[],"declarations":[],"limits":{"a":1}})",
         R"({"address":"a","peers":[],"declarations":[],)"
         R"("storeMs":-1})",
         R"({"address":"a","peers":[],"declarations":[],)"
--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -175,6 +175,40 @@
         PauseCase{"OtherStatus", 429, "3", std::nullopt, ""}),
     [](const auto& test) { return test.param.name; });
 
+struct LimitCase {
+  const char* name;
+  const char* text;
+  std::optional<double> requests_per_second;
+  const char* unreadable;
+};
+
+class LimitTest : public testing::TestWithParam<LimitCase> {};
+
+// Guards against the limit that an endpoint names being lost or misread, which
+// nothing in the log would show.
+TEST_P(LimitTest, DecodesHowManyRequestsTheEndpointTakes) {
+  exchange::ResponseHead head;
+  head.status = 200;
+  head.headers = {{"Server-Limit", GetParam().text}};
+  const direct::EndpointResponse response =
+      CallCodec::DecodeResponse(head, "i-1");
+  EXPECT_EQ(response.requests_per_second, GetParam().requests_per_second);
+  EXPECT_EQ(response.unreadable, GetParam().unreadable);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    LimitTest,
+    testing::Values(
+        LimitCase{"Whole", "3", 3, ""},
+        LimitCase{"Fraction", "0.75", 0.75, ""},
+        LimitCase{"Zero", "0", 0, ""},
+        LimitCase{"Huge", "1e300", 1e6, ""},
+        LimitCase{"Absent", "", std::nullopt, ""},
+        LimitCase{"Negative", "-1", std::nullopt, "Server-Limit: -1"},
+        LimitCase{"Text", "few", std::nullopt, "Server-Limit: few"}),
+    [](const auto& test) { return test.param.name; });
+
 TEST(CallCodecTest, DecodesLoadAndVersion) {
   exchange::ResponseHead head;
   head.status = 200;
