direct: entries share the limit that an endpoint names

Cause: Server-Limit was passed on to callers and not read; an endpoint in need got the same calls as the others. Reading it alone would not do: the limit counts the requests of all entries, and any entry that uses it for itself exceeds it with a second one. Callers of such an endpoint waited in its queue.

Change: a limit is divided evenly among as many entries as it has room for, selected by a hash of the endpoint and the entries' names, so that no message is needed for a request. Each of them spaces its requests evenly; the others leave the endpoint out until the limit ends, or try it with a small share if nothing confirmed the limit for ten seconds. What an endpoint may not get counts for nothing in the capacity of its service; if no endpoint of a service takes a request, callers are refused at once with the time at which one does.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -77,7 +77,7 @@
   kUnknownKey,
   kNoEndpoint,     // No known endpoint may take the call.
   kAllBusy,        // All endpoints that may take the call are full.
-  kAllPaused,      // All endpoints want no requests for a time.
+  kAllPaused,      // No endpoint wants a request from this entry at present.
   kRefused,        // Endpoints confirmed that they did not execute it.
   kUnreachable,    // No connection to an endpoint could be opened.
   kBroken,         // An attempt ended before its response was complete.
--- a/include/radishrudder/direct/endpoint_limits.h
+++ b/include/radishrudder/direct/endpoint_limits.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -23,10 +24,20 @@
   kernel::Time named_at{};
 };
 
-// The limits that endpoints named to this entry or to another one. State
+// The limits that endpoints named to this entry or to another one, and this
+// entry's part of them. Entries agree on the parts without a message for each
+// request: a limit is divided evenly among as many entries as it has room for,
+// which a hash of the endpoint and the names of the entries selects. State
 // machine without clocks.
 class EndpointLimits {
  public:
+  explicit EndpointLimits(std::string entry) : m_entry(std::move(entry)) {}
+
+  // Another entry was heard of.
+  void OnEntry(kernel::Time now, std::string_view name);
+  // At least this many entries exist, this one included.
+  void OnEntryCount(std::size_t count) { m_entry_count = count; }
+
   // An answer of the run named a limit, or none. Returns whether that is new.
   bool OnNamed(kernel::Time now,
                const routing::EndpointRun& run,
@@ -36,6 +47,13 @@
   void OnTick(kernel::Time now);
 
   bool IsEmpty() const { return m_known.empty(); }
+  // When this entry may send the run a request; not after `now` if it may at
+  // once.
+  kernel::Time AvailableAt(kernel::Time now,
+                           const routing::EndpointRun& run) const;
+  // A call was assigned to the run.
+  void OnSelected(kernel::Time now, const routing::EndpointRun& run);
+
   // What this entry knows, for others.
   std::vector<EndpointLimit> Known() const;
   // Increases when a limit is new, changes or ends.
@@ -46,10 +64,19 @@
   struct Limit {
     std::optional<double> requests_per_second{};
     kernel::Time named_at{};
+    // When the next request is due if requests are evenly spaced.
+    kernel::Time next_request{};
   };
 
+  const Limit* Find(const routing::EndpointRun& run) const;
+  // Requests that this entry may send the run each second; 0: none.
+  double OwnRate(kernel::Time now, const Run& run, const Limit& limit) const;
   bool Update(Run run, const Limit& limit, kernel::Duration minimum_difference);
 
+  std::string m_entry;
+  // Other entries, and when each was last heard of.
+  std::map<std::string, kernel::Time, std::less<>> m_entries;
+  std::size_t m_entry_count = 1;
   std::map<Run, Limit> m_known;
   std::uint64_t m_revision = 0;
 };
--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -131,6 +131,8 @@
   // entry knows of them. The revision increases with each change.
   void OnEndpointLimits(kernel::Time now,
                         std::span<const EndpointLimit> limits);
+  // At least this many entries exist, this one included.
+  void OnEntryCount(std::size_t count);
   std::vector<EndpointLimit> KnownEndpointLimits() const;
   std::uint64_t EndpointLimitsRevision() const;
 
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -632,6 +632,7 @@
 
   void Tick() {
     const kernel::Time now = kernel::Now();
+    m_core.OnEntryCount(m_peers.KnownPeers() + 1);
     m_core.OnTick(now);
     TakeOutputs();
     PassOnNews();
--- a/source/radishrudder/direct/endpoint_limits.cc
+++ b/source/radishrudder/direct/endpoint_limits.cc
@@ -1,6 +1,9 @@
 #include "radishrudder/direct/endpoint_limits.h"
 
 #include <algorithm>
+#include <cmath>
+
+#include "radishrudder/kernel/hash.h"
 
 namespace radishrudder::direct {
 namespace {
@@ -15,6 +18,32 @@
 // by that time. One that repeats what is known must be newer by this, or its
 // date would creep forward as entries tell each other of it.
 constexpr std::chrono::milliseconds kReportError{500};
+// Part of a limit that entries use, since their views of each other differ.
+constexpr double kUsedPart = 0.9;
+// A lower limit counts as this one, in requests a second: an endpoint that gets
+// none cannot say that its limit has ended.
+constexpr double kMinimumLimit = 0.1;
+// Number of entries that share a limit: so many for each request a second, and
+// some more. Each of them may send one request at any time, so that all of
+// these together must be bearable as well.
+constexpr double kSharesPerRequest = 2;
+constexpr std::size_t kMinimumShares = 2;
+// What an entry may send at once, as requests of this time at its rate.
+constexpr double kBurstSeconds = 0.5;
+// A limit that no answer has confirmed for this time may have ended without
+// this entry's knowing: it tries the endpoint with a small share.
+constexpr std::chrono::seconds kConfirmationTime{10};
+// Callers of an entry without a share may return after this time; another entry
+// may serve them.
+constexpr std::chrono::seconds kNoShareDelay{1};
+// An entry that was not heard of for this long has left.
+constexpr std::chrono::seconds kEntryLifetime{60};
+constexpr std::size_t kMaximumEntries = 512;
+
+kernel::Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<kernel::Duration>(
+      std::chrono::duration<double>(seconds));
+}
 
 }  // namespace
 
@@ -28,6 +57,79 @@
                 kernel::Duration::zero());
 }
 
+void EndpointLimits::OnEntry(kernel::Time now, std::string_view name) {
+  if (name == m_entry) {
+    return;
+  }
+  const auto found = m_entries.find(name);
+  if (found != m_entries.end()) {
+    found->second = now;
+  } else if (m_entries.size() < kMaximumEntries) {
+    m_entries.emplace(std::string(name), now);
+  }
+}
+
+kernel::Time EndpointLimits::AvailableAt(
+    kernel::Time now,
+    const routing::EndpointRun& run) const {
+  const Limit* limit = Find(run);
+  if (limit == nullptr || !limit->requests_per_second) {
+    return {};
+  }
+  const double rate = OwnRate(now, Run(run.instance, run.incarnation), *limit);
+  if (rate == 0) {
+    return now + kNoShareDelay;
+  }
+  const double burst = std::max(1.0, rate * kBurstSeconds);
+  return limit->next_request - FromSeconds((burst - 1) / rate);
+}
+
+void EndpointLimits::OnSelected(kernel::Time now,
+                                const routing::EndpointRun& run) {
+  const auto found = m_known.find(Run(run.instance, run.incarnation));
+  if (found == m_known.end() || !found->second.requests_per_second) {
+    return;
+  }
+  Limit& limit = found->second;
+  const double rate = OwnRate(now, found->first, limit);
+  if (rate > 0) {
+    limit.next_request =
+        std::max(limit.next_request, now) + FromSeconds(1 / rate);
+  }
+}
+
+double EndpointLimits::OwnRate(kernel::Time now,
+                               const Run& run,
+                               const Limit& limit) const {
+  const double total = std::max(*limit.requests_per_second, kMinimumLimit);
+  const std::size_t entries = std::max(m_entries.size() + 1, m_entry_count);
+  const auto shares = std::min(
+      entries, static_cast<std::size_t>(std::floor(total * kSharesPerRequest)) +
+                   kMinimumShares);
+  const auto weight = [&run](std::string_view entry) {
+    return kernel::StableHash(run.first, entry);
+  };
+  const std::uint64_t own_weight = weight(m_entry);
+  const auto rank = static_cast<std::size_t>(std::ranges::count_if(
+      m_entries,
+      [&](const auto& entry) { return weight(entry.first) > own_weight; }));
+  if (rank < shares) {
+    return total * kUsedPart / static_cast<double>(shares);
+  }
+  return now - limit.named_at < kConfirmationTime
+             ? 0
+             : total * kUsedPart / static_cast<double>(entries);
+}
+
+const EndpointLimits::Limit* EndpointLimits::Find(
+    const routing::EndpointRun& run) const {
+  if (m_known.empty()) {
+    return nullptr;
+  }
+  const auto found = m_known.find(Run(run.instance, run.incarnation));
+  return found != m_known.end() ? &found->second : nullptr;
+}
+
 void EndpointLimits::Merge(kernel::Time now,
                            std::span<const EndpointLimit> limits) {
   for (const EndpointLimit& limit : limits) {
@@ -64,6 +166,9 @@
 }
 
 void EndpointLimits::OnTick(kernel::Time now) {
+  std::erase_if(m_entries, [now](const auto& entry) {
+    return now - entry.second >= kEntryLifetime;
+  });
   std::erase_if(m_known, [now](const auto& item) {
     const kernel::Duration age = now - item.second.named_at;
     return age >= kMaximumAge ||
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -279,6 +279,9 @@
 void Entry::OnDemands(kernel::Time now,
                       std::span<const routing::Demand> demands) {
   m_state->demand.Merge(now, demands);
+  for (const routing::Demand& demand : demands) {
+    m_state->limits.OnEntry(now, demand.entry);
+  }
 }
 
 std::vector<routing::Demand> Entry::Demands(kernel::Time now) const {
@@ -290,6 +293,10 @@
   m_state->limits.Merge(now, limits);
 }
 
+void Entry::OnEntryCount(std::size_t count) {
+  m_state->limits.OnEntryCount(count);
+}
+
 std::vector<EndpointLimit> Entry::KnownEndpointLimits() const {
   return m_state->limits.Known();
 }
@@ -332,7 +339,8 @@
       random(generator),
       suspect_parts(settings.crash_suspects),
       suspect_requests(SettingsForRequests(settings.crash_suspects, random)),
-      demand(settings.name) {}
+      demand(settings.name),
+      limits(settings.name) {}
 
 std::string Entry::State::ChooseService(const RouteRule& route) {
   std::uint64_t total = 0;
@@ -359,7 +367,7 @@
     found = pools
                 .emplace(std::string(service),
                          std::make_unique<ServicePool>(
-                             settings, kernel::Random(random.Next())))
+                             settings, limits, kernel::Random(random.Next())))
                 .first;
     if (const ServiceRule* rule = configurations.FindService(service)) {
       found->second->Configure(*rule);
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -148,7 +148,7 @@
   CrashSuspects<PromptPartSignature> suspect_parts;
   CrashSuspects<RequestSignature> suspect_requests;
   routing::DemandShares demand;
-  EndpointLimits limits;
+  EndpointLimits limits;  // Outlives the pools, which use it.
   bool endpoints_known = false;
   bool draining = false;
   std::vector<ListedEndpoint> endpoints;
--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -45,8 +45,11 @@
 
 }  // namespace
 
-ServicePool::ServicePool(const EntrySettings& settings, kernel::Random random)
+ServicePool::ServicePool(const EntrySettings& settings,
+                         EndpointLimits& limits,
+                         kernel::Random random)
     : m_settings(settings),
+      m_limits(limits),
       m_router(RouterSettingsOf(settings), random),
       m_budget(settings.retry_budget_ratio, settings.maximum_saved_retries) {}
 
@@ -106,13 +109,14 @@
     selected.address = found->second.address;
     selected.model_version = found->second.model_version;
     m_pauses.OnSelected(now, {found->first, route.incarnation});
+    m_limits.OnSelected(now, {found->first, route.incarnation});
   }
   return selected;
 }
 
 ServicePool::Unavailable ServicePool::FindUnavailable(kernel::Time now) const {
   Unavailable unavailable;
-  if (m_pauses.IsEmpty()) {
+  if (m_pauses.IsEmpty() && m_limits.IsEmpty()) {
     return unavailable;
   }
   kernel::Time first = kernel::Time::max();
@@ -121,8 +125,9 @@
     if (!CanBeUsed(listed)) {
       continue;
     }
+    const routing::EndpointRun run{id, listed.started};
     const kernel::Time available_at =
-        m_pauses.AvailableAt({id, listed.started});
+        std::max(m_pauses.AvailableAt(run), m_limits.AvailableAt(now, run));
     if (available_at <= now) {
       others = true;
       continue;
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -27,8 +27,8 @@
   std::uint64_t incarnation = 0;
   std::uint64_t model_version = 0;
   routing::NoRoute reason = routing::NoRoute::kNone;
-  // Set if all endpoints want no requests at present: time until the first of
-  // them takes one again.
+  // Set if all endpoints want no requests from this entry at present: time
+  // until the first of them takes one again.
   std::optional<kernel::Duration> available_after{};
 };
 
@@ -45,7 +45,10 @@
 // The endpoints of one service, as seen by this entry.
 class ServicePool {
  public:
-  ServicePool(const EntrySettings& settings, kernel::Random random);
+  // `limits` are those of all endpoints and must outlive the pool.
+  ServicePool(const EntrySettings& settings,
+              EndpointLimits& limits,
+              kernel::Random random);
 
   void Configure(const ServiceRule& rule);
   // Replaces the list of the service's endpoints.
@@ -95,7 +98,7 @@
 
  private:
   std::uint32_t CapacityOf(std::uint32_t slots) const;
-  // Endpoints that want no requests at present.
+  // Endpoints that want no requests from this entry at present.
   struct Unavailable {
     std::vector<std::string> ids{};
     double capacity = 0;
@@ -128,6 +131,7 @@
   void UpdateRouter(kernel::Time now);
 
   const EntrySettings& m_settings;
+  EndpointLimits& m_limits;
   routing::Router m_router;
   calls::RetryBudget m_budget;
   EndpointPauses m_pauses;
--- a/tests/direct/endpoint_limits_test.cc
+++ b/tests/direct/endpoint_limits_test.cc
@@ -19,7 +19,7 @@
 }
 
 TEST(EndpointLimitsTest, EndsWhenAnAnswerNamesNone) {
-  EndpointLimits limits;
+  EndpointLimits limits("entry-1");
   EXPECT_FALSE(limits.OnNamed(kStart, kRun, std::nullopt));
   EXPECT_TRUE(limits.OnNamed(kStart, kRun, 2));
   EXPECT_FALSE(limits.OnNamed(kStart + milliseconds(5), kRun, 2));
@@ -39,7 +39,7 @@
 
 // Guards against an older report replacing what a later answer said.
 TEST_P(MergeTest, LatestAnswerHolds) {
-  EndpointLimits limits;
+  EndpointLimits limits("entry-1");
   limits.OnNamed(kStart - milliseconds(1000), kRun, 9);
   limits.OnNamed(kStart, kRun, GetParam().known);
   const std::initializer_list<EndpointLimit> told{
@@ -63,8 +63,8 @@
 // Guards against the date of a limit creeping forward while entries tell each
 // other of it: it would outlive the answer that ended it.
 TEST(EndpointLimitsTest, RepeatedReportsDoNotRenewALimit) {
-  EndpointLimits first;
-  EndpointLimits second;
+  EndpointLimits first("entry-1");
+  EndpointLimits second("entry-2");
   first.OnNamed(kStart, kRun, 1);
   kernel::Time now = kStart;
   for (int i = 0; i < 1000; ++i) {
@@ -82,7 +82,7 @@
 }
 
 TEST(EndpointLimitsTest, ForgetsWhatNobodyNamesAnyMore) {
-  EndpointLimits limits;
+  EndpointLimits limits("entry-1");
   limits.OnNamed(kStart, kRun, 1);
   limits.OnTick(kStart + std::chrono::minutes(9));
   EXPECT_FALSE(limits.IsEmpty());
