direct: endpoints that say in an answer that they leave get no new calls

Cause: Server-Leaving was passed on and not read, so that an endpoint got new calls until the list said the same, which lags and cannot be read while the store is away. Its callers got answers that the end of the endpoint cut.

Change: any answer of the selected endpoint counts, from the head of a stream to a refusal or an answer that is not passed on. It holds for that start of the endpoint, whatever is listed, for calls that waited for a connection as well; calls in progress go on. Event 510 and radishrudder_endpoints_leaving_total tell of it.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -54,6 +54,7 @@
   // endpoint.
   bool delimited = false;
   std::optional<routing::LoadReport> load{};
+  bool leaving = false;  // The endpoint wants no new requests any more.
   // How long the endpoint wants no requests from this process.
   std::optional<std::chrono::milliseconds> requested_pause{};
   // Requests that the endpoint takes from all entries together; absent if it
@@ -173,6 +174,13 @@
   std::chrono::milliseconds duration{0};  // Less if a limit applies.
 };
 
+// An endpoint said in an answer that it leaves, for the log.
+struct EndpointLeaves {
+  std::string service{};
+  std::string endpoint{};
+  std::string attempt_id{};  // Of the call that it answered so.
+};
+
 // An endpoint named another limit than before, or none any more, for the log.
 struct EndpointLimited {
   std::string service{};
@@ -192,6 +200,7 @@
                             PartBlocked,
                             RequestBlocked,
                             EndpointPaused,
+                            EndpointLeaves,
                             EndpointLimited>;
 
 // Why an attempt ended without a complete response.
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -159,6 +159,9 @@
 inline constexpr Event kEndpointLimited{
     509, Level::kInfo, "endpoint-limited",
     "An endpoint named the rate of requests that it takes, or no longer does."};
+inline constexpr Event kEndpointLeaves{
+    510, Level::kInfo, "endpoint-leaves",
+    "An endpoint said in an answer that it leaves and gets no new calls."};
 inline constexpr Event kOrderSent{601, Level::kInfo, "order-sent",
                                   "The agent sent its endpoint an order."};
 inline constexpr Event kOrderRefused{602, Level::kWarning, "order-refused",
--- a/include/radishrudder/serving/call_journal.h
+++ b/include/radishrudder/serving/call_journal.h
@@ -21,6 +21,7 @@
 
   void Record(kernel::Time now, const direct::CallRecord& record);
   void RecordPause(kernel::Time now, const direct::EndpointPaused& pause);
+  void RecordLeaving(kernel::Time now, const direct::EndpointLeaves& leaves);
   void RecordLimit(kernel::Time now, const direct::EndpointLimited& limit);
   void LogFindings(const kernel::Findings& findings);
   void CountCallerDisconnected() {
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -315,6 +315,9 @@
   void Execute(direct::EndpointLimited& output) {
     m_journal.RecordLimit(kernel::Now(), output);
   }
+  void Execute(direct::EndpointLeaves& output) {
+    m_journal.RecordLeaving(kernel::Now(), output);
+  }
   void Execute(direct::PartBlocked& output) {
     logging::Log(logging::kPromptPartBlocked,
                  {{"instance", m_settings.entry.name}, {"part", output.part}});
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -78,6 +78,9 @@
     text += ", asks for a pause of " +
             std::to_string(response.requested_pause->count()) + " ms";
   }
+  if (response.leaving) {
+    text += ", leaves";
+  }
   if (response.requests_per_second) {
     text += ", names a limit";
   }
@@ -481,6 +484,11 @@
   }
   ServicePool& pool = Pool(call.service);
   const routing::EndpointRun run = RunOf(*call.attempt);
+  if (response.leaving && pool.OnLeaving(now, run)) {
+    Emit(EndpointLeaves{.service = call.service,
+                        .endpoint = call.attempt->endpoint,
+                        .attempt_id = call.request->attempt_id});
+  }
   if (!response.requested_pause) {
     pool.OnResponded(now, run);
   } else if (const auto until =
--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -28,6 +28,9 @@
 // Part of its share that an entry may always use; the rest evens out errors of
 // the shares.
 constexpr double kUsableShare = 0.95;
+// An endpoint that left is remembered for this time after its listing ended:
+// an older copy of the list may still have it.
+constexpr std::chrono::minutes kLeavingLifetime{10};
 // Slots of endpoints that state none.
 constexpr std::uint32_t kDefaultSlots = 4;
 
@@ -149,6 +152,22 @@
   return m_pauses.OnRequested(now, run, pause);
 }
 
+bool ServicePool::OnLeaving(kernel::Time now, const routing::EndpointRun& run) {
+  const bool is_new =
+      m_leaving
+          .emplace(std::pair(std::string(run.instance), run.incarnation), now)
+          .second;
+  if (is_new) {
+    UpdateRouter(now);
+  }
+  return is_new;
+}
+
+bool ServicePool::HasLeft(const routing::EndpointRun& run) const {
+  return !m_leaving.empty() && m_leaving.contains(std::pair(
+                                   std::string(run.instance), run.incarnation));
+}
+
 void ServicePool::OnResponded(kernel::Time now,
                               const routing::EndpointRun& run) {
   m_pauses.OnAnswered(now, run);
@@ -156,7 +175,7 @@
 
 bool ServicePool::MaySend(kernel::Time now,
                           const routing::EndpointRun& run) const {
-  return !m_pauses.IsPaused(now, run);
+  return !m_pauses.IsPaused(now, run) && !HasLeft(run);
 }
 
 void ServicePool::OnLoad(kernel::Time now,
@@ -246,6 +265,10 @@
 
 void ServicePool::OnTick(kernel::Time now) {
   m_pauses.OnTick(now);
+  std::erase_if(m_leaving, [this, now](const auto& item) {
+    return now - item.second >= kLeavingLifetime &&
+           !m_listed.contains(item.first.first);
+  });
   bool changed = false;
   for (auto item = m_response_states.begin();
        item != m_response_states.end();) {
@@ -276,6 +299,7 @@
   // An endpoint without a complete model, or with too old a version, cannot
   // serve calls.
   return !listed.leaving && !excluded &&
+         !HasLeft({listed.id, listed.started}) &&
          (!m_engine || (listed.model_version > 0 &&
                         listed.model_version >= m_required_version));
 }
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "radishrudder/calls/retry_budget.h"
@@ -80,6 +81,8 @@
   std::optional<kernel::Time> OnPauseRequested(kernel::Time now,
                                                const routing::EndpointRun& run,
                                                kernel::Duration pause);
+  // The endpoint said that it leaves. Returns whether that is new.
+  bool OnLeaving(kernel::Time now, const routing::EndpointRun& run);
   // The endpoint answered without asking for a pause.
   void OnResponded(kernel::Time now, const routing::EndpointRun& run);
   // Whether an attempt for which the run was selected may still be sent to it.
@@ -108,6 +111,7 @@
 
   Unavailable FindUnavailable(kernel::Time now) const;
   bool CanBeUsed(const ListedEndpoint& listed) const;
+  bool HasLeft(const routing::EndpointRun& run) const;
   // Whether this entry uses less than its share of a capacity.
   bool IsBelowShare(double share, double capacity) const;
   // Whether an endpoint responds to its attempts.
@@ -135,6 +139,9 @@
   routing::Router m_router;
   calls::RetryBudget m_budget;
   EndpointPauses m_pauses;
+  // Endpoint runs that said in an answer that they leave, whatever is listed,
+  // and when they did.
+  std::map<std::pair<std::string, std::uint64_t>, kernel::Time> m_leaving;
   std::optional<EngineRule> m_engine;
   std::map<std::string, ListedEndpoint, std::less<>> m_listed;
   std::map<std::string, ResponseState, std::less<>> m_response_states;
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -55,6 +55,7 @@
                                       kRequestBlocked,
                                       kEndpointPaused,
                                       kEndpointLimited,
+                                      kEndpointLeaves,
                                       kOrderSent,
                                       kOrderRefused,
                                       kVersionRunning,
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -83,6 +83,18 @@
   }
 }
 
+void CallJournal::RecordLeaving(kernel::Time now,
+                                const direct::EndpointLeaves& leaves) {
+  m_metrics.Count("radishrudder_endpoints_leaving_total",
+                  {{"service", leaves.service}});
+  if (TryTakeLine(now)) {
+    logging::Log(logging::kEndpointLeaves, {{"instance", m_instance},
+                                            {"service", leaves.service},
+                                            {"endpoint", leaves.endpoint},
+                                            {"id", leaves.attempt_id}});
+  }
+}
+
 void CallJournal::RecordLimit(kernel::Time now,
                               const direct::EndpointLimited& limit) {
   m_metrics.Count("radishrudder_endpoint_limit_changes_total",
--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -212,7 +212,8 @@
 TEST(CallCodecTest, DecodesLoadAndVersion) {
   exchange::ResponseHead head;
   head.status = 200;
-  head.headers = {{"Radishrudder-Instance-Load", "3, 1, 8"},
+  head.headers = {{"Server-Leaving", "1"},
+                  {"Radishrudder-Instance-Load", "3, 1, 8"},
                   {"Radishrudder-Weight-Versions", "4"},
                   {"Radishrudder-Response-Signature", "s"}};
   const direct::EndpointResponse answer =
@@ -223,6 +224,7 @@
   EXPECT_EQ(answer.load->capacity, 8U);
   EXPECT_EQ(answer.version, 4U);
   EXPECT_TRUE(answer.has_signature);
+  EXPECT_TRUE(answer.leaving);
 }
 
 TEST(CallCodecTest, TellsWhetherTheEndOfTheBodyIsMarked) {
