dissemination, direct: the store's era orders what is read from it

Cause: what the store says was ordered by revision alone. A store that comes back from an older copy gives revisions out again: a watch went on from a revision of the earlier era and missed what was written since; entries of the copy with lower revisions were ignored, among them that an endpoint leaves; and with higher ones they would have brought back an endpoint that had left or was removed.

Change: readers know the era of each answer. A new one is read whole, each process after a random part of 300 ms; an answer of an earlier one counts as a failed request. The list of endpoints orders by era and revision; a run that leaves or was removed does not come back with a copy, a live one that the copy lacks is kept for the two seconds in which it is written again. Documents and versions were monotone already. Event 207 and radishrudder_store_eras_total tell of it.

--- a/include/radishrudder/direct/endpoint_list.h
+++ b/include/radishrudder/direct/endpoint_list.h
@@ -23,7 +23,9 @@
   bool leaving = false;
   std::string model{};  // Empty: the endpoint holds no complete model.
   std::uint64_t model_version = 0;  // Version of all layers; 0: none, or mixed.
-  std::uint64_t revision = 0;       // Store revision of the last change.
+  // Store revision of the last change, and the era of the store that counts it.
+  std::uint64_t revision = 0;
+  std::uint64_t era = 0;
 };
 
 struct EndpointListSettings {
@@ -35,19 +37,25 @@
   kernel::Duration settling_time = std::chrono::seconds(3);
 };
 
-// The endpoints as last read from the store. An update with a lower revision
-// than the known one of its endpoint is ignored.
+// The endpoints as last read from the store. An update with a lower era and
+// revision than the known ones of its endpoint is ignored. A store that comes
+// back from an older copy, in a new era, brings back nothing that was known to
+// leave or to be removed.
 class EndpointList {
  public:
   explicit EndpointList(EndpointListSettings settings) : m_settings(settings) {}
 
   // Each returns whether the list changed.
   bool OnUpdate(const ListedEndpoint& endpoint);
-  bool OnRemoved(kernel::Time now, std::string_view id, std::uint64_t revision);
+  bool OnRemoved(kernel::Time now,
+                 std::string_view id,
+                 std::uint64_t revision,
+                 std::uint64_t era = 0);
   // The complete list as of `revision`.
   bool OnSnapshot(kernel::Time now,
                   const std::vector<ListedEndpoint>& endpoints,
-                  std::uint64_t revision);
+                  std::uint64_t revision,
+                  std::uint64_t era = 0);
   // Reading the list failed, or succeeded again.
   void OnUnreachable(kernel::Time now);
   void OnReachable(kernel::Time now);
@@ -66,13 +74,24 @@
     std::optional<kernel::Time> remove_at;
   };
 
+  // Of the run that was removed.
+  struct Removal {
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+    std::uint64_t started = 0;
+    bool leaving = false;
+  };
+
   bool MayHaveExpired(kernel::Time now) const;
+  // Returns whether the entry of an older copy of the list says less than what
+  // is known of the endpoint. If so, later changes are compared with the entry.
+  bool IsOutdatedCopy(const ListedEndpoint& copied);
 
   EndpointListSettings m_settings;
   std::map<std::string, TrackedEndpoint, std::less<>> m_endpoints;
-  // Revisions at which ids were removed, so that an older update does not add
-  // them again.
-  std::map<std::string, std::uint64_t, std::less<>> m_removed;
+  // By id, so that an older update does not add them again.
+  std::map<std::string, Removal, std::less<>> m_removed;
+  std::uint64_t m_era = 0;  // Of the latest snapshot; 0: none.
   bool m_unreachable = false;
   std::optional<kernel::Time> m_reachable_since;
 };
--- a/include/radishrudder/dissemination/store_reader.h
+++ b/include/radishrudder/dissemination/store_reader.h
@@ -20,6 +20,8 @@
   std::string value{};         // Empty if `removed`.
   std::uint64_t revision = 0;  // Revision of the last change.
   bool removed = false;
+  // Era of the store that the revision belongs to; see `StoreEraChanged`.
+  std::uint64_t era = 0;
 };
 
 // Requests the page of keys of the prefix that sort after the key `after`
@@ -42,6 +44,7 @@
   // How long requests had failed before this response; zero: the preceding one
   // succeeded.
   kernel::Duration failed_for{};
+  std::uint64_t era = 0;
 };
 // Delivers changed keys, in the order of their changes.
 struct PrefixChanges {
@@ -67,13 +70,22 @@
 // The store responds again after failed requests.
 struct StoreRecovered {};
 
+// The store came back from an older copy of itself: changes that it had
+// acknowledged are gone until they are written again, and revisions are given
+// out a second time. All keys are read again.
+struct StoreEraChanged {
+  std::uint64_t previous = 0;
+  std::uint64_t era = 0;
+};
+
 using StoreOutput = std::variant<ReadPage,
                                  WatchChanges,
                                  PrefixSnapshot,
                                  PrefixChanges,
                                  PrefixConfirmed,
                                  StoreUnreachable,
-                                 StoreRecovered>;
+                                 StoreRecovered,
+                                 StoreEraChanged>;
 
 struct StoreReaderSettings {
   // Maximum time that the store holds a watch open. An unresponsive store is
@@ -90,6 +102,9 @@
   // Backoff after the first failure; doubles with each consecutive failure.
   std::chrono::milliseconds initial_backoff{60};
   std::chrono::milliseconds maximum_backoff{500};
+  // All processes see a new era at about the same time; each reads all keys
+  // after a random part of this time.
+  std::chrono::milliseconds new_era_delay{300};
 };
 
 // Tracks all keys of one prefix of a store through read requests alone: reads
@@ -104,16 +119,19 @@
   void OnTick(kernel::Time now, kernel::BootTime boot_now);
   kernel::Time NextTick() const { return m_next_request; }
   // Handle the response to the request in progress. `revision` is the revision
-  // of the store.
+  // of the store, `era` its era; 0: it names none. A response of an earlier era
+  // than one seen counts as a failed request.
   void OnPage(kernel::Time now,
               std::vector<StoreItem> items,
               bool has_more,
-              std::uint64_t revision);
+              std::uint64_t revision,
+              std::uint64_t era = 0);
   void OnChanges(kernel::Time now,
                  std::vector<StoreItem> items,
-                 std::uint64_t revision);
+                 std::uint64_t revision,
+                 std::uint64_t era = 0);
   // The store has discarded the changes since the watched revision.
-  void OnHistoryDiscarded(kernel::Time now);
+  void OnHistoryDiscarded(kernel::Time now, std::uint64_t era = 0);
   // The request failed: no response came, or an invalid one.
   void OnRequestFailed(kernel::Time now);
   std::vector<StoreOutput> TakeOutputs();
@@ -124,6 +142,8 @@
   enum class Phase { kReading, kWatching };
 
   void OnResponse(kernel::Time now);
+  // Returns whether the response belongs to what is being read.
+  bool AcceptEra(kernel::Time now, std::uint64_t era);
   // The items were complete at `complete_at`, not before `requested_at`.
   void Confirm(kernel::BootTime requested_at, kernel::BootTime complete_at);
 
@@ -140,6 +160,7 @@
   std::optional<kernel::BootTime> m_complete_at;
   std::vector<StoreItem> m_read_items;  // From the pages read so far.
   std::uint64_t m_revision = 0;
+  std::uint64_t m_era = 0;  // The latest one seen; 0: none.
   std::uint32_t m_consecutive_failures = 0;
   kernel::Time m_failing_since{};   // Valid if requests are failing.
   kernel::Duration m_failed_for{};  // Before the latest response.
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -92,6 +92,9 @@
     "The platform's store does not respond; data already read stays in force."};
 inline constexpr Event kStoreRegained{206, Level::kInfo, "store-regained",
                                       "The platform's store responds again."};
+inline constexpr Event kStoreEraChanged{
+    207, Level::kWarning, "store-era-changed",
+    "The platform's store came back from an older copy and is read again."};
 inline constexpr Event kInstanceJoined{
     301, Level::kInfo, "instance-joined",
     "An instance was seen for the first time."};
--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -187,6 +187,9 @@
     } else if (std::holds_alternative<dissemination::StoreRecovered>(output)) {
       logging::Log(logging::kStoreRegained,
                    {{"prefix", std::string(Platform::kVersionPrefix)}});
+    } else if (const auto* changed =
+                   std::get_if<dissemination::StoreEraChanged>(&output)) {
+      LogEra(*changed, Platform::kVersionPrefix);
     }
     if (items == nullptr) {
       return;
--- a/include/radishrudder/serving/call_journal.h
+++ b/include/radishrudder/serving/call_journal.h
@@ -24,6 +24,7 @@
   void RecordLeaving(kernel::Time now, const direct::EndpointLeaves& leaves);
   void RecordLimit(kernel::Time now, const direct::EndpointLimited& limit);
   void LogFindings(const kernel::Findings& findings);
+  void CountStoreEra() { m_metrics.Count("radishrudder_store_eras_total", {}); }
   void CountCallerDisconnected() {
     m_metrics.Count("radishrudder_callers_gone_total", {});
   }
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -570,7 +570,7 @@
           listed.push_back(std::move(*endpoint));
         }
       }
-      m_list.OnSnapshot(now, listed, snapshot->revision);
+      m_list.OnSnapshot(now, listed, snapshot->revision, snapshot->era);
       changed = true;
     } else if (auto* changes =
                    std::get_if<dissemination::PrefixChanges>(&output)) {
@@ -585,6 +585,8 @@
     } else if (std::holds_alternative<dissemination::StoreRecovered>(output)) {
       m_list.OnReachable(now);
       LogStoreState(output, Platform::kEndpointPrefix, "");
+    } else {
+      LogStoreState(output, Platform::kEndpointPrefix, "");
     }
     if (changed) {
       m_core.OnEndpoints(now, m_list.Endpoints());
@@ -599,7 +601,7 @@
       logging::Log(logging::kInstanceLost,
                    {{"instance", std::string(id)},
                     {"revision", std::to_string(item.revision)}});
-      return m_list.OnRemoved(now, id, item.revision);
+      return m_list.OnRemoved(now, id, item.revision, item.era);
     }
     const direct::ListedEndpoint* known = m_list.Find(id);
     if (known == nullptr || known->leaving != endpoint->leaving ||
@@ -625,6 +627,11 @@
   void LogStoreState(const dissemination::StoreOutput& output,
                      std::string_view prefix,
                      const std::string& problem) {
+    if (const auto* changed =
+            std::get_if<dissemination::StoreEraChanged>(&output)) {
+      m_journal.CountStoreEra();
+      LogEra(*changed, prefix);
+    }
     if (std::holds_alternative<dissemination::StoreUnreachable>(output)) {
       logging::Log(logging::kStoreLost,
                    {{"prefix", std::string(prefix)}, {"problem", problem}});
--- a/include/radishrudder/serving/store_follower.h
+++ b/include/radishrudder/serving/store_follower.h
@@ -15,9 +15,18 @@
 #include "radishrudder/dissemination/store_reader.h"
 #include "radishrudder/exchange/fetcher.h"
 #include "radishrudder/kernel/boot_time.h"
+#include "radishrudder/logging/events.h"
 
 namespace radishrudder::serving {
 
+inline void LogEra(const dissemination::StoreEraChanged& changed,
+                   std::string_view prefix) {
+  logging::Log(logging::kStoreEraChanged,
+               {{"prefix", std::string(prefix)},
+                {"previous", std::to_string(changed.previous)},
+                {"era", std::to_string(changed.era)}});
+}
+
 // Encodes the requests of a `StoreReader` and decodes the store's responses.
 template <typename T>
 concept StoreCodec = requires(const dissemination::ReadPage& page,
@@ -113,12 +122,16 @@
     if (!decoded) {
       m_reader.OnRequestFailed(now);
     } else if (decoded->history_gone) {
-      m_reader.OnHistoryDiscarded(now);
+      m_reader.OnHistoryDiscarded(now, decoded->era);
     } else if (page) {
       m_reader.OnPage(now, std::move(decoded->items), decoded->has_more,
-                      decoded->revision);
+                      decoded->revision, decoded->era);
     } else {
-      m_reader.OnChanges(now, std::move(decoded->items), decoded->revision);
+      m_reader.OnChanges(now, std::move(decoded->items), decoded->revision,
+                         decoded->era);
+    }
+    if (decoded && !m_reader.IsReachable()) {
+      m_problem = "answer of an earlier era";
     }
   }
 
--- a/source/radishrudder/direct/endpoint_list.cc
+++ b/source/radishrudder/direct/endpoint_list.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
+#include <utility>
 
 namespace radishrudder::direct {
 namespace {
@@ -14,59 +16,106 @@
 
 bool EndpointList::OnUpdate(const ListedEndpoint& endpoint) {
   const auto removed = m_removed.find(endpoint.id);
+  bool leaving = endpoint.leaving;
+  // A run that leaves does not come back.
+  const auto stays_leaving = [&endpoint](std::uint64_t started, bool known) {
+    return known && started != 0 && started == endpoint.started;
+  };
   if (removed != m_removed.end()) {
-    if (endpoint.revision <= removed->second) {
+    const Removal& removal = removed->second;
+    if (std::tie(endpoint.era, endpoint.revision) <=
+        std::tie(removal.era, removal.revision)) {
       return false;
     }
+    leaving = leaving || stays_leaving(removal.started, removal.leaving);
     m_removed.erase(removed);
   }
   const auto found = m_endpoints.find(endpoint.id);
   if (found == m_endpoints.end()) {
-    m_endpoints.emplace(endpoint.id, TrackedEndpoint{endpoint, std::nullopt});
+    TrackedEndpoint added{endpoint, std::nullopt};
+    added.endpoint.leaving = leaving;
+    m_endpoints.emplace(endpoint.id, std::move(added));
     return true;
   }
   TrackedEndpoint& tracked = found->second;
-  if (endpoint.revision < tracked.endpoint.revision) {
+  ListedEndpoint& known = tracked.endpoint;
+  if (std::tie(endpoint.era, endpoint.revision) <
+      std::tie(known.era, known.revision)) {
     return false;
   }
+  leaving = leaving || stays_leaving(known.started, known.leaving);
   tracked.remove_at.reset();
-  const std::uint64_t before = tracked.endpoint.revision;
-  tracked.endpoint = endpoint;
-  return endpoint.revision != before;
+  const bool changed = std::tie(endpoint.era, endpoint.revision) !=
+                       std::tie(known.era, known.revision);
+  known = endpoint;
+  known.leaving = leaving;
+  return changed;
 }
 
 bool EndpointList::OnRemoved(kernel::Time now,
                              std::string_view id,
-                             std::uint64_t revision) {
+                             std::uint64_t revision,
+                             std::uint64_t era) {
   const auto found = m_endpoints.find(id);
-  if (found == m_endpoints.end() ||
-      revision < found->second.endpoint.revision) {
+  if (found == m_endpoints.end()) {
+    return false;
+  }
+  const ListedEndpoint& known = found->second.endpoint;
+  if (std::tie(era, revision) < std::tie(known.era, known.revision)) {
     return false;
   }
-  if (MayHaveExpired(now) && !found->second.endpoint.leaving) {
+  if (MayHaveExpired(now) && !known.leaving) {
     if (!found->second.remove_at) {
       found->second.remove_at = (m_reachable_since ? *m_reachable_since : now) +
                                 m_settings.expired_endpoint_grace;
     }
     return false;
   }
-  m_removed[found->first] = revision;
+  m_removed[found->first] = {era, revision, known.started, known.leaving};
   if (m_removed.size() > kMaximumRememberedRemovals) {
-    m_removed.erase(std::ranges::min_element(
-        m_removed, {}, [](const auto& item) { return item.second; }));
+    m_removed.erase(
+        std::ranges::min_element(m_removed, {}, [](const auto& item) {
+          return std::pair(item.second.era, item.second.revision);
+        }));
   }
   m_endpoints.erase(found);
   return true;
 }
 
+bool EndpointList::IsOutdatedCopy(const ListedEndpoint& copied) {
+  const auto removed = m_removed.find(copied.id);
+  if (removed != m_removed.end() && copied.started <= removed->second.started) {
+    removed->second.era = copied.era;
+    removed->second.revision = copied.revision;
+    return true;
+  }
+  const auto found = m_endpoints.find(copied.id);
+  if (found != m_endpoints.end() &&
+      copied.started < found->second.endpoint.started) {
+    found->second.endpoint.era = copied.era;
+    found->second.endpoint.revision = copied.revision;
+    return true;
+  }
+  return false;
+}
+
 bool EndpointList::OnSnapshot(kernel::Time now,
                               const std::vector<ListedEndpoint>& endpoints,
-                              std::uint64_t revision) {
+                              std::uint64_t revision,
+                              std::uint64_t era) {
+  const bool new_era = m_era != 0 && era > m_era;
+  m_era = std::max(m_era, era);
+  if (new_era) {
+    // What is missing may have been lost, and is written again if it lives.
+    m_reachable_since = now;
+  }
   bool changed = false;
   std::set<std::string_view> present;
   for (const ListedEndpoint& endpoint : endpoints) {
     present.insert(endpoint.id);
-    changed = OnUpdate(endpoint) || changed;
+    if (!new_era || !IsOutdatedCopy(endpoint)) {
+      changed = OnUpdate(endpoint) || changed;
+    }
   }
   std::vector<std::string> missing;
   for (const auto& [id, tracked] : m_endpoints) {
@@ -75,7 +124,7 @@
     }
   }
   for (const std::string& id : missing) {
-    changed = OnRemoved(now, id, revision) || changed;
+    changed = OnRemoved(now, id, revision, era) || changed;
   }
   return changed;
 }
--- a/source/radishrudder/dissemination/store_reader.cc
+++ b/source/radishrudder/dissemination/store_reader.cc
@@ -40,13 +40,20 @@
 void StoreReader::OnPage(kernel::Time now,
                          std::vector<StoreItem> items,
                          bool has_more,
-                         std::uint64_t revision) {
+                         std::uint64_t revision,
+                         std::uint64_t era) {
+  if (!AcceptEra(now, era)) {
+    return;
+  }
   OnResponse(now);
   // The pages are not one snapshot. The watch starts at the revision of the
   // first page, so that it delivers the changes made between pages.
   if (m_read_items.empty()) {
     m_revision = revision;
   }
+  for (StoreItem& item : items) {
+    item.era = m_era;
+  }
   const bool more = has_more && !items.empty();
   m_read_items.insert(m_read_items.end(),
                       std::make_move_iterator(items.begin()),
@@ -57,16 +64,23 @@
   }
   m_phase = Phase::kWatching;
   m_outputs.emplace_back(PrefixSnapshot{std::exchange(m_read_items, {}),
-                                        m_revision, m_complete_at,
-                                        m_failed_for});
+                                        m_revision, m_complete_at, m_failed_for,
+                                        m_era});
   Confirm(m_read_started_at, m_read_started_at);
 }
 
 void StoreReader::OnChanges(kernel::Time now,
                             std::vector<StoreItem> items,
-                            std::uint64_t revision) {
+                            std::uint64_t revision,
+                            std::uint64_t era) {
+  if (!AcceptEra(now, era)) {
+    return;
+  }
   OnResponse(now);
   m_revision = std::max(m_revision, revision);
+  for (StoreItem& item : items) {
+    item.era = m_era;
+  }
   const bool unchanged = items.empty();
   m_next_request = unchanged ? now : now + m_settings.next_watch_delay;
   if (!unchanged) {
@@ -86,13 +100,41 @@
   m_outputs.emplace_back(PrefixConfirmed{requested_at, complete_at});
 }
 
-void StoreReader::OnHistoryDiscarded(kernel::Time now) {
+void StoreReader::OnHistoryDiscarded(kernel::Time now, std::uint64_t era) {
+  if (!AcceptEra(now, era)) {
+    return;
+  }
   OnResponse(now);
   m_phase = Phase::kReading;
   m_read_items.clear();
   m_next_request = now;
 }
 
+bool StoreReader::AcceptEra(kernel::Time now, std::uint64_t era) {
+  if (era == 0 || era == m_era) {
+    return true;
+  }
+  if (era < m_era) {
+    OnRequestFailed(now);
+    return false;
+  }
+  const std::uint64_t previous = std::exchange(m_era, era);
+  if (previous == 0) {
+    return true;
+  }
+  m_outputs.emplace_back(StoreEraChanged{previous, era});
+  if (m_phase == Phase::kReading && m_read_items.empty()) {
+    return true;
+  }
+  // What has been read belongs to the previous era, as do the revisions.
+  OnResponse(now);
+  m_phase = Phase::kReading;
+  m_read_items.clear();
+  m_next_request = now + std::chrono::duration_cast<kernel::Duration>(
+                             m_settings.new_era_delay * m_random.Uniform());
+  return false;
+}
+
 void StoreReader::OnRequestFailed(kernel::Time now) {
   m_request_in_progress = false;
   if (m_consecutive_failures == 0) {
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -32,6 +32,7 @@
                                       kOldVersionIgnored,
                                       kStoreLost,
                                       kStoreRegained,
+                                      kStoreEraChanged,
                                       kInstanceJoined,
                                       kInstanceLeaving,
                                       kInstanceLost,
--- a/tests/dissemination/store_reader_test.cc
+++ b/tests/dissemination/store_reader_test.cc
@@ -115,6 +115,91 @@
   EXPECT_EQ(TickAndTakeRequest<WatchChanges>()->revision, 40U);
 }
 
+struct EraCase {
+  const char* name;
+  std::uint64_t era;  // Of the response to a watch in era 4.
+  bool history_gone;
+  bool reads_again;
+  bool counts_as_failed;
+};
+
+class StoreEraTest : public StoreReaderTest,
+                     public testing::WithParamInterface<EraCase> {};
+
+// Guards against changes that a store has lost, or revisions that it gives out
+// again, going unnoticed: a watch that goes on from a revision of an earlier
+// era misses what was written since.
+TEST_P(StoreEraTest, NewEraIsReadWholeAndAnEarlierOneIsNotApplied) {
+  ASSERT_TRUE(TickAndTakeRequest<ReadPage>());
+  m_reader.OnPage(m_now, {{"k", "v", 50, false}}, false, 50, 4);
+  ASSERT_TRUE(TickAndTakeRequest<WatchChanges>());
+  if (GetParam().history_gone) {
+    m_reader.OnHistoryDiscarded(m_now, GetParam().era);
+  } else {
+    m_reader.OnChanges(m_now, {{"k", "w", 51, false}}, 51, GetParam().era);
+  }
+  bool changes = false;
+  bool failed = false;
+  bool new_era = false;
+  for (const StoreOutput& output : m_reader.TakeOutputs()) {
+    changes = changes || std::holds_alternative<PrefixChanges>(output);
+    failed = failed || std::holds_alternative<StoreUnreachable>(output);
+    new_era = new_era || std::holds_alternative<StoreEraChanged>(output);
+  }
+  EXPECT_EQ(failed, GetParam().counts_as_failed);
+  EXPECT_EQ(new_era, GetParam().era > 4);
+  EXPECT_EQ(changes, !GetParam().reads_again && !GetParam().counts_as_failed);
+  AdvanceTime(milliseconds(500));
+  if (!GetParam().reads_again) {
+    ASSERT_TRUE(TickAndTakeRequest<WatchChanges>());
+    return;
+  }
+  ASSERT_TRUE(TickAndTakeRequest<ReadPage>());
+  // The copy is older: its revisions are lower.
+  m_reader.OnPage(m_now, {{"k", "u", 30, false}}, false, 41, 5);
+  const auto snapshot = TakeLast<PrefixSnapshot>();
+  ASSERT_TRUE(snapshot);
+  EXPECT_EQ(snapshot->era, 5U);
+  EXPECT_EQ(snapshot->items.front().era, 5U);
+  EXPECT_EQ(TickAndTakeRequest<WatchChanges>()->revision, 41U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    StoreEraTest,
+    testing::Values(EraCase{"Same", 4, false, false, false},
+                    EraCase{"Unnamed", 0, false, false, false},
+                    EraCase{"New", 5, false, true, false},
+                    EraCase{"NewAndHistoryGone", 5, true, true, false},
+                    EraCase{"Earlier", 3, false, false, true}),
+    [](const auto& test) { return std::string(test.param.name); });
+
+// Guards against a snapshot whose pages belong to two eras.
+TEST_F(StoreReaderTest, EraThatBeginsBetweenPagesStartsTheReadAgain) {
+  ASSERT_TRUE(TickAndTakeRequest<ReadPage>());
+  m_reader.OnPage(m_now, {{"a", "1", 4, false}}, true, 10, 4);
+  ASSERT_EQ(TickAndTakeRequest<ReadPage>()->after, "a");
+  m_reader.OnPage(m_now, {{"b", "1", 3, false}}, false, 6, 5);
+  EXPECT_FALSE(TakeLast<PrefixSnapshot>());
+  AdvanceTime(milliseconds(500));
+  ASSERT_EQ(TickAndTakeRequest<ReadPage>()->after, "");
+}
+
+// Guards against all processes reading the whole store at the same moment.
+TEST_F(StoreReaderTest, ProcessesReadANewEraAtDifferentTimes) {
+  std::set<kernel::Time> times;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    StoreReader reader(StoreReaderSettings{}, kernel::Random(seed));
+    reader.OnTick(m_now, m_boot);
+    reader.OnPage(m_now, {{"k", "v", 50, false}}, false, 50, 4);
+    reader.OnTick(m_now, m_boot);
+    reader.OnChanges(m_now, {}, 20, 5);
+    times.insert(reader.NextTick());
+  }
+  EXPECT_GE(times.size(), 10U);
+  EXPECT_GE(*times.rbegin() - *times.begin(), milliseconds(100));
+}
+
 // Guards against wrong ages of what is read after an absence: changes of which
 // nothing is known but that they are newer than the last complete read counted
 // as made at the time of the reading.
--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -356,5 +356,33 @@
   }
 }
 
+struct StoreEraCase {
+  const char* name;
+  int status;
+  const char* text;
+  std::uint64_t era;
+};
+
+class StoreEraTest : public testing::TestWithParam<StoreEraCase> {};
+
+// Guards against revisions of different eras of the store being compared.
+TEST_P(StoreEraTest, DecodesEraOfAnyAnswerThatIsUsed) {
+  exchange::FetchedAnswer answer{.status = GetParam().status,
+                                 .body = R"({"at":3,"items":[]})"};
+  answer.headers = {{"Store-Era", GetParam().text}};
+  std::string problem;
+  const auto decoded = StoreCodec::Decode(answer, problem);
+  ASSERT_TRUE(decoded) << problem;
+  EXPECT_EQ(decoded->era, GetParam().era);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         StoreEraTest,
+                         testing::Values(StoreEraCase{"Read", 200, "7", 7},
+                                         StoreEraCase{"Gone", 410, "8", 8},
+                                         StoreEraCase{"NoNumber", 200, "x", 0},
+                                         StoreEraCase{"None", 200, "", 0}),
+                         [](const auto& test) { return test.param.name; });
+
 }  // namespace
 }  // namespace radishrudder::platform
