direct, peers: no keys by a configuration that others have replaced

Cause: an entry that starts after the store came back from an older copy reads an older configuration from it, and accepted keys that later ones had revoked, until the operator wrote them again. Its own memory, which rejects older configurations, is gone with the restart; the other entries still know.

Change: reports between entries carry the version of the configuration in force and since when. An entry whose own is older, and should have been replaced by now, takes keys and unknown routes as if it could not read the store: 503, not ready. If the store does not return the newer one within ten seconds, it counts as gone.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -83,6 +83,14 @@
   void OnSettings(const EntrySettings& settings);
   // Returns whether the configuration is in force; older ones are rejected.
   bool OnConfiguration(kernel::Time now, Configuration configuration);
+  // Another entry has been using a configuration since `in_force_since`. While
+  // it is newer than this entry's, this entry's is out of date although the
+  // store returned it: the store came back from an older copy.
+  void OnPeerConfiguration(kernel::Time now,
+                           std::uint64_t version,
+                           kernel::Time in_force_since);
+  // When the current configuration came into force; nothing: there is none.
+  std::optional<kernel::Time> ConfigurationInForceSince() const;
   // A response of the store showed that the configuration was current when the
   // request was sent, at `requested_at`.
   void OnConfigurationConfirmed(kernel::BootTime requested_at);
--- a/include/radishrudder/peers/peer_report.h
+++ b/include/radishrudder/peers/peer_report.h
@@ -58,6 +58,12 @@
   std::chrono::milliseconds age{0};             // Of the answer.
 };
 
+// The configuration in force at the sender.
+struct ConfigurationReport {
+  std::uint64_t version = 0;
+  std::chrono::milliseconds age{0};  // Since the sender read it.
+};
+
 // What one entry tells another. Both the request and the response of an
 // exchange are a report.
 struct PeerReport {
@@ -67,6 +73,7 @@
   // Nothing: it has read none.
   std::optional<std::chrono::milliseconds> store_age{};
   bool store_lost = false;  // Its requests have been failing for a time.
+  std::optional<ConfigurationReport> configuration{};
   std::vector<DeclarationReport> declarations{};
   std::vector<SuspectReport> suspects{};
   std::vector<DemandReport> demands{};  // Of the sender and of others.
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -506,6 +506,10 @@
                                 known.calls_per_second,
                                 age(known.measured_at)});
     }
+    if (const auto since = m_core.ConfigurationInForceSince()) {
+      report.configuration = {m_core.Configurations().Current().version,
+                              age(*since)};
+    }
     for (const direct::EndpointLimit& known : m_core.KnownEndpointLimits()) {
       report.limits.push_back({known.endpoint, known.incarnation,
                                known.requests_per_second, age(known.named_at)});
@@ -534,6 +538,10 @@
                          now - demand.age});
     }
     m_core.OnDemands(now, demands);
+    if (report.configuration) {
+      m_core.OnPeerConfiguration(now, report.configuration->version,
+                                 now - report.configuration->age);
+    }
     std::vector<direct::EndpointLimit> limits;
     for (const peers::LimitReport& limit : report.limits) {
       limits.push_back({limit.endpoint, limit.incarnation,
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -17,6 +17,9 @@
 constexpr std::size_t kMaximumRememberedVersions = 16;
 // Range over which the blocks of the entries end.
 constexpr std::chrono::milliseconds kBlockSpread{20000};
+// A configuration that another entry uses and the store has not returned for
+// this long counts as gone.
+constexpr std::chrono::seconds kMaximumSupersededTime{10};
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -96,10 +99,29 @@
   if (!m_state->configurations.Apply(std::move(configuration))) {
     return false;
   }
+  m_state->configured_at = now;
   m_state->ApplyConfiguration(now);
+  m_state->ComparePeerConfiguration(now);
   return true;
 }
 
+void Entry::OnPeerConfiguration(kernel::Time now,
+                                std::uint64_t version,
+                                kernel::Time in_force_since) {
+  PeerConfiguration& known = m_state->peer_configuration;
+  if (version > known.version) {
+    known = {
+        .version = version, .in_force_since = in_force_since, .told_at = now};
+    m_state->ComparePeerConfiguration(now);
+  }
+}
+
+std::optional<kernel::Time> Entry::ConfigurationInForceSince() const {
+  return m_state->configurations.HasConfiguration()
+             ? std::optional(m_state->configured_at)
+             : std::nullopt;
+}
+
 void Entry::OnConfigurationConfirmed(kernel::BootTime requested_at) {
   m_state->age.OnConfigurationConfirmed(requested_at);
 }
@@ -162,14 +184,14 @@
       table.RequiresKeys() && (route == nullptr || !route->key_exempt);
   // Keys may have been revoked and routes added since an old configuration.
   const bool is_fresh =
-      state.age.IsWithin(boot_now, state.settings.maximum_configuration_age);
+      state.IsFresh(boot_now, state.settings.maximum_configuration_age);
   if (!is_fresh && (requires_key || route == nullptr)) {
     state.Refuse(now, request, id, kUnavailable, Reason::kStaleConfiguration);
     return;
   }
   const auto deny = [&](int status, Reason reason) {
     const bool may_deny =
-        state.age.IsWithin(boot_now, state.settings.maximum_denial_age);
+        state.IsFresh(boot_now, state.settings.maximum_denial_age);
     state.Refuse(now, request, id, may_deny ? status : kUnavailable,
                  may_deny ? reason : Reason::kStaleConfiguration);
   };
@@ -233,6 +255,7 @@
 void Entry::OnTick(kernel::Time now) {
   State& state = *m_state;
   state.RequireVersions(now);
+  state.ComparePeerConfiguration(now);
   state.StopBlockedCalls(now);
   state.demand.OnTick(now);
   state.limits.OnTick(now);
@@ -313,7 +336,7 @@
   const State& state = *m_state;
   return !state.draining && state.configurations.HasConfiguration() &&
          state.endpoints_known &&
-         state.age.IsWithin(boot_now, state.settings.maximum_configuration_age);
+         state.IsFresh(boot_now, state.settings.maximum_configuration_age);
 }
 
 const ConfigurationTable& Entry::Configurations() const {
@@ -342,6 +365,21 @@
       demand(settings.name),
       limits(settings.name) {}
 
+bool Entry::State::IsFresh(kernel::BootTime boot_now,
+                           std::chrono::milliseconds maximum_age) const {
+  return age.IsWithin(boot_now, maximum_age) && !peer_configuration.supersedes;
+}
+
+// The store may return a change to one entry later than to another; only what
+// should have arrived by now supersedes.
+void Entry::State::ComparePeerConfiguration(kernel::Time now) {
+  peer_configuration.supersedes =
+      configurations.HasConfiguration() &&
+      peer_configuration.version > configurations.Current().version &&
+      now - peer_configuration.in_force_since >= settings.maximum_denial_age &&
+      now - peer_configuration.told_at < kMaximumSupersededTime;
+}
+
 std::string Entry::State::ChooseService(const RouteRule& route) {
   std::uint64_t total = 0;
   for (const WeightedService& part : route.services) {
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -60,6 +60,15 @@
   std::string digest{};  // Computed when it is needed first; empty before.
 };
 
+// The newest configuration that another entry uses.
+struct PeerConfiguration {
+  std::uint64_t version = 0;
+  kernel::Time in_force_since{};
+  kernel::Time told_at{};
+  // Updated with each tick.
+  bool supersedes = false;
+};
+
 struct Entry::State {
   State(EntrySettings initial_settings, kernel::Random random);
 
@@ -108,10 +117,15 @@
   // Like `TryReserveRetry`, after the endpoint responded with `status`.
   bool TryReserveRetryAfterError(kernel::Time now, Call& call, int status);
 
+  // Whether no newer configuration may exist: neither since the last answer of
+  // the store, nor by what other entries use.
+  bool IsFresh(kernel::BootTime boot_now,
+               std::chrono::milliseconds maximum_age) const;
   std::string ChooseService(const RouteRule& route);
   ServicePool& Pool(std::string_view service);
   void ApplyConfiguration(kernel::Time now);
   void RequireVersions(kernel::Time now);
+  void ComparePeerConfiguration(kernel::Time now);
   void UpdatePools(kernel::Time now);
   Call* FindCall(CallId id);
   // Identifies an endpoint run in evidence of crashes.
@@ -145,6 +159,8 @@
   kernel::Random random;
   ConfigurationTable configurations;
   ConfigurationAge age;
+  kernel::Time configured_at{};  // Of the current configuration.
+  PeerConfiguration peer_configuration;
   CrashSuspects<PromptPartSignature> suspect_parts;
   CrashSuspects<RequestSignature> suspect_requests;
   routing::DemandShares demand;
--- a/source/radishrudder/peers/peer_report.cc
+++ b/source/radishrudder/peers/peer_report.cc
@@ -153,6 +153,10 @@
   for (const DemandReport& demand : report.demands) {
     demands.push_back(ToJson(demand));
   }
+  if (report.configuration) {
+    text["configuration"] = {{"version", report.configuration->version},
+                             {"ageMs", report.configuration->age.count()}};
+  }
   Json& limits = text["limits"] = Json::array();
   for (const LimitReport& limit : report.limits) {
     limits.push_back(ToJson(limit));
@@ -179,6 +183,13 @@
     for (const Json& item : document.value("demands", Json::array())) {
       report.demands.push_back(ParseDemand(item, valid));
     }
+    const auto configuration = document.find("configuration");
+    if (configuration != document.end()) {
+      report.configuration = {
+          .version = configuration->at("version").get<std::uint64_t>(),
+          .age = ToAge(configuration->at("ageMs"), valid)
+                     .value_or(milliseconds(0))};
+    }
     for (const Json& item : document.value("limits", Json::array())) {
       report.limits.push_back(ParseLimit(item, valid));
     }
--- a/tests/direct/entry_admission_test.cc
+++ b/tests/direct/entry_admission_test.cc
@@ -300,5 +300,53 @@
   EXPECT_TRUE(TakeOutputsOf<SendAttempt>().empty());
 }
 
+struct SupersededCase {
+  const char* name;
+  std::uint64_t version;         // That another entry uses.
+  milliseconds in_force_for;     // There, when it tells of it.
+  milliseconds later;            // When the request comes.
+  std::uint64_t read_meanwhile;  // From the store; 0: nothing.
+  int status;
+};
+
+class SupersededTest : public EntryFixture,
+                       public testing::WithParamInterface<SupersededCase> {};
+
+// Guards against a key that was revoked being accepted by an entry that starts
+// after the store came back from a copy made before the revocation, and against
+// keys being refused for good because of what another entry tells.
+TEST_P(SupersededTest, KeysWaitForTheConfigurationThatOthersUse) {
+  Start(Route(RouteKind::kNonIdempotent, false));
+  m_entry.OnPeerConfiguration(m_now, GetParam().version,
+                              m_now - GetParam().in_force_for);
+  AdvanceTime(GetParam().later);
+  m_entry.OnConfigurationConfirmed(m_boot);
+  if (GetParam().read_meanwhile > 0) {
+    m_entry.OnConfiguration(
+        m_now, MakeConfiguration(GetParam().read_meanwhile,
+                                 Route(RouteKind::kNonIdempotent, false)));
+  }
+  EXPECT_EQ(m_entry.IsReady(m_boot), GetParam().status == 0);
+  Call();
+  EXPECT_EQ(ResponseStatus(), GetParam().status);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    SupersededTest,
+    testing::Values(SupersededCase{"InForceElsewhere", 9, milliseconds(30000),
+                                   milliseconds(0), 0, 503},
+                    SupersededCase{"JustRead", 9, milliseconds(100),
+                                   milliseconds(200), 0, 0},
+                    SupersededCase{"OverdueHere", 9, milliseconds(100),
+                                   milliseconds(1600), 0, 503},
+                    SupersededCase{"ReadMeanwhile", 9, milliseconds(30000),
+                                   milliseconds(1600), 9, 0},
+                    SupersededCase{"Same", 1, milliseconds(30000),
+                                   milliseconds(0), 0, 0},
+                    SupersededCase{"NeverWrittenAgain", 9, milliseconds(30000),
+                                   milliseconds(10100), 0, 0}),
+    [](const auto& test) { return std::string(test.param.name); });
+
 }  // namespace
 }  // namespace radishrudder::direct
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -13,6 +13,7 @@
       .peers = {"10.0.0.2:80"},
       .store_age = milliseconds(20),
       .store_lost = true,
+      .configuration = {{12, milliseconds(340)}},
       .declarations = {{"draft", 4, milliseconds(30), milliseconds(900), true},
                        {"draft", 3, milliseconds(70), std::nullopt, false}},
       .suspects = {{"5c1e",
@@ -28,6 +29,9 @@
   EXPECT_EQ(parsed->peers, report.peers);
   EXPECT_EQ(parsed->store_age, report.store_age);
   EXPECT_TRUE(parsed->store_lost);
+  ASSERT_TRUE(parsed->configuration);
+  EXPECT_EQ(parsed->configuration->version, 12U);
+  EXPECT_EQ(parsed->configuration->age, milliseconds(340));
   ASSERT_EQ(parsed->declarations.size(), 2U);
   EXPECT_TRUE(parsed->declarations[0].store_lost);
   EXPECT_FALSE(parsed->declarations[1].store_lost);
@@ -133,6 +137,9 @@
         R"({"address":"a","peers":[],"declarations":[],"limits":)"
         R"([{"endpoint":"i","incarnation":"x","ageMs":0}]})",
         R"({"address":"a","peers":[],"declarations":[],"limits":{"a":1}})",
+        R"({"address":"a","peers":[],"declarations":[],"configuration":3})",
+        R"({"address":"a","peers":[],"declarations":[],)"
+        R"("configuration":{"version":"x","ageMs":1}})",
         R"({"address":"a","peers":[],"declarations":[],)"
         R"("storeMs":-1})",
         R"({"address":"a","peers":[],"declarations":[],)"
