exchange: announced bytes of a peer's message take no memory

Change: a message takes what has come of it and 64 KiB.

AgentInputTest.AnnouncedBytesTakeNoMemory: 336 MB for 24 that are allowed before, passes now. OnThePeersPortEndsNoProcess, garbage and extreme values in every message that an agent takes, passes before and after.

--- a/source/radishrudder/exchange/frame_links.cc
+++ b/source/radishrudder/exchange/frame_links.cc
@@ -1,5 +1,6 @@
 #include "radishrudder/exchange/frame_links.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/read.hpp>
@@ -16,6 +17,8 @@
 
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kMaximumFrame = 8U << 20U;
+// A frame takes no more memory than what has come of it and this.
+constexpr std::size_t kReadBytes = 64U << 10U;
 constexpr std::size_t kMaximumQueued = 4U << 20U;  // Bytes to one peer.
 constexpr std::chrono::milliseconds kConnectTimeout{800};
 constexpr std::chrono::milliseconds kSilence{3000};
@@ -170,8 +173,8 @@
             self->Close();
             return;
           }
-          self->m_frame.resize(size);
-          self->ReadFrame();
+          self->m_frame.clear();
+          self->ReadFrame(size);
         });
   }
 
@@ -186,20 +189,28 @@
   }
 
  private:
-  void ReadFrame() {
-    asio::async_read(
-        m_socket, asio::buffer(m_frame),
-        [self = shared_from_this()](std::error_code error, std::size_t) {
-          if (self->m_closed) {
-            return;
-          }
-          if (error) {
-            self->Close();
-            return;
-          }
-          self->m_links.m_handler(self->m_frame);
-          self->ReadLength();
-        });
+  // Reads the rest of a frame: `missing` bytes.
+  void ReadFrame(std::size_t missing) {
+    if (missing == 0) {
+      m_links.m_handler(m_frame);
+      ReadLength();
+      return;
+    }
+    const std::size_t known = m_frame.size();
+    const std::size_t part = std::min(missing, kReadBytes);
+    m_frame.resize(known + part);
+    asio::async_read(m_socket, asio::buffer(m_frame.data() + known, part),
+                     [self = shared_from_this(), left = missing - part](
+                         std::error_code error, std::size_t) {
+                       if (self->m_closed) {
+                         return;
+                       }
+                       if (error) {
+                         self->Close();
+                         return;
+                       }
+                       self->ReadFrame(left);
+                     });
   }
 
   FrameLinks& m_links;
--- a/tests/platform/malformed_input_test.cc
+++ b/tests/platform/malformed_input_test.cc
@@ -1,7 +1,10 @@
 // Tests that no bytes on any port or in the store end the entry, as a
-// separate process, or keep it from answering calls.
+// separate process, or keep it from answering calls, and that none on the
+// peers' port end the agent.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -9,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "radishrudder/wire/peer.pb.h"
 #include "tests/platform/platform_standin.h"
 #include "tests/platform/running_program.h"
 
@@ -198,5 +202,119 @@
   ExpectAnswersCalls();
 }
 
+std::string Frame(std::string_view content) {
+  std::string frame;
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    frame += static_cast<char>(content.size() >> static_cast<unsigned>(shift) &
+                               0xFFU);
+  }
+  return frame + std::string(content);
+}
+
+std::vector<std::string> Frames() {
+  std::vector<std::string> frames = {
+      "GET / HTTP/1.1\r\n\r\n", Frame(""), Frame("\xff\xff\xff"),
+      Frame(std::string(5000, '\x7a')), std::string(4, '\xff')};
+  const auto add = [&frames](auto fill) {
+    wire::Envelope message;
+    message.mutable_from()->set_instance("1.2.3.4");
+    fill(message);
+    frames.push_back(Frame(message.SerializeAsString()));
+    message.mutable_from()->set_instance("no address");
+    frames.push_back(Frame(message.SerializeAsString()));
+  };
+  constexpr std::uint32_t kMost = 0xFFFFFFFF;
+  for (const char* digest : {"", "m@1", "m@18446744073709551615", "\x01"}) {
+    add([digest](wire::Envelope& message) {
+      auto* inventory = message.mutable_chunk_inventory();
+      inventory->set_manifest_digest(digest);
+      inventory->set_present("\x07");
+      inventory->set_chunk_count(kMost);
+      inventory->add_fetching(kMost);
+    });
+    add([digest](wire::Envelope& message) {
+      message.mutable_chunk_request()->set_manifest_digest(digest);
+      message.mutable_chunk_request()->set_index(kMost);
+    });
+    add([digest](wire::Envelope& message) {
+      message.mutable_chunk_data()->set_manifest_digest(digest);
+      message.mutable_chunk_data()->set_index(kMost);
+      message.mutable_chunk_data()->set_data("x");
+    });
+    add([digest](wire::Envelope& message) {
+      message.mutable_chunk_refusal()->set_manifest_digest(digest);
+      message.mutable_chunk_refusal()->set_retry_after_milliseconds(kMost);
+    });
+    add([digest](wire::Envelope& message) {
+      message.mutable_manifest_request()->set_manifest_digest(digest);
+    });
+    add([digest](wire::Envelope& message) {
+      message.mutable_manifest_data()->set_manifest_digest(digest);
+      message.mutable_manifest_data()->set_content("[[[[");
+    });
+  }
+  add([](wire::Envelope& message) {
+    message.mutable_instance_list_request()->set_service("\x01");
+  });
+  add([](wire::Envelope& message) {
+    auto* list = message.mutable_instance_list();
+    list->set_age_milliseconds(kMost);
+    list->add_instances()->set_instance("");
+    list->add_instances()->set_instance("1.2.3.4:99999");
+  });
+  return frames;
+}
+
+class AgentInputTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    m_standin.emplace(m_program.StoreAddress());
+    m_program.WriteSettings(m_program.SettingsText(kBounds));
+    m_program.Start();
+    ASSERT_TRUE(m_program.AwaitLog(" process-started ", 1, kLimit));
+  }
+
+  RunningProgram m_program{"agent"};
+  std::optional<PlatformStandin> m_standin;
+};
+
+// Guards against one message of a peer that ends an agent with its transfers.
+TEST_F(AgentInputTest, OnThePeersPortEndsNoProcess) {
+  for (const std::string& frame : Frames()) {
+    const std::string_view parts[] = {frame};
+    SendParts(m_program.PeersAddress(), parts, milliseconds(0),
+              milliseconds(20));
+    ASSERT_TRUE(m_program.IsRunning());
+  }
+  std::this_thread::sleep_for(milliseconds(500));
+  EXPECT_TRUE(m_program.IsRunning());
+}
+
+// Guards against a few bytes that announce large messages filling the memory of
+// an agent, of which it has little.
+TEST_F(AgentInputTest, AnnouncedBytesTakeNoMemory) {
+  constexpr std::size_t kMaximumGrowth = 24U << 20U;
+  const std::size_t before = m_program.ResidentBytes();
+  std::vector<std::thread> senders;
+  for (int i = 0; i < 40; ++i) {
+    senders.emplace_back([this] {
+      using namespace std::string_view_literals;
+      const std::string_view parts[] = {"\x00\x80\x00\x00some bytes"sv};
+      SendParts(m_program.PeersAddress(), parts, milliseconds(0),
+                milliseconds(1500));
+    });
+  }
+  std::size_t most = before;
+  for (int i = 0; i < 20; ++i) {
+    std::this_thread::sleep_for(milliseconds(50));
+    most = std::max(most, m_program.ResidentBytes());
+  }
+  for (std::thread& sender : senders) {
+    sender.join();
+  }
+  EXPECT_TRUE(m_program.IsRunning());
+  EXPECT_LE(most - before, kMaximumGrowth);
+}
+
 }  // namespace
 }  // namespace radishrudder::platform
--- a/tests/platform/running_program.cc
+++ b/tests/platform/running_program.cc
@@ -139,6 +139,14 @@
   kill(m_pid, number);
 }
 
+std::size_t RunningProgram::ResidentBytes() const {
+  std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
+  std::size_t total_pages = 0;
+  std::size_t resident_pages = 0;
+  file >> total_pages >> resident_pages;
+  return resident_pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 std::string RunningProgram::ReadLog() const {
   std::ifstream file(m_directory + "/log");
   return {std::istreambuf_iterator<char>(file), {}};
--- a/tests/platform/running_program.h
+++ b/tests/platform/running_program.h
@@ -50,6 +50,8 @@
   // signal ended it or the time is over.
   std::optional<int> AwaitExit(std::chrono::milliseconds limit);
   bool IsRunning();
+  // Memory of the process that is in use; 0 if it has ended.
+  std::size_t ResidentBytes() const;
 
  private:
   // Offsets from the first port.
