--- a/tests/direct/endpoint_limits_test.cc
+++ b/tests/direct/endpoint_limits_test.cc
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 
 constexpr kernel::Time kStart{std::chrono::hours(1)};
-const routing::EndpointRun kRun{"i-1", 7};
+constexpr routing::EndpointRun kRun{"i-1", 7};
 
 EndpointLimit Told(std::optional<double> limit, kernel::Time named_at) {
   return {"i-1", 7, limit, named_at};
