direct: requests of the entries that share a limit alternate

Cause: all entries learn of a limit at the same moment, and each sent its first request at once: an endpoint that takes one a second got four together and then none for four seconds, in which nobody would have noticed the end of the limit.

Change: an entry's first request is delayed by its rank among those that share the limit.

LimitedEndpointsTest is stricter: half of a limit is used under full demand (0.3 before), and no caller is refused from three seconds after its end. Its entries tell each other news as the real ones do, and its endpoints answer within 300 ms instead of a second, since one that is silent for 400 ms counts as unresponsive, which had caused refusals of its own. These checks also pass without this change.

--- a/include/radishrudder/direct/endpoint_limits.h
+++ b/include/radishrudder/direct/endpoint_limits.h
@@ -68,10 +68,22 @@
     kernel::Time next_request{};
   };
 
+  // Who shares a limit.
+  struct Shares {
+    std::size_t entries = 0;   // All that are known.
+    std::size_t count = 0;     // Those that share it.
+    std::size_t own_rank = 0;  // This entry has a share if it is below `count`.
+    double requests_per_second = 0;  // Of all shares.
+  };
+
   const Limit* Find(const routing::EndpointRun& run) const;
+  Shares SharesOf(const Run& run, const Limit& limit) const;
   // Requests that this entry may send the run each second; 0: none.
   double OwnRate(kernel::Time now, const Run& run, const Limit& limit) const;
-  bool Update(Run run, const Limit& limit, kernel::Duration minimum_difference);
+  bool Update(kernel::Time now,
+              Run run,
+              Limit limit,
+              kernel::Duration minimum_difference);
 
   std::string m_entry;
   // Other entries, and when each was last heard of.
--- a/source/radishrudder/direct/endpoint_limits.cc
+++ b/source/radishrudder/direct/endpoint_limits.cc
@@ -53,8 +53,8 @@
   if (!requests_per_second && m_known.empty()) {
     return false;
   }
-  return Update(Run(run.instance, run.incarnation), {requests_per_second, now},
-                kernel::Duration::zero());
+  return Update(now, Run(run.instance, run.incarnation),
+                {requests_per_second, now}, kernel::Duration::zero());
 }
 
 void EndpointLimits::OnEntry(kernel::Time now, std::string_view name) {
@@ -98,27 +98,35 @@
   }
 }
 
-double EndpointLimits::OwnRate(kernel::Time now,
-                               const Run& run,
-                               const Limit& limit) const {
+EndpointLimits::Shares EndpointLimits::SharesOf(const Run& run,
+                                                const Limit& limit) const {
   const double total = std::max(*limit.requests_per_second, kMinimumLimit);
-  const std::size_t entries = std::max(m_entries.size() + 1, m_entry_count);
-  const auto shares = std::min(
-      entries, static_cast<std::size_t>(std::floor(total * kSharesPerRequest)) +
+  Shares shares{.entries = std::max(m_entries.size() + 1, m_entry_count),
+                .requests_per_second = total * kUsedPart};
+  shares.count =
+      std::min(shares.entries,
+               static_cast<std::size_t>(std::floor(total * kSharesPerRequest)) +
                    kMinimumShares);
   const auto weight = [&run](std::string_view entry) {
     return kernel::StableHash(run.first, entry);
   };
   const std::uint64_t own_weight = weight(m_entry);
-  const auto rank = static_cast<std::size_t>(std::ranges::count_if(
+  shares.own_rank = static_cast<std::size_t>(std::ranges::count_if(
       m_entries,
       [&](const auto& entry) { return weight(entry.first) > own_weight; }));
-  if (rank < shares) {
-    return total * kUsedPart / static_cast<double>(shares);
+  return shares;
+}
+
+double EndpointLimits::OwnRate(kernel::Time now,
+                               const Run& run,
+                               const Limit& limit) const {
+  const Shares shares = SharesOf(run, limit);
+  if (shares.own_rank < shares.count) {
+    return shares.requests_per_second / static_cast<double>(shares.count);
   }
   return now - limit.named_at < kConfirmationTime
              ? 0
-             : total * kUsedPart / static_cast<double>(entries);
+             : shares.requests_per_second / static_cast<double>(shares.entries);
 }
 
 const EndpointLimits::Limit* EndpointLimits::Find(
@@ -134,35 +142,45 @@
                            std::span<const EndpointLimit> limits) {
   for (const EndpointLimit& limit : limits) {
     if (now - limit.named_at < kMaximumAge) {
-      Update(Run(limit.endpoint, limit.incarnation),
+      Update(now, Run(limit.endpoint, limit.incarnation),
              {limit.requests_per_second, std::min(limit.named_at, now)},
              kReportError);
     }
   }
 }
 
-bool EndpointLimits::Update(Run run,
-                            const Limit& limit,
+bool EndpointLimits::Update(kernel::Time now,
+                            Run run,
+                            Limit limit,
                             kernel::Duration minimum_difference) {
   const auto found = m_known.find(run);
-  if (found == m_known.end()) {
-    if (!limit.requests_per_second || m_known.size() >= kMaximumRuns) {
+  if (found == m_known.end() &&
+      (!limit.requests_per_second || m_known.size() >= kMaximumRuns)) {
+    return false;
+  }
+  const bool is_new =
+      found == m_known.end() ||
+      found->second.requests_per_second != limit.requests_per_second;
+  if (found != m_known.end()) {
+    const Limit& known = found->second;
+    if (limit.named_at < known.named_at + (is_new ? kernel::Duration::zero()
+                                                  : minimum_difference)) {
       return false;
     }
-    m_known.emplace(std::move(run), limit);
-    ++m_revision;
-    return true;
+    limit.next_request = known.next_request;
   }
-  Limit& known = found->second;
-  const bool differs = known.requests_per_second != limit.requests_per_second;
-  if (limit.named_at < known.named_at + (differs ? kernel::Duration::zero()
-                                                 : minimum_difference)) {
-    return false;
+  if (is_new && limit.requests_per_second) {
+    // All entries learn of it at about the same time; their requests alternate,
+    // so that the end of the limit is noticed soon as well.
+    const Shares shares = SharesOf(run, limit);
+    limit.next_request =
+        std::max(limit.next_request,
+                 now + FromSeconds(static_cast<double>(shares.own_rank) /
+                                   shares.requests_per_second));
   }
-  known.requests_per_second = limit.requests_per_second;
-  known.named_at = limit.named_at;
-  m_revision += differs ? 1 : 0;
-  return differs;
+  m_known.insert_or_assign(std::move(run), limit);
+  m_revision += is_new ? 1 : 0;
+  return is_new;
 }
 
 void EndpointLimits::OnTick(kernel::Time now) {
--- a/tests/direct/endpoint_limits_test.cc
+++ b/tests/direct/endpoint_limits_test.cc
@@ -3,8 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <initializer_list>
+#include <string>
+#include <vector>
 
 namespace radishrudder::direct {
 namespace {
@@ -81,6 +84,31 @@
   EXPECT_EQ(first.Revision(), 1U);
 }
 
+// Guards against all entries sending a request to an endpoint in need at the
+// moment at which they learn of its limit, and then none for seconds, in which
+// nobody would notice that the limit has ended.
+TEST(EndpointLimitsTest, RequestsOfEntriesAlternate) {
+  constexpr std::size_t kEntries = 4;
+  std::vector<EndpointLimits> entries;
+  for (std::size_t i = 0; i < kEntries; ++i) {
+    entries.emplace_back("entry-" + std::to_string(i));
+    for (std::size_t other = 0; other < kEntries; ++other) {
+      entries.back().OnEntry(kStart, "entry-" + std::to_string(other));
+    }
+  }
+  std::vector<kernel::Time> available;
+  for (EndpointLimits& limits : entries) {
+    const std::initializer_list<EndpointLimit> told{Told(1, kStart)};
+    limits.Merge(kStart, told);
+    available.push_back(limits.AvailableAt(kStart, kRun));
+  }
+  std::ranges::sort(available);
+  for (std::size_t i = 1; i < kEntries; ++i) {
+    EXPECT_GE(available[i] - available[i - 1], milliseconds(900));
+    EXPECT_LE(available[i] - available[i - 1], milliseconds(1300));
+  }
+}
+
 TEST(EndpointLimitsTest, ForgetsWhatNobodyNamesAnyMore) {
   EndpointLimits limits("entry-1");
   limits.OnNamed(kStart, kRun, 1);
--- a/tests/direct/limited_endpoints_test.cc
+++ b/tests/direct/limited_endpoints_test.cc
@@ -26,6 +26,13 @@
 constexpr double kFactor = 1.5;
 constexpr double kAdditionalRequests = 5;
 
+// Part of its limit that an endpoint gets when callers bring more.
+constexpr double kMinimumUsedPart = 0.5;
+// Time after the end of a limit at which all callers are served again.
+constexpr milliseconds kRecoveryTime{3000};
+// Part of what the other endpoints get that one gets after its limit.
+constexpr double kMinimumPartAfterwards = 0.3;
+
 constexpr milliseconds kStep{10};
 constexpr milliseconds kLimitFrom{12000};
 constexpr milliseconds kNewsDelay{250};
@@ -45,7 +52,8 @@
   milliseconds limit_until{40000};
   // An entry that knows nothing joins.
   std::optional<milliseconds> entry_joins{};
-  milliseconds answer_time{1000};
+  // Less than the time after which a silent endpoint counts as unresponsive.
+  milliseconds answer_time{300};
 };
 
 Configuration MakeConfiguration() {
@@ -119,7 +127,11 @@
                  arrival.at - m_start < to;
         }));
   }
-  std::size_t Refused() const { return m_refused; }
+  // Callers that were refused from that time on.
+  std::size_t RefusedFrom(milliseconds from) const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_refusals, [&](kernel::Time at) { return at - m_start >= from; }));
+  }
 
  private:
   struct Work {
@@ -206,26 +218,33 @@
       if (revision != m_revisions[i] && m_now >= m_next_news[i]) {
         m_revisions[i] = revision;
         m_next_news[i] = m_now + kNewsDelay;
-        for (std::size_t peer = 0; peer < kNewsFanOut; ++peer) {
-          Tell(i);
-        }
+        Tell(i, kNewsFanOut);
       }
     }
     if (m_now >= m_next_exchange) {
       m_next_exchange = m_now + kExchangeInterval;
       for (std::size_t i = 0; i < m_entries.size(); ++i) {
-        Tell(i);
+        Tell(i, 1);
       }
     }
   }
 
-  // An entry and a random other one send each other what they know.
-  void Tell(std::size_t entry) {
-    const std::size_t other = m_random.Below(m_entries.size());
-    for (const auto& [from, to] :
-         {std::pair(entry, other), std::pair(other, entry)}) {
-      m_reports.push_back({to, m_now, m_entries[from]->KnownEndpointLimits(),
-                           m_entries[from]->Demands(m_now)});
+  // An entry and some random others, each a different one, send each other
+  // what they know, as `peers` does.
+  void Tell(std::size_t entry, std::size_t count) {
+    std::set<std::size_t> others;
+    while (others.size() < std::min(count, m_entries.size() - 1)) {
+      const std::size_t other = m_random.Below(m_entries.size());
+      if (other != entry) {
+        others.insert(other);
+      }
+    }
+    for (const std::size_t other : others) {
+      for (const auto& [from, to] :
+           {std::pair(entry, other), std::pair(other, entry)}) {
+        m_reports.push_back({to, m_now, m_entries[from]->KnownEndpointLimits(),
+                             m_entries[from]->Demands(m_now)});
+      }
     }
   }
 
@@ -249,8 +268,10 @@
         m_arrivals.push_back({send->endpoint_id, entry, m_now + kDelay});
         m_work.push_back({entry, send->call, send->endpoint_id,
                           m_now + kDelay + m_load.answer_time});
-      } else if (std::holds_alternative<SendResponse>(output)) {
-        m_refused += std::get<SendResponse>(output).status == 503 ? 1 : 0;
+      } else if (const auto* reply = std::get_if<SendResponse>(&output)) {
+        if (reply->status == 503) {
+          m_refusals.push_back(m_now);
+        }
       }
     }
   }
@@ -289,7 +310,7 @@
   std::map<std::string, kernel::Time> m_first_named;  // By endpoint.
   std::map<std::pair<std::size_t, std::string>, kernel::Time> m_told;
   double m_due = 0;
-  std::size_t m_refused = 0;
+  std::vector<kernel::Time> m_refusals;
   CallId m_last_call = 0;
 };
 
@@ -310,19 +331,22 @@
       EXPECT_LE(fleet.MostInAWindow(endpoint), allowed)
           << endpoint << ", seed " << seed;
       // What it takes is used, and it is used as the others after that.
-      EXPECT_GE(static_cast<double>(fleet.Arrivals(
-                    endpoint, milliseconds(20000), milliseconds(40000))),
-                std::min(load.requests_per_second,
-                         load.calls_per_second /
-                             static_cast<double>(load.endpoints)) *
-                    20 * 0.3)
+      const double full =
+          load.calls_per_second / static_cast<double>(load.endpoints);
+      const auto rate = [&](milliseconds from, milliseconds to) {
+        return static_cast<double>(fleet.Arrivals(endpoint, from, to)) /
+               std::chrono::duration<double>(to - from).count();
+      };
+      EXPECT_GE(rate(milliseconds(20000), milliseconds(40000)),
+                std::min(load.requests_per_second, full) * kMinimumUsedPart)
           << endpoint << ", seed " << seed;
-      EXPECT_GE(
-          static_cast<double>(fleet.Arrivals(endpoint, milliseconds(45000),
-                                             milliseconds(50000))),
-          load.calls_per_second / static_cast<double>(load.endpoints) * 5 * 0.3)
+      EXPECT_GE(rate(load.limit_until + milliseconds(5000),
+                     load.limit_until + milliseconds(10000)),
+                full * kMinimumPartAfterwards)
           << endpoint << ", seed " << seed;
     }
+    EXPECT_EQ(fleet.RefusedFrom(load.limit_until + kRecoveryTime), 0U)
+        << "seed " << seed;
   }
 }
 
