platform: read the pace of endpoints, length estimates and engine figures

A load header with a fourth figure, how long work takes at present, was not read at all, so that of such endpoints no load was known. The callers' estimate of the answer's length and two figures of engines were not read either.

Three figures are decoded as before; a fourth one becomes the pace. Tests cover absent, absurd and malformed figures.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -36,7 +36,9 @@
   std::vector<std::string> prompt_parts{};
   double prompt_tokens = 0;          // 0: not stated.
   double maximum_answer_tokens = 0;  // 0: not stated.
-  kernel::Time received_at{};        // When its first byte was read.
+  // The caller's estimate of the answer's length; 0: not stated.
+  double answer_tokens_estimate = 0;
+  kernel::Time received_at{};  // When its first byte was read.
 };
 
 // Status and headers of an endpoint's response, decoded.
--- a/include/radishrudder/direct/configuration.h
+++ b/include/radishrudder/direct/configuration.h
@@ -54,6 +54,9 @@
   // Added to a step for each 1,000 tokens of context.
   double step_ms_per_1k_context = 0;
   double prompt_tokens_per_s = 0;
+  // Added for each million pairs of a prompt token and an earlier one.
+  double prompt_ms_per_million_pairs = 0;
+  std::uint32_t prompt_tokens_per_step = 0;  // At most; 0: not stated.
   std::uint32_t tokens_per_event =
       1;  // Generated in one pass, sent as one event.
   double mean_prompt_tokens = 0;
--- a/include/radishrudder/routing/endpoint.h
+++ b/include/radishrudder/routing/endpoint.h
@@ -15,6 +15,9 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t capacity = 0;  // Maximum concurrent calls; 0: unknown.
+  // How long work takes at present, relative to the usual time; nothing: not
+  // stated.
+  std::optional<double> pace{};
   // Time of the measurement on the clock of this process. A report without it
   // is taken to be `LoadSettings::report_lag` old on arrival.
   std::optional<kernel::Time> measured_at{};
--- a/tests/direct/shared_capacity_test.cc
+++ b/tests/direct/shared_capacity_test.cc
@@ -226,8 +226,9 @@
     head.attempt_id = "id-" + std::to_string(work.call);
     head.has_signature = true;
     head.load = routing::LoadReport{
-        running, static_cast<std::uint32_t>(queue.size()) - running, kSlots,
-        std::nullopt};
+        .running = running,
+        .waiting = static_cast<std::uint32_t>(queue.size()) - running,
+        .capacity = kSlots};
     m_entries[work.entry]->OnResponseHead(m_now, work.call, head);
   }
 
--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -227,6 +227,48 @@
   EXPECT_TRUE(answer.leaving);
 }
 
+struct LoadCase {
+  const char* name;
+  const char* header;
+  bool known;
+  std::optional<double> pace;
+};
+
+class LoadHeaderTest : public testing::TestWithParam<LoadCase> {};
+
+// Endpoints that state a fourth figure had no known load at all.
+TEST_P(LoadHeaderTest, DecodesLoadAndPace) {
+  exchange::ResponseHead head;
+  head.status = 200;
+  head.headers = {{"Radishrudder-Instance-Load", GetParam().header}};
+  const direct::EndpointResponse answer =
+      CallCodec::DecodeResponse(head, "i-1");
+  ASSERT_EQ(answer.load.has_value(), GetParam().known);
+  if (answer.load) {
+    EXPECT_EQ(answer.load->running, 3U);
+    EXPECT_EQ(answer.load->waiting, 1U);
+    EXPECT_EQ(answer.load->capacity, 8U);
+    EXPECT_EQ(answer.load->pace, GetParam().pace);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    LoadHeaderTest,
+    testing::Values(LoadCase{"ThreeFigures", "3,1,8", true, std::nullopt},
+                    LoadCase{"UsualPace", "3,1,8,100", true, 1},
+                    LoadCase{"SlowPace", "3, 1, 8, 250", true, 2.5},
+                    LoadCase{"MoreFigures", "3,1,8,50,7", true, 0.5},
+                    LoadCase{"NoPace", "3,1,8,", true, 1},
+                    LoadCase{"ZeroPace", "3,1,8,0", true, 1},
+                    LoadCase{"NegativePace", "3,1,8,-100", true, 1},
+                    LoadCase{"AbsurdPace", "3,1,8,1e300", true, 1},
+                    LoadCase{"TextPace", "3,1,8,slow", true, 1},
+                    LoadCase{"TwoFigures", "3,1", false, std::nullopt},
+                    LoadCase{"Malformed", "3,1,many,100", false, std::nullopt},
+                    LoadCase{"Empty", "", false, std::nullopt}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(CallCodecTest, TellsWhetherTheEndOfTheBodyIsMarked) {
   EXPECT_TRUE(
       CallCodec::DecodeResponse({.status = 200, .length = 3}, "i-1").delimited);
