direct: allowed regions, evacuated data centres and cold endpoints

A call uses only endpoints of the regions that its route and its workspace both allow, by the configuration in force at each attempt. Evacuations exclude the endpoints of a data centre and survive a store that comes back from an older copy. A cold endpoint gets its rate from all entries together; the division is that of limits which endpoints name.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -62,6 +62,8 @@
   // Requests that the endpoint takes from all entries together; absent if it
   // names no limit.
   std::optional<double> requests_per_second{};
+  // How long the endpoint stays cold; absent if it does not say.
+  std::optional<std::chrono::milliseconds> cold_time{};
   // What the endpoint says of itself in a form that could not be read, for the
   // log; empty: nothing.
   std::string unreadable{};
@@ -90,6 +92,7 @@
   kCrashingPrompt,   // A part of its prompt crashes endpoints.
   kCrashingRequest,  // The request crashes endpoints.
   kRequestOnTrial,   // The request may crash endpoints and is in progress.
+  kNoAllowedRegion,  // Its route and its workspace allow no common region.
 };
 std::string_view ToText(Reason reason);
 
@@ -191,6 +194,28 @@
   std::optional<double> requests_per_second{};
 };
 
+// A route and a workspace allow no common region, for the log.
+struct NoAllowedRegion {
+  std::string route{};
+  std::string workspace{};
+  std::uint64_t configuration = 0;  // Its version.
+};
+
+// A data centre is evacuated, or no longer, for the log.
+struct DataCentreEvacuated {
+  std::string data_centre{};
+  bool evacuated = false;
+  bool known = false;  // The settings name the data centre.
+};
+
+// An endpoint became cold, or is no longer, for the log.
+struct EndpointCold {
+  std::string service{};
+  std::string endpoint{};
+  bool cold = false;
+  std::chrono::milliseconds duration{0};  // For which it stays cold.
+};
+
 using Output = std::variant<SendAttempt,
                             CancelAttempt,
                             SendResponse,
@@ -203,7 +228,10 @@
                             RequestBlocked,
                             EndpointPaused,
                             EndpointLeaves,
-                            EndpointLimited>;
+                            EndpointLimited,
+                            NoAllowedRegion,
+                            DataCentreEvacuated,
+                            EndpointCold>;
 
 // Why an attempt ended without a complete response.
 enum class AttemptFailure {
--- a/include/radishrudder/direct/configuration.h
+++ b/include/radishrudder/direct/configuration.h
@@ -38,6 +38,8 @@
   std::chrono::milliseconds latency_target{0};    // 0: none.
   std::chrono::milliseconds event_gap_target{0};  // Between events; 0: none.
   std::vector<WeightedService> services{};        // At least one.
+  // Regions whose endpoints may take the calls; empty: all.
+  std::vector<std::string> allowed_regions{};
 
   // Whether a call may be retried after an attempt that may have been executed.
   bool IsRepeatable() const {
@@ -76,12 +78,19 @@
   std::string origin{};
   double origin_bytes_per_second = 0;
   std::string origin_data_centre{};
+  // An endpoint is cold for this long after its start, and takes this many
+  // requests a second, from all entries together, while it is cold. 0:
+  // endpoints are never cold.
+  std::chrono::milliseconds cold_start{0};
+  double cold_requests_per_second = 0;
 };
 
 struct WorkspaceRule {
   std::string name{};
   std::vector<std::string> keys{};
   std::optional<std::uint32_t> priority{};  // Overrides the route's priority.
+  // Regions whose endpoints may take the calls; empty: all.
+  std::vector<std::string> allowed_regions{};
 };
 
 struct CallerLimits {
@@ -115,6 +124,7 @@
                              std::string_view path) const;
   // Returns the workspace that owns a key, or null.
   const WorkspaceRule* FindWorkspace(std::string_view key) const;
+  const WorkspaceRule* FindWorkspaceByName(std::string_view name) const;
   const ServiceRule* FindService(std::string_view name) const;
   bool RequiresKeys() const { return !m_configuration.workspaces.empty(); }
 
--- a/include/radishrudder/direct/endpoint_list.h
+++ b/include/radishrudder/direct/endpoint_list.h
@@ -1,6 +1,7 @@
 #ifndef RADISHRUDDER_DIRECT_ENDPOINT_LIST_H_
 #define RADISHRUDDER_DIRECT_ENDPOINT_LIST_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -21,6 +22,8 @@
   std::uint32_t slots = 0;    // Maximum concurrent calls; 0: not stated.
   std::uint64_t started = 0;  // Unix time in milliseconds; 0: not stated.
   bool leaving = false;
+  // How long the endpoint stays cold, as of its entry in the list.
+  std::chrono::milliseconds cold_time{0};
   std::string model{};  // Empty: the endpoint holds no complete model.
   std::uint64_t model_version = 0;  // Version of all layers; 0: none, or mixed.
   // Store revision of the last change, and the era of the store that counts it.
--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -17,6 +17,7 @@
 #include "radishrudder/direct/crash_suspects.h"
 #include "radishrudder/direct/endpoint_limits.h"
 #include "radishrudder/direct/endpoint_list.h"
+#include "radishrudder/direct/evacuations.h"
 #include "radishrudder/kernel/boot_time.h"
 #include "radishrudder/kernel/random.h"
 #include "radishrudder/kernel/time.h"
@@ -105,6 +106,12 @@
   // nothing if it does not change.
   std::optional<kernel::Time> OnVersionDated(
       const VersionDeclaration& declaration);
+  // What the store says of evacuated data centres: all of it, or a change.
+  void OnEvacuations(kernel::Time now,
+                     std::span<const EvacuationItem> items,
+                     std::uint64_t era);
+  void OnEvacuated(kernel::Time now, const EvacuationItem& item);
+  void OnEvacuationTakenBack(kernel::Time now, const EvacuationItem& item);
   // The list of endpoints changed; `endpoints` is the complete new list.
   void OnEndpoints(kernel::Time now, std::vector<ListedEndpoint> endpoints);
 
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -165,6 +165,19 @@
 inline constexpr Event kEndpointLeaves{
     510, Level::kInfo, "endpoint-leaves",
     "An endpoint said in an answer that it leaves and gets no new calls."};
+inline constexpr Event kNoAllowedRegion{
+    511, Level::kWarning, "no-allowed-region",
+    "A route and a workspace allow no common region; their calls are refused."};
+inline constexpr Event kEvacuated{
+    512, Level::kInfo, "data-centre-evacuated",
+    "A data centre is evacuated; its endpoints get nothing new."};
+inline constexpr Event kEvacuationEnded{
+    513, Level::kInfo, "evacuation-ended",
+    "The evacuation of a data centre was taken back."};
+inline constexpr Event kEndpointCold{
+    514, Level::kInfo, "endpoint-cold",
+    "An endpoint takes only a limited rate of calls after its start, or no "
+    "longer."};
 inline constexpr Event kOrderSent{601, Level::kInfo, "order-sent",
                                   "The agent sent its endpoint an order."};
 inline constexpr Event kOrderRefused{602, Level::kWarning, "order-refused",
--- a/include/radishrudder/routing/router.h
+++ b/include/radishrudder/routing/router.h
@@ -38,6 +38,8 @@
   CallView call{};
   std::string_view manifest_digest{};  // Version that must run; empty: any.
   std::span<const std::string> excluded{};  // Instances already tried.
+  // Data centres whose endpoints may take the call; nothing: all.
+  std::optional<std::span<const std::string>> data_centres{};
   // Excludes endpoints whose estimated calls would exceed their capacity with
   // one more call.
   bool require_free_capacity = false;
--- a/include/radishrudder/serving/call_journal.h
+++ b/include/radishrudder/serving/call_journal.h
@@ -23,6 +23,10 @@
   void RecordPause(kernel::Time now, const direct::EndpointPaused& pause);
   void RecordLeaving(kernel::Time now, const direct::EndpointLeaves& leaves);
   void RecordLimit(kernel::Time now, const direct::EndpointLimited& limit);
+  void RecordNoAllowedRegion(kernel::Time now,
+                             const direct::NoAllowedRegion& refusal);
+  void RecordEvacuation(const direct::DataCentreEvacuated& evacuation);
+  void RecordCold(kernel::Time now, const direct::EndpointCold& cold);
   void LogFindings(const kernel::Findings& findings);
   void CountStoreEra() { m_metrics.Count("radishrudder_store_eras_total", {}); }
   void CountCallerDisconnected() {
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <system_error>
 #include <utility>
@@ -41,6 +42,7 @@
   { T::kEndpointPrefix } -> std::convertible_to<std::string_view>;
   { T::IsConfiguration(text) } -> std::same_as<bool>;
   { T::IsVersion(text) } -> std::same_as<bool>;
+  { T::EvacuatedDataCentre(text) } -> std::same_as<std::string_view>;
   T::DecodeConfiguration(text, findings);
   T::DecodeVersion(text, findings);
   T::DecodeEndpoint(item, findings);
@@ -315,6 +317,15 @@
   void Execute(direct::EndpointLimited& output) {
     m_journal.RecordLimit(kernel::Now(), output);
   }
+  void Execute(direct::NoAllowedRegion& output) {
+    m_journal.RecordNoAllowedRegion(kernel::Now(), output);
+  }
+  void Execute(direct::DataCentreEvacuated& output) {
+    m_journal.RecordEvacuation(output);
+  }
+  void Execute(direct::EndpointCold& output) {
+    m_journal.RecordCold(kernel::Now(), output);
+  }
   void Execute(direct::EndpointLeaves& output) {
     m_journal.RecordLeaving(kernel::Now(), output);
   }
@@ -325,6 +336,9 @@
 
   void OnOperatorOutput(dissemination::StoreOutput output) {
     if (auto* snapshot = std::get_if<dissemination::PrefixSnapshot>(&output)) {
+      // Evacuations first: calls that begin by this configuration obey them.
+      m_core.OnEvacuations(kernel::Now(), EvacuationsOf(snapshot->items),
+                           snapshot->era);
       for (const dissemination::StoreItem& item : snapshot->items) {
         OnOperatorItem(item, snapshot->previously_complete_at,
                        snapshot->failed_for);
@@ -332,6 +346,7 @@
     } else if (auto* changes =
                    std::get_if<dissemination::PrefixChanges>(&output)) {
       for (const dissemination::StoreItem& item : changes->items) {
+        OnEvacuationItem(item);
         OnOperatorItem(item, changes->previously_complete_at,
                        changes->failed_for);
       }
@@ -349,6 +364,34 @@
     TakeOutputs();
   }
 
+  static std::vector<direct::EvacuationItem> EvacuationsOf(
+      std::span<const dissemination::StoreItem> items) {
+    std::vector<direct::EvacuationItem> evacuations;
+    for (const dissemination::StoreItem& item : items) {
+      const std::string_view data_centre =
+          Platform::EvacuatedDataCentre(item.key);
+      if (!data_centre.empty() && !item.removed) {
+        evacuations.push_back({std::string(data_centre), item.revision});
+      }
+    }
+    return evacuations;
+  }
+
+  void OnEvacuationItem(const dissemination::StoreItem& item) {
+    const std::string_view data_centre =
+        Platform::EvacuatedDataCentre(item.key);
+    if (data_centre.empty()) {
+      return;
+    }
+    const direct::EvacuationItem evacuation{std::string(data_centre),
+                                            item.revision};
+    if (item.removed) {
+      m_core.OnEvacuationTakenBack(kernel::Now(), evacuation);
+    } else {
+      m_core.OnEvacuated(kernel::Now(), evacuation);
+    }
+  }
+
   void OnOperatorItem(const dissemination::StoreItem& item,
                       std::optional<kernel::BootTime> absent_at,
                       kernel::Duration store_failed_for) {
--- a/source/radishrudder/direct/configuration.cc
+++ b/source/radishrudder/direct/configuration.cc
@@ -69,6 +69,13 @@
                                  : &m_configuration.workspaces[found->second];
 }
 
+const WorkspaceRule* ConfigurationTable::FindWorkspaceByName(
+    std::string_view name) const {
+  const auto found =
+      std::ranges::find(m_configuration.workspaces, name, &WorkspaceRule::name);
+  return found == m_configuration.workspaces.end() ? nullptr : &*found;
+}
+
 const ServiceRule* ConfigurationTable::FindService(
     std::string_view name) const {
   const auto found = m_by_service.find(name);
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "radishrudder/direct/allowed_regions.h"
 #include "radishrudder/direct/request_digest.h"
 #include "source/radishrudder/direct/entry_state.h"
 
@@ -20,6 +21,11 @@
 // A configuration that another entry uses and the store has not returned for
 // this long counts as gone.
 constexpr std::chrono::seconds kMaximumSupersededTime{10};
+// A process that has just started has not heard of all other entries. Until it
+// should have, it takes a share of the rates of cold endpoints as if there were
+// at least so many.
+constexpr std::size_t kInitialEntryCount = 32;
+constexpr std::chrono::seconds kAcquaintanceTime{6};
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -74,6 +80,8 @@
       return "crashing-request";
     case Reason::kRequestOnTrial:
       return "request-on-trial";
+    case Reason::kNoAllowedRegion:
+      return "no-allowed-region";
   }
   return "none";
 }
@@ -168,6 +176,22 @@
   m_state->UpdatePools(now);
 }
 
+void Entry::OnEvacuations(kernel::Time now,
+                          std::span<const EvacuationItem> items,
+                          std::uint64_t era) {
+  m_state->ApplyEvacuations(now,
+                            m_state->evacuations.OnSnapshot(now, items, era));
+}
+
+void Entry::OnEvacuated(kernel::Time now, const EvacuationItem& item) {
+  m_state->ApplyEvacuations(now, m_state->evacuations.OnWritten(item));
+}
+
+void Entry::OnEvacuationTakenBack(kernel::Time now,
+                                  const EvacuationItem& item) {
+  m_state->ApplyEvacuations(now, m_state->evacuations.OnTakenBack(item));
+}
+
 void Entry::OnRequest(kernel::Time now,
                       kernel::BootTime boot_now,
                       CallId id,
@@ -259,11 +283,14 @@
   state.StopBlockedCalls(now);
   state.demand.OnTick(now);
   state.limits.OnTick(now);
+  state.TickColdRates(now);
+  state.ApplyEvacuations(now, state.evacuations.OnTick(now));
   state.suspect_parts.OnTick(now);
   state.suspect_requests.OnTick(now);
   for (const auto& [service, pool] : state.pools) {
     pool->OnTick(now);
   }
+  state.NoteColdChanges(now);
   std::vector<CallId> ids;
   ids.reserve(state.calls.size());
   for (const auto& [id, call] : state.calls) {
@@ -304,6 +331,7 @@
   m_state->demand.Merge(now, demands);
   for (const routing::Demand& demand : demands) {
     m_state->limits.OnEntry(now, demand.entry);
+    m_state->cold_rates.OnEntry(now, demand.entry);
   }
 }
 
@@ -318,6 +346,7 @@
 
 void Entry::OnEntryCount(std::size_t count) {
   m_state->limits.OnEntryCount(count);
+  m_state->entry_count = count;
 }
 
 std::vector<EndpointLimit> Entry::KnownEndpointLimits() const {
@@ -363,7 +392,10 @@
       suspect_parts(settings.crash_suspects),
       suspect_requests(SettingsForRequests(settings.crash_suspects, random)),
       demand(settings.name),
-      limits(settings.name) {}
+      limits(settings.name),
+      cold_rates(settings.name) {
+  cold_rates.OnEntryCount(kInitialEntryCount);
+}
 
 bool Entry::State::IsFresh(kernel::BootTime boot_now,
                            std::chrono::milliseconds maximum_age) const {
@@ -405,7 +437,11 @@
     found = pools
                 .emplace(std::string(service),
                          std::make_unique<ServicePool>(
-                             settings, limits, kernel::Random(random.Next())))
+                             settings,
+                             EndpointKnowledge{.limits = limits,
+                                               .cold_rates = cold_rates,
+                                               .evacuations = evacuations},
+                             kernel::Random(random.Next())))
                 .first;
     if (const ServiceRule* rule = configurations.FindService(service)) {
       found->second->Configure(*rule);
@@ -421,6 +457,71 @@
   UpdatePools(now);
 }
 
+void Entry::State::TickColdRates(kernel::Time now) {
+  if (!first_tick) {
+    first_tick = now;
+  }
+  cold_rates.OnEntryCount(now - *first_tick < kAcquaintanceTime
+                              ? std::max(entry_count, kInitialEntryCount)
+                              : entry_count);
+  cold_rates.OnTick(now);
+}
+
+void Entry::State::NoteColdChanges(kernel::Time now) {
+  for (const auto& [service, pool] : pools) {
+    for (ColdChange& change : pool->TakeColdChanges()) {
+      Emit(EndpointCold{
+          .service = service,
+          .endpoint = std::move(change.endpoint),
+          .cold = change.cold,
+          .duration = std::chrono::duration_cast<std::chrono::milliseconds>(
+              change.cold ? change.until - now : kernel::Duration::zero())});
+    }
+  }
+}
+
+void Entry::State::ApplyEvacuations(kernel::Time now,
+                                    std::span<const EvacuationChange> changes) {
+  for (const EvacuationChange& change : changes) {
+    Emit(DataCentreEvacuated{
+        .data_centre = change.data_centre,
+        .evacuated = change.evacuated,
+        .known = settings.regions.contains(change.data_centre)});
+  }
+  if (!changes.empty()) {
+    for (const auto& [service, pool] : pools) {
+      pool->OnEvacuations(now);
+    }
+  }
+}
+
+std::optional<std::vector<std::string>> Entry::State::AllowedDataCentresOf(
+    const Call& call) const {
+  const RouteRule* route =
+      configurations.FindRoute(call.request->host, call.request->path);
+  const WorkspaceRule* workspace =
+      call.workspace.empty()
+          ? nullptr
+          : configurations.FindWorkspaceByName(call.workspace);
+  return AllowedDataCentres(
+      route != nullptr ? route->allowed_regions : call.route.allowed_regions,
+      workspace != nullptr ? workspace->allowed_regions
+                           : std::vector<std::string>(),
+      settings.regions);
+}
+
+void Entry::State::NoteNoAllowedRegion(const Call& call) {
+  const std::uint64_t version = configurations.Current().version;
+  if (std::exchange(logged_configuration, version) != version) {
+    logged_without_region.clear();
+  }
+  if (logged_without_region.emplace(call.route.name, call.workspace).second) {
+    Emit(NoAllowedRegion{.route = call.route.name,
+                         .workspace = call.workspace,
+                         .configuration = version});
+  }
+}
+
 void Entry::State::RequireVersions(kernel::Time now) {
   for (auto& [model, versions] : declared) {
     std::uint64_t required = 0;
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -40,7 +40,8 @@
 constexpr milliseconds kMinimumRetryAfter{250};
 constexpr milliseconds kMaximumRetryAfter{900};
 // Retry-After for a request that crashes endpoints: the time that it is blocked
-// at least.
+// at least. Also for one that no region may serve, until its configuration
+// changes.
 constexpr milliseconds kBlockedRetryAfter{30000};
 // Events of one attempt after which its prompt counts as harmless. An endpoint
 // that crashes on a prompt ends within two passes, one event each.
@@ -94,7 +95,8 @@
 
 milliseconds Entry::State::RetryAfter(Reason reason,
                                       kernel::Duration available_after) {
-  if (reason == Reason::kCrashingPrompt || reason == Reason::kCrashingRequest) {
+  if (reason == Reason::kCrashingPrompt || reason == Reason::kCrashingRequest ||
+      reason == Reason::kNoAllowedRegion) {
     return kBlockedRetryAfter;
   }
   const milliseconds wait = std::chrono::ceil<milliseconds>(available_after);
@@ -201,12 +203,19 @@
     FailCall(now, call, reason);
     return;
   }
+  const auto data_centres = AllowedDataCentresOf(call);
+  if (data_centres && data_centres->empty()) {
+    NoteNoAllowedRegion(call);
+    FailCall(now, call, Reason::kNoAllowedRegion);
+    return;
+  }
   ServicePool& pool = Pool(call.service);
   const EndpointRequirements requirements{
       .excluded = call.excluded,
       .version = call.response_started ? call.version : std::nullopt,
       .require_free_capacity = require_free_capacity,
-      .capacity_share = demand.Share(now, call.service)};
+      .capacity_share = demand.Share(now, call.service),
+      .data_centres = data_centres};
   const SelectedEndpoint selected = pool.SelectEndpoint(now, requirements);
   if (selected.available_after) {
     FailCall(now, call, Reason::kAllPaused, *selected.available_after);
@@ -499,6 +508,9 @@
                         .requested = *response.requested_pause,
                         .duration = ToMilliseconds(*until - now)});
   }
+  if (response.cold_time) {
+    pool.OnColdTime(now, run, *response.cold_time);
+  }
   // Only an answer that is certainly the endpoint's own ends a limit.
   if ((response.requests_per_second || IsAuthentic(response)) &&
       limits.OnNamed(now, run, response.requests_per_second)) {
@@ -515,8 +527,10 @@
     return;
   }
   if (!m_state->Pool(call->service)
-           .MaySend(now, m_state->RunOf(*call->attempt))) {
-    // The endpoint said so while this attempt waited for a connection.
+           .MaySend(now, m_state->RunOf(*call->attempt),
+                    m_state->AllowedDataCentresOf(*call))) {
+    // The endpoint wants no requests, or may take this one no longer, since the
+    // attempt began to wait for a connection.
     m_state->Emit(CancelAttempt{id});
     call->attempt.reset();
     m_state->StartAttempt(now, *call, /*require_free_capacity=*/true);
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -4,8 +4,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "radishrudder/direct/configuration_age.h"
@@ -122,6 +125,15 @@
   bool IsFresh(kernel::BootTime boot_now,
                std::chrono::milliseconds maximum_age) const;
   std::string ChooseService(const RouteRule& route);
+  // The data centres that may take a call by the configuration in force;
+  // nothing: all.
+  std::optional<std::vector<std::string>> AllowedDataCentresOf(
+      const Call& call) const;
+  void NoteNoAllowedRegion(const Call& call);
+  void ApplyEvacuations(kernel::Time now,
+                        std::span<const EvacuationChange> changes);
+  void TickColdRates(kernel::Time now);
+  void NoteColdChanges(kernel::Time now);
   ServicePool& Pool(std::string_view service);
   void ApplyConfiguration(kernel::Time now);
   void RequireVersions(kernel::Time now);
@@ -164,7 +176,16 @@
   CrashSuspects<PromptPartSignature> suspect_parts;
   CrashSuspects<RequestSignature> suspect_requests;
   routing::DemandShares demand;
-  EndpointLimits limits;  // Outlives the pools, which use it.
+  // The pools use the next three, which outlive them.
+  EndpointLimits limits;
+  EndpointLimits cold_rates;
+  Evacuations evacuations;
+  std::size_t entry_count = 1;  // As told last.
+  std::optional<kernel::Time> first_tick;
+  // Routes and workspaces without a common region that were logged, in the
+  // configuration of `logged_configuration`.
+  std::set<std::pair<std::string, std::string>> logged_without_region;
+  std::uint64_t logged_configuration = 0;
   bool endpoints_known = false;
   bool draining = false;
   std::vector<ListedEndpoint> endpoints;
--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "radishrudder/direct/allowed_regions.h"
+
 namespace radishrudder::direct {
 namespace {
 
@@ -48,16 +50,21 @@
 
 }  // namespace
 
+const std::optional<std::vector<std::string>> EndpointRequirements::kAnywhere;
+
 ServicePool::ServicePool(const EntrySettings& settings,
-                         EndpointLimits& limits,
+                         const EndpointKnowledge& knowledge,
                          kernel::Random random)
     : m_settings(settings),
-      m_limits(limits),
+      m_limits(knowledge.limits),
+      m_evacuations(knowledge.evacuations),
+      m_cold(knowledge.cold_rates),
       m_router(RouterSettingsOf(settings), random),
       m_budget(settings.retry_budget_ratio, settings.maximum_saved_retries) {}
 
 void ServicePool::Configure(const ServiceRule& rule) {
   m_engine = rule.engine;
+  m_cold.Configure(rule);
 }
 
 void ServicePool::Update(kernel::Time now,
@@ -69,6 +76,7 @@
       m_router.SetDefaultCapacity(CapacityOf(endpoint.slots));
     }
   }
+  m_cold.OnList(now, endpoints);
   UpdateRouter(now);
 }
 
@@ -84,7 +92,7 @@
     kernel::Time now,
     const EndpointRequirements& requirements) {
   const std::string version = VersionName(requirements.version.value_or(0));
-  Unavailable unavailable = FindUnavailable(now);
+  Unavailable unavailable = FindUnavailable(now, requirements.data_centres);
   if (unavailable.first_available_at) {
     return {.reason = routing::NoRoute::kRefusing,
             .available_after = *unavailable.first_available_at - now};
@@ -96,11 +104,13 @@
       .manifest_digest = version,
       .excluded = excluded,
       .require_free_capacity = requirements.require_free_capacity};
+  if (requirements.data_centres) {
+    request.data_centres = *requirements.data_centres;
+  }
   routing::Route route = m_router.Choose(now, request);
   if (route.instance.empty() &&
       route.reason == routing::NoRoute::kNoFreeCapacity &&
-      IsBelowShare(requirements.capacity_share,
-                   m_capacity - unavailable.capacity)) {
+      IsBelowShare(requirements, unavailable.capacity)) {
     request.require_free_capacity = false;
     route = m_router.Choose(now, request);
   }
@@ -113,24 +123,28 @@
     selected.model_version = found->second.model_version;
     m_pauses.OnSelected(now, {found->first, route.incarnation});
     m_limits.OnSelected(now, {found->first, route.incarnation});
+    m_cold.OnSelected(now, {found->first, route.incarnation});
   }
   return selected;
 }
 
-ServicePool::Unavailable ServicePool::FindUnavailable(kernel::Time now) const {
+ServicePool::Unavailable ServicePool::FindUnavailable(
+    kernel::Time now,
+    const std::optional<std::vector<std::string>>& data_centres) const {
   Unavailable unavailable;
-  if (m_pauses.IsEmpty() && m_limits.IsEmpty()) {
+  if (m_pauses.IsEmpty() && m_limits.IsEmpty() && m_cold.IsEmpty()) {
     return unavailable;
   }
   kernel::Time first = kernel::Time::max();
   bool others = false;
   for (const auto& [id, listed] : m_listed) {
-    if (!CanBeUsed(listed)) {
+    if (!CanBeUsed(listed) || !IsAllowed(data_centres, listed.data_centre)) {
       continue;
     }
     const routing::EndpointRun run{id, listed.started};
     const kernel::Time available_at =
-        std::max(m_pauses.AvailableAt(run), m_limits.AvailableAt(now, run));
+        std::max({m_pauses.AvailableAt(run), m_limits.AvailableAt(now, run),
+                  m_cold.AvailableAt(now, run)});
     if (available_at <= now) {
       others = true;
       continue;
@@ -173,9 +187,22 @@
   m_pauses.OnAnswered(now, run);
 }
 
-bool ServicePool::MaySend(kernel::Time now,
-                          const routing::EndpointRun& run) const {
-  return !m_pauses.IsPaused(now, run) && !HasLeft(run);
+void ServicePool::OnColdTime(kernel::Time now,
+                             const routing::EndpointRun& run,
+                             kernel::Duration cold_time) {
+  m_cold.OnColdTime(now, run, cold_time);
+}
+
+bool ServicePool::MaySend(
+    kernel::Time now,
+    const routing::EndpointRun& run,
+    const std::optional<std::vector<std::string>>& data_centres) const {
+  const auto listed = m_listed.find(run.instance);
+  const bool excluded_place =
+      listed != m_listed.end() &&
+      (m_evacuations.Contains(listed->second.data_centre) ||
+       !IsAllowed(data_centres, listed->second.data_centre));
+  return !m_pauses.IsPaused(now, run) && !HasLeft(run) && !excluded_place;
 }
 
 void ServicePool::OnLoad(kernel::Time now,
@@ -193,8 +220,24 @@
   m_router.OnEndpoint(now, endpoint);
 }
 
-bool ServicePool::IsBelowShare(double share, double capacity) const {
-  return m_attempts + 1 <= share * kUsableShare * capacity;
+bool ServicePool::IsBelowShare(const EndpointRequirements& requirements,
+                               double unavailable_capacity) const {
+  double attempts = m_attempts;
+  double capacity = m_capacity;
+  if (requirements.data_centres) {
+    attempts = 0;
+    capacity = 0;
+    for (const auto& [id, listed] : m_listed) {
+      if (!IsAllowed(requirements.data_centres, listed.data_centre)) {
+        continue;
+      }
+      const auto state = m_response_states.find(id);
+      attempts += state != m_response_states.end() ? state->second.attempts : 0;
+      capacity += CanBeUsed(listed) ? CapacityOf(listed.slots) : 0;
+    }
+  }
+  return attempts + 1 <= requirements.capacity_share * kUsableShare *
+                             (capacity - unavailable_capacity);
 }
 
 std::uint32_t ServicePool::CapacityOf(std::uint32_t slots) const {
@@ -265,6 +308,7 @@
 
 void ServicePool::OnTick(kernel::Time now) {
   m_pauses.OnTick(now);
+  m_cold.OnTick(now);
   std::erase_if(m_leaving, [this, now](const auto& item) {
     return now - item.second >= kLeavingLifetime &&
            !m_listed.contains(item.first.first);
@@ -299,6 +343,7 @@
   // An endpoint without a complete model, or with too old a version, cannot
   // serve calls.
   return !listed.leaving && !excluded &&
+         !m_evacuations.Contains(listed.data_centre) &&
          !HasLeft({listed.id, listed.started}) &&
          (!m_engine || (listed.model_version > 0 &&
                         listed.model_version >= m_required_version));
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -15,8 +15,10 @@
 #include "radishrudder/direct/configuration.h"
 #include "radishrudder/direct/endpoint_list.h"
 #include "radishrudder/direct/entry.h"
+#include "radishrudder/direct/evacuations.h"
 #include "radishrudder/kernel/random.h"
 #include "radishrudder/routing/router.h"
+#include "source/radishrudder/direct/cold_endpoints.h"
 #include "source/radishrudder/direct/endpoint_pauses.h"
 
 namespace radishrudder::direct {
@@ -41,14 +43,25 @@
   // Part of the service's capacity that this entry may use even if its
   // endpoints appear to be full.
   double capacity_share = 0;
+  // Data centres whose endpoints may be used; nothing: all.
+  const std::optional<std::vector<std::string>>& data_centres = kAnywhere;
+
+  static const std::optional<std::vector<std::string>> kAnywhere;
+};
+
+// What an entry knows of all endpoints, whatever their service.
+struct EndpointKnowledge {
+  EndpointLimits& limits;
+  EndpointLimits& cold_rates;  // Those of cold endpoints.
+  const Evacuations& evacuations;
 };
 
 // The endpoints of one service, as seen by this entry.
 class ServicePool {
  public:
-  // `limits` are those of all endpoints and must outlive the pool.
+  // What `knowledge` refers to must outlive the pool.
   ServicePool(const EntrySettings& settings,
-              EndpointLimits& limits,
+              const EndpointKnowledge& knowledge,
               kernel::Random random);
 
   void Configure(const ServiceRule& rule);
@@ -85,8 +98,18 @@
   bool OnLeaving(kernel::Time now, const routing::EndpointRun& run);
   // The endpoint answered without asking for a pause.
   void OnResponded(kernel::Time now, const routing::EndpointRun& run);
+  // The endpoint said in an answer how long it stays cold.
+  void OnColdTime(kernel::Time now,
+                  const routing::EndpointRun& run,
+                  kernel::Duration cold_time);
   // Whether an attempt for which the run was selected may still be sent to it.
-  bool MaySend(kernel::Time now, const routing::EndpointRun& run) const;
+  bool MaySend(
+      kernel::Time now,
+      const routing::EndpointRun& run,
+      const std::optional<std::vector<std::string>>& data_centres) const;
+  // The evacuated data centres changed.
+  void OnEvacuations(kernel::Time now) { UpdateRouter(now); }
+  std::vector<ColdChange> TakeColdChanges() { return m_cold.TakeChanges(); }
 
   // Bytes of a response arrived from an endpoint.
   void OnDataReceived(kernel::Time now, std::string_view id);
@@ -109,11 +132,15 @@
     std::optional<kernel::Time> first_available_at{};
   };
 
-  Unavailable FindUnavailable(kernel::Time now) const;
+  Unavailable FindUnavailable(
+      kernel::Time now,
+      const std::optional<std::vector<std::string>>& data_centres) const;
   bool CanBeUsed(const ListedEndpoint& listed) const;
   bool HasLeft(const routing::EndpointRun& run) const;
-  // Whether this entry uses less than its share of a capacity.
-  bool IsBelowShare(double share, double capacity) const;
+  // Whether this entry uses less than its share of the capacity in the data
+  // centres, without `unavailable_capacity`.
+  bool IsBelowShare(const EndpointRequirements& requirements,
+                    double unavailable_capacity) const;
   // Whether an endpoint responds to its attempts.
   struct ResponseState {
     std::uint32_t attempts = 0;  // In progress.
@@ -136,6 +163,8 @@
 
   const EntrySettings& m_settings;
   EndpointLimits& m_limits;
+  const Evacuations& m_evacuations;
+  ColdEndpoints m_cold;
   routing::Router m_router;
   calls::RetryBudget m_budget;
   EndpointPauses m_pauses;
--- a/source/radishrudder/routing/router.cc
+++ b/source/radishrudder/routing/router.cc
@@ -276,7 +276,11 @@
   const bool is_excluded =
       std::find(request.excluded.begin(), request.excluded.end(),
                 endpoint.instance) != request.excluded.end();
-  if (endpoint.leaving || !runs_version || is_excluded ||
+  const bool is_elsewhere =
+      request.data_centres &&
+      std::ranges::find(*request.data_centres, endpoint.data_centre) ==
+          request.data_centres->end();
+  if (endpoint.leaving || !runs_version || is_excluded || is_elsewhere ||
       now < tracked.refusing_until ||
       (request.require_free_capacity && !HasFreeCapacity(now, slot))) {
     return Eligibility::kIneligible;
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -112,6 +112,44 @@
   }
 }
 
+void CallJournal::RecordNoAllowedRegion(
+    kernel::Time now,
+    const direct::NoAllowedRegion& refusal) {
+  m_metrics.Count("radishrudder_routes_without_region_total", {});
+  if (TryTakeLine(now)) {
+    logging::Log(logging::kNoAllowedRegion,
+                 {{"instance", m_instance},
+                  {"route", refusal.route},
+                  {"workspace", refusal.workspace},
+                  {"configuration", std::to_string(refusal.configuration)}});
+  }
+}
+
+void CallJournal::RecordEvacuation(
+    const direct::DataCentreEvacuated& evacuation) {
+  m_metrics.Count("radishrudder_evacuation_changes_total",
+                  {{"data_centre", evacuation.data_centre}});
+  logging::Log(
+      evacuation.evacuated ? logging::kEvacuated : logging::kEvacuationEnded,
+      {{"instance", m_instance},
+       {"data_centre", evacuation.data_centre},
+       {"known", evacuation.known ? "yes" : "no"}});
+}
+
+void CallJournal::RecordCold(kernel::Time now,
+                             const direct::EndpointCold& cold) {
+  m_metrics.Count("radishrudder_endpoint_cold_changes_total",
+                  {{"service", cold.service}});
+  if (TryTakeLine(now)) {
+    logging::Log(logging::kEndpointCold,
+                 {{"instance", m_instance},
+                  {"service", cold.service},
+                  {"endpoint", cold.endpoint},
+                  {"cold", cold.cold ? "yes" : "no"},
+                  {"duration_ms", std::to_string(cold.duration.count())}});
+  }
+}
+
 void CallJournal::Record(kernel::Time now, const direct::CallRecord& record) {
   const std::string reason(direct::ToText(record.reason));
   if (record.kind == direct::CallRecord::Kind::kEnded) {
