--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -76,6 +76,8 @@
         m_random(random),
         m_pool(context, {}),
         m_fetcher(context, m_pool),
+        m_origin_pool(context, {.maximum_idle = 0}),
+        m_origin_fetcher(context, m_origin_pool),
         m_links(context, [this](std::string_view frame) { OnFrame(frame); }),
         m_version_follower(context,
                            m_fetcher,
@@ -467,7 +469,7 @@
   }
   void Execute(staging::FetchPieceList& output) {
     const staging::VersionId version = output.version;
-    m_fetcher.Fetch(
+    m_origin_fetcher.Fetch(
         m_origin.origin, Platform::Endpoint::EncodePieceList(version),
         kOriginTimeout,
         [this, version](std::optional<exchange::FetchedAnswer> response) {
@@ -485,7 +487,7 @@
   }
   void Execute(staging::FetchPiece& output) {
     const staging::FetchPiece fetch = output;
-    m_fetcher.Fetch(
+    m_origin_fetcher.Fetch(
         m_origin.origin,
         Platform::Endpoint::EncodePiece(fetch.version, fetch.index),
         kOriginTimeout,
@@ -650,6 +652,10 @@
   kernel::Random m_random;
   exchange::EndpointPool m_pool;
   exchange::Fetcher m_fetcher;
+  // Keeps no connection: the origin accepts fewer than there are instances, and
+  // idle ones would keep out the instances that still have chunks to fetch.
+  exchange::EndpointPool m_origin_pool;
+  exchange::Fetcher m_origin_fetcher;
   exchange::FrameLinks m_links;
   StoreFollower<typename Platform::Store> m_version_follower;
   dissemination::InstanceListRelay m_instance_list;
