direct: ignore older revisions of evacuations

An older write of an evacuated data centre lowered its revision, so that an older removal ended the evacuation. A removal that arrived before an older write was not remembered, so that the write evacuated the data centre again.

Both compare revisions now.

--- a/source/radishrudder/direct/evacuations.cc
+++ b/source/radishrudder/direct/evacuations.cc
@@ -1,5 +1,7 @@
 #include "radishrudder/direct/evacuations.h"
 
+#include <algorithm>
+
 namespace radishrudder::direct {
 namespace {
 
@@ -58,28 +60,38 @@
     }
     m_taken_back.erase(taken_back);
   }
-  const bool known = m_evacuated.contains(item.data_centre);
-  if (!known && m_evacuated.size() >= kMaximumDataCentres) {
+  const auto known = m_evacuated.find(item.data_centre);
+  if (known != m_evacuated.end()) {
+    // The revision of one that is kept is of another era.
+    if (known->second.ends_at || item.revision > known->second.revision) {
+      known->second = {.revision = item.revision};
+    }
     return {};
   }
-  m_evacuated[item.data_centre] = {.revision = item.revision};
-  if (known) {
+  if (m_evacuated.size() >= kMaximumDataCentres) {
     return {};
   }
+  m_evacuated[item.data_centre] = {.revision = item.revision};
   return {{item.data_centre, true}};
 }
 
 std::vector<EvacuationChange> Evacuations::OnTakenBack(
     const EvacuationItem& item) {
   const auto found = m_evacuated.find(item.data_centre);
-  if (found == m_evacuated.end() ||
-      (!found->second.ends_at && item.revision < found->second.revision)) {
+  const bool known = found != m_evacuated.end();
+  if (known && !found->second.ends_at &&
+      item.revision < found->second.revision) {
     return {};
   }
-  m_evacuated.erase(found);
-  if (m_taken_back.size() < kMaximumDataCentres) {
-    m_taken_back[item.data_centre] = item.revision;
+  if (m_taken_back.contains(item.data_centre) ||
+      m_taken_back.size() < kMaximumDataCentres) {
+    std::uint64_t& revision = m_taken_back[item.data_centre];
+    revision = std::max(revision, item.revision);
+  }
+  if (!known) {
+    return {};
   }
+  m_evacuated.erase(found);
   return {{item.data_centre, false}};
 }
 
