direct: check the place of attempts to endpoints that are not listed

An attempt that waited for a connection to an endpoint which vanished from the list, or was listed as another run elsewhere, was sent although its data centre had been evacuated or its region was no longer allowed: the place was unknown and counted as allowed.

Such an attempt is chosen again if anything is evacuated or the call is limited to regions.

--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -197,11 +197,14 @@
     kernel::Time now,
     const routing::EndpointRun& run,
     const std::optional<std::vector<std::string>>& data_centres) const {
+  // Where a run is that is not listed any more is unknown.
   const auto listed = m_listed.find(run.instance);
+  const bool place_known =
+      listed != m_listed.end() && listed->second.started == run.incarnation;
   const bool excluded_place =
-      listed != m_listed.end() &&
-      (m_evacuations.Contains(listed->second.data_centre) ||
-       !IsAllowed(data_centres, listed->second.data_centre));
+      place_known ? m_evacuations.Contains(listed->second.data_centre) ||
+                        !IsAllowed(data_centres, listed->second.data_centre)
+                  : data_centres.has_value() || !m_evacuations.IsEmpty();
   return !m_pauses.IsPaused(now, run) && !HasLeft(run) && !excluded_place;
 }
 
