direct: calls keep the regions of a removed workspace or route

A call in progress whose workspace was no longer in the configuration lost the limits of the workspace and could be retried in any region; one whose route was removed went back to the lists of its admission.

Calls in progress take over the lists of each new configuration and keep the last ones where a configuration has none. Attempts no longer look up their route and workspace.

--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -239,6 +239,7 @@
   call.priority = route->priority;
   if (workspace != nullptr) {
     call.workspace = workspace->name;
+    call.workspace_regions = workspace->allowed_regions;
     call.priority = workspace->priority.value_or(call.priority);
   }
   call.configuration_age =
@@ -454,6 +455,7 @@
   for (const ServiceRule& rule : configurations.Current().services) {
     Pool(rule.name).Configure(rule);
   }
+  UpdateAllowedRegions();
   UpdatePools(now);
 }
 
@@ -497,17 +499,25 @@
 
 std::optional<std::vector<std::string>> Entry::State::AllowedDataCentresOf(
     const Call& call) const {
-  const RouteRule* route =
-      configurations.FindRoute(call.request->host, call.request->path);
-  const WorkspaceRule* workspace =
-      call.workspace.empty()
-          ? nullptr
-          : configurations.FindWorkspaceByName(call.workspace);
-  return AllowedDataCentres(
-      route != nullptr ? route->allowed_regions : call.route.allowed_regions,
-      workspace != nullptr ? workspace->allowed_regions
-                           : std::vector<std::string>(),
-      settings.regions);
+  return AllowedDataCentres(call.route.allowed_regions, call.workspace_regions,
+                            settings.regions);
+}
+
+void Entry::State::UpdateAllowedRegions() {
+  for (auto& [id, call] : calls) {
+    const RouteRule* route =
+        configurations.FindRoute(call.request->host, call.request->path);
+    if (route != nullptr) {
+      call.route.allowed_regions = route->allowed_regions;
+    }
+    const WorkspaceRule* workspace =
+        call.workspace.empty()
+            ? nullptr
+            : configurations.FindWorkspaceByName(call.workspace);
+    if (workspace != nullptr) {
+      call.workspace_regions = workspace->allowed_regions;
+    }
+  }
 }
 
 void Entry::State::NoteNoAllowedRegion(const Call& call) {
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -45,6 +45,9 @@
   RouteRule route{};
   std::string service{};
   std::string workspace{};
+  // Regions that the workspace allows, by the last configuration that has it;
+  // those of the route are in `route`.
+  std::vector<std::string> workspace_regions{};
   std::uint32_t priority = 0;
   kernel::Time deadline{};
   std::chrono::milliseconds configuration_age{0};
@@ -125,10 +128,12 @@
   bool IsFresh(kernel::BootTime boot_now,
                std::chrono::milliseconds maximum_age) const;
   std::string ChooseService(const RouteRule& route);
-  // The data centres that may take a call by the configuration in force;
-  // nothing: all.
+  // The data centres that may take a call; nothing: all.
   std::optional<std::vector<std::string>> AllowedDataCentresOf(
       const Call& call) const;
+  // Calls in progress use the lists of a new configuration. One whose route or
+  // workspace is gone keeps the last lists rather than losing its limits.
+  void UpdateAllowedRegions();
   void NoteNoAllowedRegion(const Call& call);
   void ApplyEvacuations(kernel::Time now,
                         std::span<const EvacuationChange> changes);
