direct: consider endpoints of all data centres if calls are limited to regions

An entry follows 64 endpoints, the nearest first. With 201 endpoints, of which one was in the allowed region, its calls were refused at an entry elsewhere.

While a route or a workspace has regions, at least 16 endpoints of each data centre are followed. Nothing changes for other configurations and for services of up to 64 endpoints.

--- a/include/radishrudder/direct/configuration.h
+++ b/include/radishrudder/direct/configuration.h
@@ -126,6 +126,8 @@
   const WorkspaceRule* FindWorkspace(std::string_view key) const;
   const WorkspaceRule* FindWorkspaceByName(std::string_view name) const;
   const ServiceRule* FindService(std::string_view name) const;
+  // Whether a route or a workspace allows only some regions.
+  bool LimitsRegions() const;
   bool RequiresKeys() const { return !m_configuration.workspaces.empty(); }
 
  private:
--- a/include/radishrudder/routing/endpoint_subset.h
+++ b/include/radishrudder/routing/endpoint_subset.h
@@ -17,6 +17,9 @@
   // so that calls can still be routed when the nearest one is at capacity or
   // unavailable.
   double remote_fraction = 0.25;
+  // Endpoints of each data centre that the subset has in any case, beyond its
+  // size if need be, for calls that may use only some data centres.
+  std::uint32_t minimum_per_data_centre = 0;
 };
 
 // Selects the endpoints that the entry named `entry` sends calls to. Endpoints
--- a/include/radishrudder/routing/router.h
+++ b/include/radishrudder/routing/router.h
@@ -93,6 +93,10 @@
   bool SetPolicy(std::string_view name);
   // Sets the capacity, in calls, assumed for endpoints that report none.
   void SetDefaultCapacity(double calls) { m_loads.SetDefaultCapacity(calls); }
+  // Applies from the next list of endpoints on.
+  void SetMinimumPerDataCentre(std::uint32_t endpoints) {
+    m_settings.subset.minimum_per_data_centre = endpoints;
+  }
   // Replaces the list of all endpoints of the service and selects the subset
   // again.
   void OnEndpoints(kernel::Time now, std::span<const Endpoint> endpoints);
--- a/source/radishrudder/direct/configuration.cc
+++ b/source/radishrudder/direct/configuration.cc
@@ -76,6 +76,14 @@
   return found == m_configuration.workspaces.end() ? nullptr : &*found;
 }
 
+bool ConfigurationTable::LimitsRegions() const {
+  const auto is_limited = [](const auto& rule) {
+    return !rule.allowed_regions.empty();
+  };
+  return std::ranges::any_of(m_configuration.routes, is_limited) ||
+         std::ranges::any_of(m_configuration.workspaces, is_limited);
+}
+
 const ServiceRule* ConfigurationTable::FindService(
     std::string_view name) const {
   const auto found = m_by_service.find(name);
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -447,6 +447,7 @@
     if (const ServiceRule* rule = configurations.FindService(service)) {
       found->second->Configure(*rule);
     }
+    found->second->LimitDataCentres(configurations.LimitsRegions());
   }
   return *found->second;
 }
@@ -455,6 +456,10 @@
   for (const ServiceRule& rule : configurations.Current().services) {
     Pool(rule.name).Configure(rule);
   }
+  const bool limited = configurations.LimitsRegions();
+  for (const auto& [service, pool] : pools) {
+    pool->LimitDataCentres(limited);
+  }
   UpdateAllowedRegions();
   UpdatePools(now);
 }
--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -10,6 +10,9 @@
 
 // Number of endpoints that an entry sends calls to.
 constexpr std::uint32_t kSubsetSize = 64;
+// Endpoints of each data centre among them if calls are limited to regions:
+// those of a distant region would be left out otherwise and its calls refused.
+constexpr std::uint32_t kMinimumPerDataCentre = 16;
 // Nominal one-way delays to data centres in the same region and in another one;
 // only their order matters.
 constexpr double kSameRegionSeconds = 0.001;
@@ -67,6 +70,10 @@
   m_cold.Configure(rule);
 }
 
+void ServicePool::LimitDataCentres(bool limited) {
+  m_router.SetMinimumPerDataCentre(limited ? kMinimumPerDataCentre : 0);
+}
+
 void ServicePool::Update(kernel::Time now,
                          std::span<const ListedEndpoint> endpoints) {
   m_listed.clear();
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -65,6 +65,9 @@
               kernel::Random random);
 
   void Configure(const ServiceRule& rule);
+  // Whether some calls may use only the endpoints of some data centres. Applies
+  // from the next list on.
+  void LimitDataCentres(bool limited);
   // Replaces the list of the service's endpoints.
   void Update(kernel::Time now, std::span<const ListedEndpoint> endpoints);
   // Endpoints with an older version of the model get no further calls.
--- a/source/radishrudder/routing/endpoint_subset.cc
+++ b/source/radishrudder/routing/endpoint_subset.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 
 #include "radishrudder/kernel/hash.h"
 
@@ -56,6 +57,29 @@
   return unsuspected;
 }
 
+// Appends endpoints of the data centres that have too few in `subset`.
+void AppendMissing(std::span<const RankedEndpoint> ranked,
+                   std::span<const Endpoint> endpoints,
+                   std::size_t minimum,
+                   std::vector<std::size_t>& subset) {
+  if (minimum == 0 || subset.size() == ranked.size()) {
+    return;
+  }
+  std::map<std::string_view, std::size_t> counts;
+  std::vector<bool> selected(endpoints.size());
+  for (const std::size_t index : subset) {
+    ++counts[endpoints[index].data_centre];
+    selected[index] = true;
+  }
+  for (const RankedEndpoint& endpoint : ranked) {
+    std::size_t& count = counts[endpoints[endpoint.index].data_centre];
+    if (!selected[endpoint.index] && count < minimum) {
+      ++count;
+      subset.push_back(endpoint.index);
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<std::size_t> SelectSubset(std::string_view entry,
@@ -79,6 +103,7 @@
   const std::size_t near_unsuspected =
       AppendEndpoints(near, endpoints, settings.size - remote_places, subset);
   AppendEndpoints(remote, endpoints, settings.size - near_unsuspected, subset);
+  AppendMissing(ranked, endpoints, settings.minimum_per_data_centre, subset);
   return subset;
 }
 
