--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -10,6 +10,9 @@
 
 // Number of endpoints that an entry sends calls to.
 constexpr std::uint32_t kSubsetSize = 64;
+// Endpoints of each data centre among them if calls are limited to regions:
+// those of a distant region would be left out otherwise and its calls refused.
+constexpr std::uint32_t kMinimumPerDataCentre = 16;
 // Nominal one-way delays to data centres in the same region and in another one;
 // only their order matters.
 constexpr double kSameRegionSeconds = 0.001;
@@ -67,6 +70,10 @@
   m_cold.Configure(rule);
 }
 
+void ServicePool::LimitDataCentres(bool limited) {
+  m_router.SetMinimumPerDataCentre(limited ? kMinimumPerDataCentre : 0);
+}
+
 void ServicePool::Update(kernel::Time now,
                          std::span<const ListedEndpoint> endpoints) {
   m_listed.clear();
@@ -197,11 +204,14 @@
     kernel::Time now,
     const routing::EndpointRun& run,
     const std::optional<std::vector<std::string>>& data_centres) const {
+  // Where a run is that is not listed any more is unknown.
   const auto listed = m_listed.find(run.instance);
+  const bool place_known =
+      listed != m_listed.end() && listed->second.started == run.incarnation;
   const bool excluded_place =
-      listed != m_listed.end() &&
-      (m_evacuations.Contains(listed->second.data_centre) ||
-       !IsAllowed(data_centres, listed->second.data_centre));
+      place_known ? m_evacuations.Contains(listed->second.data_centre) ||
+                        !IsAllowed(data_centres, listed->second.data_centre)
+                  : data_centres.has_value() || !m_evacuations.IsEmpty();
   return !m_pauses.IsPaused(now, run) && !HasLeft(run) && !excluded_place;
 }
 
