routing: choose the endpoint with the least predicted wait

least-loaded-of-two compares numbers of calls, which ignores prompts that are still to be read, long answers and the pace of an endpoint.

least-predicted-wait draws three candidates of the nearest data centre and three of the others and compares the predicted time to the first event, with penalties for a late end, pauses, a second very large call in one batch and the distance.

--- a/include/radishrudder/routing/candidate_draw.h
+++ b/include/radishrudder/routing/candidate_draw.h
@@ -1,6 +1,7 @@
 #ifndef RADISHRUDDER_ROUTING_CANDIDATE_DRAW_H_
 #define RADISHRUDDER_ROUTING_CANDIDATE_DRAW_H_
 
+#include <array>
 #include <cstddef>
 #include <span>
 
@@ -19,6 +20,22 @@
 // order. With a single candidate both indices are 0. `count` must be positive.
 CandidatePair DrawTwo(std::size_t count, kernel::Random& random);
 
+// Draws up to three different indices below `count`, uniformly and in random
+// order. The result has as many as there are, at most three.
+class CandidateDraw {
+ public:
+  CandidateDraw(std::size_t count, kernel::Random& random);
+  std::span<const std::size_t> Indices() const {
+    return std::span(m_indices).first(m_size);
+  }
+
+ private:
+  static constexpr std::size_t kMaximum = 3;
+
+  std::array<std::size_t, kMaximum> m_indices{};
+  std::size_t m_size = 0;
+};
+
 // Returns the estimated calls divided by the capacity, which counts as at
 // least one call.
 double RelativeLoad(const Candidate& candidate);
--- a/include/radishrudder/routing/endpoint.h
+++ b/include/radishrudder/routing/endpoint.h
@@ -39,10 +39,16 @@
   bool load_known = true;  // False: `load` must be ignored.
 };
 
-// One run of an endpoint's agent.
+// Identifies a call among those that one entry has in flight; 0: none.
+using CallId = std::uint64_t;
+
+// One run of an endpoint's agent, and optionally an attempt at it.
 struct EndpointRun {
   std::string_view instance;
   std::uint64_t incarnation = 0;
+  // The attempt whose remaining work is followed; only `Router` uses it. The
+  // same value is passed when the attempt is sent, progresses and ends.
+  CallId call = 0;
 };
 
 // Index of an endpoint within one router; reused after the endpoint has been
--- a/include/radishrudder/routing/policy_anchors.h
+++ b/include/radishrudder/routing/policy_anchors.h
@@ -10,6 +10,7 @@
 void AnchorRoundRobinPolicy();
 void AnchorLeastLoadedOfTwoPolicy();
 void AnchorLeastExpectedLatencyPolicy();
+void AnchorLeastPredictedWaitPolicy();
 void AnchorPrefixAffinityPolicy();
 
 }  // namespace radishrudder::routing
--- a/include/radishrudder/routing/router.h
+++ b/include/radishrudder/routing/router.h
@@ -15,11 +15,13 @@
 #include "radishrudder/routing/ejection.h"
 #include "radishrudder/routing/endpoint.h"
 #include "radishrudder/routing/endpoint_subset.h"
+#include "radishrudder/routing/engine_model.h"
 #include "radishrudder/routing/latency_estimate.h"
 #include "radishrudder/routing/load_view.h"
 #include "radishrudder/routing/policy.h"
 #include "radishrudder/routing/prefix_index.h"
 #include "radishrudder/routing/spill.h"
+#include "radishrudder/routing/work_view.h"
 
 namespace radishrudder::routing {
 
@@ -93,6 +95,9 @@
   bool SetPolicy(std::string_view name);
   // Sets the capacity, in calls, assumed for endpoints that report none.
   void SetDefaultCapacity(double calls) { m_loads.SetDefaultCapacity(calls); }
+  // Sets the performance model of the service's engines; nothing: not known.
+  // With it, policies that use predictions get them for calls with a cost.
+  void SetEngine(std::optional<EngineFigures> figures) { m_engine = figures; }
   // Replaces the list of all endpoints of the service and selects the subset
   // again.
   void OnEndpoints(kernel::Time now, std::span<const Endpoint> endpoints);
@@ -106,7 +111,11 @@
                      const CacheEvents& events);
 
   Route Choose(kernel::Time now, const RouteRequest& request);
+  // The remaining work of the attempt is followed if `run.call` is not 0 and
+  // the call has a cost.
   void OnSent(kernel::Time now, const EndpointRun& run, const CallView& call);
+  // The attempt `run.call` has received `events` events of its stream so far.
+  void OnProgress(const EndpointRun& run, std::uint32_t events);
   void OnAnswered(kernel::Time now,
                   const EndpointRun& run,
                   const Answer& answer);
@@ -159,6 +168,12 @@
   void RefreshMeanLatency();
   void CollectCandidates(kernel::Time now, const RouteRequest& request);
   Candidate MakeCandidate(kernel::Time now, Slot slot, const CallView& call);
+  // Whether the policy gets predictions for this call.
+  bool Predicts(const CallView& call) const;
+  void AddPrediction(kernel::Time now,
+                     Slot slot,
+                     const CallView& call,
+                     Candidate& candidate) const;
   bool HasFreeCapacity(kernel::Time now, Slot slot) const;
   // Returns a route without an instance, with the reason.
   Route MakeNoRoute(kernel::Time now, const RouteRequest& request) const;
@@ -168,6 +183,8 @@
   kernel::Random m_random;
   std::unique_ptr<Policy> m_policy;
   LoadView m_loads;
+  WorkView m_work;
+  std::optional<EngineFigures> m_engine;
   Ejection m_ejection;
   PrefixIndex m_prefixes;
   std::vector<Tracked> m_tracked;  // By slot.
--- a/include/radishrudder/routing/work_view.h
+++ b/include/radishrudder/routing/work_view.h
@@ -12,14 +12,17 @@
 
 namespace radishrudder::routing {
 
-// Identifies a call within one router; 0: none.
-using CallId = std::uint64_t;
-
 // Work that the endpoints of one service still have to do: the remaining work
 // of this entry's calls, and the pace in the endpoints' reports. The number of
 // calls comes from `LoadView`, which already separates own from other calls.
 class WorkView {
  public:
+  // `report_lag` is the assumed age on arrival of a report without a
+  // measurement time.
+  explicit WorkView(
+      kernel::Duration report_lag = std::chrono::milliseconds(250))
+      : m_report_lag(report_lag) {}
+
   void Add(Slot slot);
   void Remove(Slot slot);
 
@@ -32,8 +35,14 @@
                   std::uint32_t events,
                   double tokens_per_event);
   void OnEnded(Slot slot, CallId id);
-  // Takes the pace in a report, unless there is none or a newer one is known.
-  void OnReport(kernel::Time measured_at, Slot slot, const LoadReport& report);
+  // Takes the pace in a report, unless there is none or a newer one is known. A
+  // report without a measurement time that equals the one before is taken for a
+  // repetition of it and ignored.
+  void OnReport(kernel::Time now, Slot slot, const LoadReport& report);
+  // Takes the pace in a report that was measured at a known time.
+  void OnMeasured(kernel::Time measured_at,
+                  Slot slot,
+                  const LoadReport& report);
 
   // Updates the mean pace that all endpoints use. Call it before `WorkAt`.
   void Refresh(kernel::Time now);
@@ -58,12 +67,14 @@
     double largest_tokens = 0;
     std::optional<double> pace{};
     kernel::Time pace_at{};
+    std::optional<LoadReport> newest_untimed{};  // Without measurement time.
   };
 
   static double RemainingTokens(const OwnCall& call);
   static void Sum(EndpointState& state);
   static OwnCall* Find(EndpointState& state, CallId id);
 
+  kernel::Duration m_report_lag;
   std::vector<EndpointState> m_endpoints;  // By slot.
   double m_mean_pace = 1;
 };
--- a/source/radishrudder/routing/built_in_policies.cc
+++ b/source/radishrudder/routing/built_in_policies.cc
@@ -9,6 +9,7 @@
   AnchorRoundRobinPolicy();
   AnchorLeastLoadedOfTwoPolicy();
   AnchorLeastExpectedLatencyPolicy();
+  AnchorLeastPredictedWaitPolicy();
   AnchorPrefixAffinityPolicy();
 }
 
--- a/source/radishrudder/routing/candidate_draw.cc
+++ b/source/radishrudder/routing/candidate_draw.cc
@@ -26,6 +26,16 @@
   return pair;
 }
 
+CandidateDraw::CandidateDraw(std::size_t count, kernel::Random& random) {
+  while (m_size < std::min(count, kMaximum)) {
+    const std::size_t drawn = random.Below(count);
+    if (std::ranges::find(Indices(), drawn) == Indices().end()) {
+      m_indices[m_size] = drawn;
+      ++m_size;
+    }
+  }
+}
+
 double RelativeLoad(const Candidate& candidate) {
   return candidate.estimated_calls / Capacity(candidate);
 }
--- a/source/radishrudder/routing/router.cc
+++ b/source/radishrudder/routing/router.cc
@@ -15,6 +15,10 @@
 // time, unless a new run of it appears.
 constexpr kernel::Duration kLeavingRefusalTime = std::chrono::seconds(60);
 
+// Tokens of a very large call, in mean calls. About 1% of calls are larger if
+// sizes are exponentially distributed.
+constexpr double kVeryLargeCalls = 5;
+
 kernel::Duration FromSeconds(double seconds) {
   return std::chrono::duration_cast<kernel::Duration>(
       std::chrono::duration<double>(seconds));
@@ -26,6 +30,7 @@
     : m_settings(std::move(settings)),
       m_random(random),
       m_loads(m_settings.load),
+      m_work(m_settings.load.report_lag),
       m_ejection(m_settings.ejection),
       m_prefixes(m_settings.prefixes) {
   RegisterBuiltInPolicies();
@@ -82,13 +87,18 @@
 Route Router::Choose(kernel::Time now, const RouteRequest& request) {
   m_loads.Refresh(now);
   RefreshMeanLatency();
+  if (Predicts(request.call)) {
+    m_work.Refresh(now);
+  }
   CollectCandidates(now, request);
   if (m_candidates.empty()) {
     return MakeNoRoute(now, request);
   }
   const std::span<const Candidate> candidates(m_candidates);
   const std::size_t count =
-      CountUsableCandidates(candidates, m_settings.spill, m_random);
+      Predicts(request.call)
+          ? candidates.size()
+          : CountUsableCandidates(candidates, m_settings.spill, m_random);
   const std::size_t chosen =
       m_policy->Choose(request.call, candidates.first(count), m_random);
   const Slot slot = *Find(m_candidates[chosen].instance);
@@ -108,6 +118,16 @@
   if (call.prefix_hash != 0) {
     m_prefixes.OnCallSent(now, *slot, call.prefix_hash);
   }
+  if (run.call != 0 && call.cost != nullptr) {
+    m_work.OnStarted(*slot, run.call, *call.cost);
+  }
+}
+
+void Router::OnProgress(const EndpointRun& run, std::uint32_t events) {
+  const std::optional<Slot> slot = FindRun(run);
+  if (slot && run.call != 0 && m_engine) {
+    m_work.OnProgress(*slot, run.call, events, m_engine->tokens_per_event);
+  }
 }
 
 void Router::OnAnswered(kernel::Time now,
@@ -121,8 +141,10 @@
   tracked.latency.OnSample(now, answer.first_byte);
   m_ejection.OnSucceeded(now, *slot);
   if (answer.load) {
-    m_loads.OnResponseLoad(now, *slot, *answer.load,
-                           FromSeconds(tracked.endpoint.distance_seconds));
+    const kernel::Duration delay =
+        FromSeconds(tracked.endpoint.distance_seconds);
+    m_loads.OnResponseLoad(now, *slot, *answer.load, delay);
+    m_work.OnMeasured(now - delay, *slot, *answer.load);
   }
 }
 
@@ -180,6 +202,7 @@
   m_tracked[slot].endpoint = endpoint;
   m_slots.emplace(endpoint.instance, slot);
   m_loads.Add(slot);
+  m_work.Add(slot);
   m_ejection.Add(slot);
   m_prefixes.Add(slot);
   return slot;
@@ -189,6 +212,7 @@
   m_slots.erase(m_tracked[slot].endpoint.instance);
   m_tracked[slot] = Tracked();
   m_loads.Remove(slot);
+  m_work.Remove(slot);
   m_ejection.Remove(slot);
   m_prefixes.Remove(slot);
   m_free_slots.push_back(slot);
@@ -200,6 +224,7 @@
   Tracked& tracked = m_tracked[slot];
   if (tracked.endpoint.incarnation != endpoint.incarnation) {
     m_loads.Add(slot);
+    m_work.Add(slot);
     m_ejection.Add(slot);
     m_prefixes.Add(slot);
     tracked.latency = {};
@@ -208,6 +233,7 @@
   tracked.endpoint = endpoint;
   if (endpoint.load_known) {
     m_loads.OnReport(now, slot, endpoint.load);
+    m_work.OnReport(now, slot, endpoint.load);
   }
 }
 
@@ -245,6 +271,7 @@
     return std::nullopt;
   }
   m_loads.OnEnded(now, *slot);
+  m_work.OnEnded(*slot, run.call);
   if (!m_tracked[*slot].in_subset && m_loads.LocalCalls(*slot) == 0) {
     Untrack(*slot);
     return std::nullopt;
@@ -341,7 +368,30 @@
     candidate.cached_prefix_share =
         call.prefix_share * m_prefixes.Likelihood(now, slot, call.prefix_hash);
   }
+  if (Predicts(call)) {
+    AddPrediction(now, slot, call, candidate);
+  }
   return candidate;
 }
 
+bool Router::Predicts(const CallView& call) const {
+  return m_engine && call.cost != nullptr && m_policy->UsesPredictions();
+}
+
+void Router::AddPrediction(kernel::Time now,
+                           Slot slot,
+                           const CallView& call,
+                           Candidate& candidate) const {
+  const EndpointWork work =
+      m_work.WorkAt(now, slot, candidate.estimated_calls, candidate.capacity);
+  CallCost cost = *call.cost;
+  cost.prompt_tokens *= 1 - candidate.cached_prefix_share;
+  candidate.prediction = Predict(*m_engine, work, cost);
+  const double very_large = kVeryLargeCalls * (m_engine->mean_prompt_tokens +
+                                               m_engine->mean_answer_tokens);
+  candidate.beside_very_large_call =
+      very_large > 0 && work.own_largest_tokens > very_large &&
+      cost.prompt_tokens + cost.answer_tokens_high > very_large;
+}
+
 }  // namespace radishrudder::routing
--- a/source/radishrudder/routing/work_view.cc
+++ b/source/radishrudder/routing/work_view.cc
@@ -22,6 +22,11 @@
   return std::exp2(-std::max(0.0, age.count()) / kPaceHalfLifeSeconds);
 }
 
+bool IsSame(const LoadReport& a, const LoadReport& b) {
+  return a.running == b.running && a.waiting == b.waiting &&
+         a.capacity == b.capacity && a.pace == b.pace;
+}
+
 }  // namespace
 
 void WorkView::Add(Slot slot) {
@@ -61,9 +66,21 @@
   Sum(state);
 }
 
-void WorkView::OnReport(kernel::Time measured_at,
-                        Slot slot,
-                        const LoadReport& report) {
+void WorkView::OnReport(kernel::Time now, Slot slot, const LoadReport& report) {
+  if (report.measured_at) {
+    OnMeasured(*report.measured_at, slot, report);
+    return;
+  }
+  std::optional<LoadReport>& newest = m_endpoints[slot].newest_untimed;
+  if (!newest || !IsSame(*newest, report)) {
+    newest = report;
+    OnMeasured(now - m_report_lag, slot, report);
+  }
+}
+
+void WorkView::OnMeasured(kernel::Time measured_at,
+                          Slot slot,
+                          const LoadReport& report) {
   EndpointState& state = m_endpoints[slot];
   const bool sane = report.pace && *report.pace >= kMinimumPace &&
                     *report.pace <= kMaximumPace;
--- a/tests/routing/policy_test.cc
+++ b/tests/routing/policy_test.cc
@@ -67,6 +67,7 @@
                                          "round-robin",
                                          "least-loaded-of-two",
                                          "least-expected-latency",
+                                         "least-predicted-wait",
                                          "prefix-affinity"));
 
 class LoadAwarePolicyTest : public testing::TestWithParam<const char*> {};
@@ -86,6 +87,7 @@
 INSTANTIATE_TEST_SUITE_P(BuiltIn,
                          LoadAwarePolicyTest,
                          testing::Values("least-loaded-of-two",
+                                         "least-predicted-wait",
                                          "least-expected-latency",
                                          "prefix-affinity"));
 
@@ -102,6 +104,7 @@
 INSTANTIATE_TEST_SUITE_P(BuiltIn,
                          HerdingPolicyTest,
                          testing::Values("least-loaded-of-two",
+                                         "least-predicted-wait",
                                          "least-expected-latency",
                                          "prefix-affinity"));
 
--- a/tests/routing/work_view_test.cc
+++ b/tests/routing/work_view_test.cc
@@ -24,7 +24,7 @@
   }
 
   void Report(std::int64_t measured_ms, Slot slot, double pace) {
-    m_view.OnReport(At(measured_ms), slot, {.pace = pace});
+    m_view.OnMeasured(At(measured_ms), slot, {.pace = pace});
   }
 
   WorkView m_view;
@@ -105,6 +105,16 @@
   EXPECT_NEAR(WorkAt(1'000).pace, 2, 1e-9);
 }
 
+// Guards against a repeated list entry that makes an old pace look fresh.
+TEST_F(WorkViewTest, IgnoresRepetitionsOfAReportWithoutTime) {
+  m_view.OnReport(At(1'000), kSlot, {.running = 2, .pace = 3});
+  EXPECT_NEAR(WorkAt(1'000).report_age_s, 0.25, 1e-9);
+  m_view.OnReport(At(2'000), kSlot, {.running = 2, .pace = 3});
+  EXPECT_NEAR(WorkAt(2'000).report_age_s, 1.25, 1e-9);
+  m_view.OnReport(At(2'000), kSlot, {.running = 3, .pace = 3});
+  EXPECT_NEAR(WorkAt(2'000).report_age_s, 0.25, 1e-9);
+}
+
 TEST_F(WorkViewTest, IgnoresAbsentAndAbsurdPaces) {
   Report(0, kSlot, 2);
   m_view.OnReport(At(1), kSlot, {});
