direct: calls are placed by cost and rank, and wait for a place

A call was refused as soon as no endpoint looked free, whoever it was, and its size and priority decided nothing.

Where the routes of a service differ in priority, or an endpoint states its pace, calls go to the endpoint with the least predicted wait, less urgent ones leave places free for more urgent ones, and a call waits at the entry as long as a place would still serve it in its target. Endpoints are told the priority. An endpoint that refuses calls again and again gets none for up to 0.8 s. Other services are served as before.

--- a/include/radishrudder/routing/router.h
+++ b/include/radishrudder/routing/router.h
@@ -45,6 +45,9 @@
   // Excludes endpoints whose estimated calls would exceed their capacity with
   // one more call.
   bool require_free_capacity = false;
+  // Part of an endpoint's capacity that counts for `require_free_capacity`;
+  // over 1: some calls may queue there.
+  double places_share = 1;
 };
 
 // Why no endpoint can take a call. If the reason differs between endpoints, the
@@ -178,7 +181,7 @@
                      Slot slot,
                      const CallView& call,
                      Candidate& candidate) const;
-  bool HasFreeCapacity(kernel::Time now, Slot slot) const;
+  bool HasFreeCapacity(kernel::Time now, Slot slot, double places_share) const;
   // Returns a route without an instance, with the reason.
   Route MakeNoRoute(kernel::Time now, const RouteRequest& request) const;
   std::string ExplainEndpoint(kernel::Time now, Slot slot) const;
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -257,7 +257,11 @@
     return;
   }
   Call& inserted = state.calls.emplace(id, std::move(call)).first->second;
+  inserted.cost = state.costs.Estimate(state.FeaturesOf(inserted));
   state.demand.OnOffered(inserted.service);
+  if (state.Pool(inserted.service).PlacesByCost()) {
+    state.Admission(inserted.service).OnArrived(now, inserted.priority);
+  }
   state.Pool(inserted.service).Budget().Earn();
   state.StartAttempt(now, inserted, /*require_free_capacity=*/true);
 }
@@ -274,7 +278,12 @@
           .OnAbandoned(now, m_state->RunOf(*call->attempt));
     }
   }
+  const std::string service = call->service;
+  if (call->waiting) {
+    m_state->Admission(service).Remove(id);
+  }
   m_state->calls.erase(id);
+  m_state->ServeWaiting(now, service);
 }
 
 void Entry::OnTick(kernel::Time now) {
@@ -292,6 +301,10 @@
     pool->OnTick(now);
   }
   state.NoteColdChanges(now);
+  for (const auto& [service, admission] : state.admissions) {
+    state.ServeWaiting(now, service);
+  }
+  state.RefuseExpiredWaiting(now);
   std::vector<CallId> ids;
   ids.reserve(state.calls.size());
   for (const auto& [id, call] : state.calls) {
@@ -445,7 +458,7 @@
                              kernel::Random(random.Next())))
                 .first;
     if (const ServiceRule* rule = configurations.FindService(service)) {
-      found->second->Configure(*rule);
+      found->second->Configure(*rule, RanksDiffer(service));
     }
     found->second->LimitDataCentres(configurations.LimitsRegions());
   }
@@ -454,7 +467,7 @@
 
 void Entry::State::ApplyConfiguration(kernel::Time now) {
   for (const ServiceRule& rule : configurations.Current().services) {
-    Pool(rule.name).Configure(rule);
+    Pool(rule.name).Configure(rule, RanksDiffer(rule.name));
   }
   const bool limited = configurations.LimitsRegions();
   for (const auto& [service, pool] : pools) {
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -142,6 +142,8 @@
   record.detail = call.detail;
   record.events = call.events.EventsReturned();
   record.prompt_parts = call.request->prompt_parts;
+  record.priority = call.priority;
+  record.waited = ToMilliseconds(call.waited);
   if (reason != Reason::kNone && call.may_have_run) {
     record.request_digest = DigestOf(call);
   }
@@ -167,6 +169,9 @@
                             Call& call,
                             Reason reason,
                             kernel::Duration available_after) {
+  if (call.waiting) {
+    Admission(call.service).Remove(call.id);
+  }
   if (call.response_started) {
     Emit(AbortResponse{call.id});
     End(now, call, 0, reason);
@@ -192,64 +197,6 @@
   return call.route.kind == RouteKind::kStream;
 }
 
-void Entry::State::StartAttempt(kernel::Time now,
-                                Call& call,
-                                bool require_free_capacity) {
-  if (HasTooLittleTime(now, call)) {
-    FailCall(now, call, Reason::kTimeout);
-    return;
-  }
-  if (const Reason reason = BlockReason(now, call); reason != Reason::kNone) {
-    FailCall(now, call, reason);
-    return;
-  }
-  const auto data_centres = AllowedDataCentresOf(call);
-  if (data_centres && data_centres->empty()) {
-    NoteNoAllowedRegion(call);
-    FailCall(now, call, Reason::kNoAllowedRegion);
-    return;
-  }
-  ServicePool& pool = Pool(call.service);
-  const EndpointRequirements requirements{
-      .excluded = call.excluded,
-      .version = call.response_started ? call.version : std::nullopt,
-      .require_free_capacity = require_free_capacity,
-      .capacity_share = demand.Share(now, call.service),
-      .data_centres = data_centres};
-  const SelectedEndpoint selected = pool.SelectEndpoint(now, requirements);
-  if (selected.available_after) {
-    FailCall(now, call, Reason::kAllPaused, *selected.available_after);
-    return;
-  }
-  if (selected.id.empty()) {
-    const bool busy = selected.reason == routing::NoRoute::kNoFreeCapacity ||
-                      selected.reason == routing::NoRoute::kRefusing;
-    FailCall(now, call, busy ? Reason::kAllBusy : Reason::kNoEndpoint);
-    return;
-  }
-  CurrentAttempt attempt;
-  attempt.endpoint = selected.id;
-  attempt.incarnation = selected.incarnation;
-  attempt.started = now;
-  attempt.last_progress = now;
-  attempt.model_version = selected.model_version;
-  attempt.earlier_events = call.events.EventsReturned();
-  call.attempt = std::move(attempt);
-  SendAttempt send{.call = call.id};
-  send.address = selected.address;
-  send.endpoint_id = selected.id;
-  send.time_left = ToMilliseconds(call.deadline - now);
-  send.workspace = call.workspace;
-  if (call.response_started && call.version) {
-    send.expected_version = call.version;
-  } else if (pool.RequiredVersion() > 0 && pool.Engine()) {
-    send.expected_version = selected.model_version;
-  }
-  send.last_event_id = call.response_started ? call.events.LastId()
-                                             : call.request->last_event_id;
-  Emit(std::move(send));
-}
-
 bool Entry::State::TryReserveRetry(kernel::Time now, Call& call) {
   return call.attempts < call.route.maximum_attempts &&
          !HasTooLittleTime(now, call) && Pool(call.service).Budget().TryTake();
@@ -313,6 +260,10 @@
   if (!attempt.event_received) {
     attempt.event_received = true;
     attempt.first_byte = now - attempt.started;
+    const auto admission = admissions.find(call.service);
+    if (admission != admissions.end()) {
+      admission->second.OnFirstByte(attempt.first_byte);
+    }
     if (!call.response_started) {
       call.response_started = true;
       call.version = attempt.response->version;
@@ -320,8 +271,11 @@
                          attempt.response->response_headers});
     }
   }
-  if (call.events.EventsReturned() >=
-      attempt.earlier_events + kHarmlessEvents) {
+  const std::uint64_t event_count =
+      call.events.EventsReturned() - attempt.earlier_events;
+  Pool(call.service)
+      .OnProgress(RunOf(attempt), static_cast<std::uint32_t>(event_count));
+  if (event_count >= kHarmlessEvents) {
     ClearSuspicion(now, call);
   }
   Emit(SendResponseBody{call.id, std::move(events)});
@@ -438,6 +392,9 @@
 }
 
 void Entry::State::CheckTimeouts(kernel::Time now, Call& call) {
+  if (!call.attempt) {
+    return;  // It waits for a place, which has a time limit of its own.
+  }
   const CurrentAttempt& attempt = *call.attempt;
   if (now >= call.deadline + kDeadlineGrace) {
     Emit(CancelAttempt{call.id});
@@ -538,7 +495,8 @@
   }
   call->attempt->sent = true;
   ++call->attempts;
-  m_state->Pool(call->service).OnSent(now, m_state->RunOf(*call->attempt));
+  m_state->Pool(call->service)
+      .OnSent(now, m_state->RunOf(*call->attempt), m_state->ViewOf(now, *call));
 }
 
 ResponseVerdict Entry::OnResponseHead(kernel::Time now,
@@ -643,6 +601,7 @@
   if (status >= kFirstServerError) {
     pool.OnFailed(now, m_state->RunOf(attempt));
   } else {
+    m_state->LearnCost(*call, stream);
     pool.OnAnswered(now, m_state->RunOf(attempt),
                     {.first_byte = attempt.first_byte});
     // Without a marked end, a stream may have ended with its endpoint.
@@ -660,7 +619,9 @@
                      .headers = std::move(attempt.response->response_headers),
                      .body = std::move(attempt.body)});
   }
+  const std::string service = call->service;
   m_state->End(now, *call, status, Reason::kNone);
+  m_state->ServeWaiting(now, service);
 }
 
 void Entry::OnAttemptFailed(kernel::Time now,
--- /dev/null
+++ b/source/radishrudder/direct/entry_placement.cc
@@ -0,0 +1,229 @@
+// Which calls are sent, wait for a place at an endpoint, or are refused.
+#include <algorithm>
+#include <utility>
+
+#include "radishrudder/direct/allowed_regions.h"
+#include "source/radishrudder/direct/entry_state.h"
+
+namespace radishrudder::direct {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kMaximumSentPriority = 9;
+// Waiting calls that find no place before the rest is left waiting: their
+// regions may be full while there is room in others.
+constexpr std::size_t kMaximumMisses = 4;
+// A cold or pausing endpoint that takes a call within this time is worth
+// waiting for.
+constexpr milliseconds kMaximumAvailabilityWait{200};
+// Callers are not told to stay away longer because of those that wait.
+constexpr milliseconds kMaximumExpectedWait{2000};
+
+Reason ReasonOf(const SelectedEndpoint& selected) {
+  if (selected.available_after) {
+    return Reason::kAllPaused;
+  }
+  return selected.reason == routing::NoRoute::kNoFreeCapacity ||
+                 selected.reason == routing::NoRoute::kRefusing
+             ? Reason::kAllBusy
+             : Reason::kNoEndpoint;
+}
+
+}  // namespace
+
+bool Entry::State::RanksDiffer(std::string_view service) const {
+  std::optional<std::uint32_t> first;
+  for (const RouteRule& route : configurations.Current().routes) {
+    const bool leads_here =
+        std::ranges::find(route.services, service, &WeightedService::service) !=
+        route.services.end();
+    if (leads_here && first.value_or(route.priority) != route.priority) {
+      return true;
+    }
+    first = leads_here ? route.priority : first;
+  }
+  return false;
+}
+
+routing::CallFeatures Entry::State::FeaturesOf(const Call& call) const {
+  return {.route = call.route.name,
+          .workspace = call.workspace,
+          .prompt_tokens = call.request->prompt_tokens,
+          .maximum_answer_tokens = call.request->maximum_answer_tokens,
+          .answer_estimate = call.request->answer_tokens_estimate};
+}
+
+routing::CallView Entry::State::ViewOf(kernel::Time now,
+                                       const Call& call) const {
+  using Seconds = std::chrono::duration<double>;
+  return {.workspace = call.workspace,
+          .priority = call.priority,
+          .cost = &call.cost,
+          .seconds_to_deadline = Seconds(call.deadline - now).count(),
+          .pause_target_seconds = Seconds(call.route.event_gap_target).count()};
+}
+
+void Entry::State::LearnCost(const Call& call, bool complete) {
+  const auto pool = pools.find(call.service);
+  if (!IsStream(call) || pool == pools.end() || !pool->second->Engine()) {
+    return;
+  }
+  const double tokens = static_cast<double>(call.events.EventsReturned()) *
+                        pool->second->Engine()->tokens_per_event;
+  costs.OnEnded(FeaturesOf(call), tokens, complete);
+}
+
+void Entry::State::StartAttempt(kernel::Time now,
+                                Call& call,
+                                bool require_free_capacity) {
+  if (HasTooLittleTime(now, call)) {
+    FailCall(now, call, Reason::kTimeout);
+    return;
+  }
+  if (const Reason reason = BlockReason(now, call); reason != Reason::kNone) {
+    FailCall(now, call, reason);
+    return;
+  }
+  // Calls that wait already come before new ones of their rank.
+  const auto admission = admissions.find(call.service);
+  if (require_free_capacity && admission != admissions.end() &&
+      admission->second.Waiting().CountUpTo(call.priority) > 0 &&
+      TryWait(now, call)) {
+    return;
+  }
+  const SelectedEndpoint selected = TryPlace(now, call, require_free_capacity);
+  if (!selected.id.empty() || FindCall(call.id) == nullptr) {
+    return;
+  }
+  const bool may_wait =
+      selected.available_after
+          ? *selected.available_after <= kMaximumAvailabilityWait
+          : ReasonOf(selected) == Reason::kAllBusy;
+  if (may_wait && TryWait(now, call)) {
+    return;
+  }
+  kernel::Duration available_after =
+      selected.available_after.value_or(kernel::Duration::zero());
+  if (admission != admissions.end()) {
+    available_after = std::max(
+        available_after, std::min<kernel::Duration>(
+                             admission->second.ExpectedWait(now, call.priority),
+                             kMaximumExpectedWait));
+  }
+  FailCall(now, call, ReasonOf(selected), available_after);
+}
+
+SelectedEndpoint Entry::State::TryPlace(kernel::Time now,
+                                        Call& call,
+                                        bool require_free_capacity) {
+  const auto data_centres = AllowedDataCentresOf(call);
+  if (data_centres && data_centres->empty()) {
+    NoteNoAllowedRegion(call);
+    FailCall(now, call, Reason::kNoAllowedRegion);
+    return {};
+  }
+  ServicePool& pool = Pool(call.service);
+  const bool by_cost = pool.PlacesByCost();
+  const EndpointRequirements requirements{
+      .excluded = call.excluded,
+      .version = call.response_started ? call.version : std::nullopt,
+      .require_free_capacity = require_free_capacity,
+      .capacity_share = demand.Share(now, call.service),
+      .places_share =
+          by_cost ? Admission(call.service).PlacesShare(call.priority) : 1,
+      .call = by_cost ? ViewOf(now, call) : routing::CallView{},
+      .data_centres = data_centres};
+  SelectedEndpoint selected = pool.SelectEndpoint(now, requirements);
+  if (selected.id.empty()) {
+    return selected;
+  }
+  if (by_cost) {
+    Admission(call.service).OnSent(now, call.id);
+  }
+  if (call.waiting) {
+    call.waiting = false;
+    call.waited = now - call.request->received_at;
+  }
+  CurrentAttempt attempt;
+  attempt.call = call.id;
+  attempt.endpoint = selected.id;
+  attempt.incarnation = selected.incarnation;
+  attempt.started = now;
+  attempt.last_progress = now;
+  attempt.model_version = selected.model_version;
+  attempt.earlier_events = call.events.EventsReturned();
+  call.attempt = std::move(attempt);
+  SendAttempt send{.call = call.id};
+  send.address = selected.address;
+  send.endpoint_id = selected.id;
+  send.time_left =
+      std::chrono::duration_cast<milliseconds>(call.deadline - now);
+  send.workspace = call.workspace;
+  if (call.response_started && call.version) {
+    send.expected_version = call.version;
+  } else if (pool.RequiredVersion() > 0 && pool.Engine()) {
+    send.expected_version = selected.model_version;
+  }
+  send.last_event_id = call.response_started ? call.events.LastId()
+                                             : call.request->last_event_id;
+  if (pool.RanksDiffer()) {
+    send.priority = std::min(call.priority, kMaximumSentPriority);
+  }
+  Emit(std::move(send));
+  return selected;
+}
+
+bool Entry::State::TryWait(kernel::Time now, Call& call) {
+  if (!Pool(call.service).PlacesByCost() || call.response_started) {
+    return false;
+  }
+  call.waiting =
+      Admission(call.service)
+          .TryWait(now,
+                   {.id = call.id,
+                    .rank = call.priority,
+                    .cost = call.cost.prompt_tokens + call.cost.answer_tokens,
+                    .workspace = call.workspace,
+                    .received = call.request->received_at,
+                    .deadline = call.deadline,
+                    .latency_target = call.route.latency_target});
+  return call.waiting;
+}
+
+void Entry::State::ServeWaiting(kernel::Time now, const std::string& service) {
+  const auto admission = admissions.find(service);
+  if (admission == admissions.end() || admission->second.Waiting().IsEmpty()) {
+    return;
+  }
+  std::size_t misses = 0;
+  for (const CallId id : admission->second.Waiting().InOrder()) {
+    Call* call = FindCall(id);
+    if (call == nullptr) {
+      admission->second.Remove(id);
+      continue;
+    }
+    const bool placed =
+        !TryPlace(now, *call, /*require_free_capacity=*/true).id.empty();
+    if (!placed && ++misses >= kMaximumMisses) {
+      return;
+    }
+  }
+}
+
+void Entry::State::RefuseExpiredWaiting(kernel::Time now) {
+  for (auto& [service, admission] : admissions) {
+    for (const admission::WaitingCall& expired : admission.TakeExpired(now)) {
+      if (Call* call = FindCall(expired.id)) {
+        call->waiting = false;
+        call->waited = now - call->request->received_at;
+        FailCall(now, *call, Reason::kAllBusy,
+                 std::min<kernel::Duration>(
+                     admission.ExpectedWait(now, expired.rank),
+                     kMaximumExpectedWait));
+      }
+    }
+  }
+}
+
+}  // namespace radishrudder::direct
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -11,9 +11,11 @@
 #include <utility>
 #include <vector>
 
+#include "radishrudder/admission/service_admission.h"
 #include "radishrudder/direct/configuration_age.h"
 #include "radishrudder/direct/entry.h"
 #include "radishrudder/direct/event_splitter.h"
+#include "radishrudder/routing/call_cost.h"
 #include "radishrudder/routing/demand_shares.h"
 #include "source/radishrudder/direct/service_pool.h"
 
@@ -34,6 +36,7 @@
   bool event_received = false;
   // Events of the call that were passed on before this attempt.
   std::uint64_t earlier_events = 0;
+  CallId call = 0;
   // The answer got so far that its request does not crash endpoints.
   bool harmless = false;
 };
@@ -49,6 +52,9 @@
   // those of the route are in `route`.
   std::vector<std::string> workspace_regions{};
   std::uint32_t priority = 0;
+  routing::CallCost cost{};
+  bool waiting = false;  // For a place at an endpoint.
+  kernel::Duration waited{};
   kernel::Time deadline{};
   std::chrono::milliseconds configuration_age{0};
   std::uint32_t attempts = 0;  // Attempts of which bytes may have been sent.
@@ -93,6 +99,24 @@
                 kernel::Duration available_after = {});
 
   void StartAttempt(kernel::Time now, Call& call, bool require_free_capacity);
+  // Selects an endpoint and sends the call there; the reason why not otherwise.
+  SelectedEndpoint TryPlace(kernel::Time now,
+                            Call& call,
+                            bool require_free_capacity);
+  // The call found no endpoint. Returns whether it waits for one.
+  bool TryWait(kernel::Time now, Call& call);
+  // Sends waiting calls for which there is a place now.
+  void ServeWaiting(kernel::Time now, const std::string& service);
+  void RefuseExpiredWaiting(kernel::Time now);
+  admission::ServiceAdmission& Admission(const std::string& service) {
+    return admissions[service];
+  }
+  routing::CallFeatures FeaturesOf(const Call& call) const;
+  routing::CallView ViewOf(kernel::Time now, const Call& call) const;
+  // Learns from the length of the answer of an attempt.
+  void LearnCost(const Call& call, bool complete);
+  // Whether the service's calls have different priorities.
+  bool RanksDiffer(std::string_view service) const;
   // An attempt ended without a complete response of the endpoint.
   void HandleRefusal(kernel::Time now, Call& call, routing::Refusal refusal);
   void HandleFailure(kernel::Time now, Call& call, Reason reason);
@@ -150,7 +174,7 @@
     return attempt.endpoint + "/" + std::to_string(attempt.incarnation);
   }
   routing::EndpointRun RunOf(const CurrentAttempt& attempt) const {
-    return {attempt.endpoint, attempt.incarnation};
+    return {attempt.endpoint, attempt.incarnation, attempt.call};
   }
   const std::string& DigestOf(Call& call);
   void Emit(Output output) { outputs.push_back(std::move(output)); }
@@ -197,6 +221,9 @@
   std::map<std::string, std::unique_ptr<ServicePool>, std::less<>> pools;
   // By model, the latest declared versions, oldest first.
   std::map<std::string, std::vector<DeclaredVersion>, std::less<>> declared;
+  routing::CallCosts costs;
+  // By service; only of those that place calls by cost.
+  std::map<std::string, admission::ServiceAdmission, std::less<>> admissions;
   std::map<CallId, Call> calls;
   std::vector<CallId> ended;  // Erased after the input is processed.
   std::vector<Output> outputs;
--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -8,6 +8,12 @@
 namespace radishrudder::direct {
 namespace {
 
+constexpr const char* kPolicy = "least-loaded-of-two";
+constexpr const char* kPolicyByCost = "least-predicted-wait";
+// Time that an endpoint gets no calls after it refused one, doubled by each
+// further refusal: one that loads a version refuses all calls for seconds.
+constexpr std::chrono::milliseconds kInitialRefusalBackoff{50};
+constexpr std::uint32_t kMaximumRefusalDoublings = 4;
 // Number of endpoints that an entry sends calls to.
 constexpr std::uint32_t kSubsetSize = 64;
 // Endpoints of each data centre among them if calls are limited to regions:
@@ -43,10 +49,23 @@
   return version == 0 ? std::string() : std::to_string(version);
 }
 
+routing::EngineFigures FiguresOf(const EngineRule& rule) {
+  return {.slots = rule.slots,
+          .step_ms = rule.step_ms,
+          .step_ms_per_call = rule.step_ms_per_call,
+          .step_ms_per_1k_context = rule.step_ms_per_1k_context,
+          .prompt_tokens_per_s = rule.prompt_tokens_per_s,
+          .prompt_ms_per_million_pairs = rule.prompt_ms_per_million_pairs,
+          .prompt_tokens_per_step = rule.prompt_tokens_per_step,
+          .tokens_per_event = rule.tokens_per_event,
+          .mean_prompt_tokens = rule.mean_prompt_tokens,
+          .mean_answer_tokens = rule.mean_answer_tokens};
+}
+
 routing::RouterSettings RouterSettingsOf(const EntrySettings& settings) {
   routing::RouterSettings router;
   router.entry = settings.name;
-  router.policy = "least-loaded-of-two";
+  router.policy = kPolicy;
   router.subset.size = kSubsetSize;
   return router;
 }
@@ -65,8 +84,12 @@
       m_router(RouterSettingsOf(settings), random),
       m_budget(settings.retry_budget_ratio, settings.maximum_saved_retries) {}
 
-void ServicePool::Configure(const ServiceRule& rule) {
+void ServicePool::Configure(const ServiceRule& rule, bool ranks_differ) {
   m_engine = rule.engine;
+  m_ranks_differ = ranks_differ;
+  m_router.SetEngine(m_engine ? std::optional(FiguresOf(*m_engine))
+                              : std::nullopt);
+  UpdatePolicy();
   m_cold.Configure(rule);
 }
 
@@ -110,7 +133,9 @@
   routing::RouteRequest request{
       .manifest_digest = version,
       .excluded = excluded,
-      .require_free_capacity = requirements.require_free_capacity};
+      .require_free_capacity = requirements.require_free_capacity,
+      .places_share = requirements.places_share};
+  request.call = requirements.call;
   if (requirements.data_centres) {
     request.data_centres = *requirements.data_centres;
   }
@@ -222,6 +247,9 @@
   if (found == m_listed.end()) {
     return;
   }
+  if (load.pace && !std::exchange(m_pace_stated, true)) {
+    UpdatePolicy();
+  }
   routing::Endpoint endpoint = ToRouterEndpoint(found->second);
   endpoint.load = load;
   endpoint.load_known = true;
@@ -257,8 +285,24 @@
              : static_cast<std::uint32_t>(stated * kCallsPerSlotWithoutEngine);
 }
 
-void ServicePool::OnSent(kernel::Time now, const routing::EndpointRun& run) {
-  m_router.OnSent(now, run, {});
+void ServicePool::UpdatePolicy() {
+  m_router.SetPolicy(m_engine && PlacesByCost() ? kPolicyByCost : kPolicy);
+}
+
+kernel::Duration ServicePool::RefusalBackoff(const routing::EndpointRun& run) {
+  const auto state = m_response_states.find(run.instance);
+  if (!PlacesByCost() || state == m_response_states.end()) {
+    return {};
+  }
+  const std::uint32_t doublings =
+      std::min(state->second.refusals++, kMaximumRefusalDoublings);
+  return kInitialRefusalBackoff * (1U << doublings);
+}
+
+void ServicePool::OnSent(kernel::Time now,
+                         const routing::EndpointRun& run,
+                         const routing::CallView& call) {
+  m_router.OnSent(now, run, call);
   ++m_attempts;
   ResponseState& state = m_response_states[std::string(run.instance)];
   if (state.attempts++ == 0) {
@@ -274,6 +318,10 @@
                              const routing::EndpointRun& run,
                              const routing::Answer& answer) {
   OnAttemptEnded(run);
+  const auto state = m_response_states.find(run.instance);
+  if (state != m_response_states.end()) {
+    state->second.refusals = 0;
+  }
   m_router.OnAnswered(now, run, answer);
 }
 
@@ -281,7 +329,7 @@
                             const routing::EndpointRun& run,
                             routing::Refusal refusal) {
   OnAttemptEnded(run);
-  m_router.OnRefused(now, run, refusal);
+  m_router.OnRefused(now, run, refusal, RefusalBackoff(run));
 }
 
 void ServicePool::OnFailed(kernel::Time now, const routing::EndpointRun& run) {
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -43,6 +43,9 @@
   // Part of the service's capacity that this entry may use even if its
   // endpoints appear to be full.
   double capacity_share = 0;
+  // Part of each endpoint's places that the call may fill.
+  double places_share = 1;
+  routing::CallView call{};
   // Data centres whose endpoints may be used; nothing: all.
   const std::optional<std::vector<std::string>>& data_centres = kAnywhere;
 
@@ -64,7 +67,12 @@
               const EndpointKnowledge& knowledge,
               kernel::Random random);
 
-  void Configure(const ServiceRule& rule);
+  // `ranks_differ`: the calls of the service have different priorities.
+  void Configure(const ServiceRule& rule, bool ranks_differ);
+  // Whether calls are placed by their cost and wait for a place: the service
+  // has calls of different priorities, or its endpoints state their pace.
+  bool PlacesByCost() const { return m_ranks_differ || m_pace_stated; }
+  bool RanksDiffer() const { return m_ranks_differ; }
   // Whether some calls may use only the endpoints of some data centres. Applies
   // from the next list on.
   void LimitDataCentres(bool limited);
@@ -82,7 +90,12 @@
   void OnLoad(kernel::Time now,
               std::string_view id,
               const routing::LoadReport& load);
-  void OnSent(kernel::Time now, const routing::EndpointRun& run);
+  void OnSent(kernel::Time now,
+              const routing::EndpointRun& run,
+              const routing::CallView& call);
+  void OnProgress(const routing::EndpointRun& run, std::uint32_t events) {
+    m_router.OnProgress(run, events);
+  }
   void OnAnswered(kernel::Time now,
                   const routing::EndpointRun& run,
                   const routing::Answer& answer);
@@ -155,11 +168,15 @@
     kernel::Time next_probe{};
     std::uint32_t probes = 0;  // Since data was last received.
     bool excluded_from_routing = false;
+    std::uint32_t refusals = 0;  // Consecutive.
   };
 
   static bool IsExcluded(kernel::Time now, const ResponseState& state);
 
   void OnAttemptEnded(const routing::EndpointRun& run);
+  // How long an endpoint that refused a call as overloaded gets none.
+  kernel::Duration RefusalBackoff(const routing::EndpointRun& run);
+  void UpdatePolicy();
   routing::Endpoint ToRouterEndpoint(const ListedEndpoint& listed) const;
   double DistanceSeconds(std::string_view data_centre) const;
   void UpdateRouter(kernel::Time now);
@@ -175,6 +192,8 @@
   // and when they did.
   std::map<std::pair<std::string, std::uint64_t>, kernel::Time> m_leaving;
   std::optional<EngineRule> m_engine;
+  bool m_ranks_differ = false;
+  bool m_pace_stated = false;
   std::map<std::string, ListedEndpoint, std::less<>> m_listed;
   std::map<std::string, ResponseState, std::less<>> m_response_states;
   std::uint32_t m_attempts = 0;  // In progress at all endpoints.
--- a/source/radishrudder/routing/router.cc
+++ b/source/radishrudder/routing/router.cc
@@ -309,7 +309,8 @@
           request.data_centres->end();
   if (endpoint.leaving || !runs_version || is_excluded || is_elsewhere ||
       now < tracked.refusing_until ||
-      (request.require_free_capacity && !HasFreeCapacity(now, slot))) {
+      (request.require_free_capacity &&
+       !HasFreeCapacity(now, slot, request.places_share))) {
     return Eligibility::kIneligible;
   }
   if (endpoint.suspected) {
@@ -319,8 +320,11 @@
                                       : Eligibility::kEjected;
 }
 
-bool Router::HasFreeCapacity(kernel::Time now, Slot slot) const {
-  return m_loads.EstimatedCalls(now, slot) + 1 <= m_loads.Capacity(slot);
+bool Router::HasFreeCapacity(kernel::Time now,
+                             Slot slot,
+                             double places_share) const {
+  return m_loads.EstimatedCalls(now, slot) + 1 <=
+         m_loads.Capacity(slot) * places_share;
 }
 
 double Router::Capacity() const {
--- a/source/radishrudder/routing/router_explain.cc
+++ b/source/radishrudder/routing/router_explain.cc
@@ -54,7 +54,8 @@
     } else if (refusing) {
       raise_reason(NoRoute::kRefusing);
       earliest_retry = std::min(earliest_retry, tracked.refusing_until);
-    } else if (request.require_free_capacity && !HasFreeCapacity(now, slot)) {
+    } else if (request.require_free_capacity &&
+               !HasFreeCapacity(now, slot, request.places_share)) {
       raise_reason(NoRoute::kNoFreeCapacity);
     } else {
       raise_reason(NoRoute::kAllExcluded);
