direct: apply a changed cold rate at once and end those of gone runs

An entry that read the list before the configuration, or got a new rate, sent cold endpoints calls without limit until its next tick: an unchanged entry of the list was skipped. Runs that were replaced or removed while cold kept their limits for 10 minutes, and 512 of them left no room for new ones, which then had none.

Each list and configuration refreshes all runs; the limit of a run ends with it.

--- a/source/radishrudder/direct/cold_endpoints.cc
+++ b/source/radishrudder/direct/cold_endpoints.cc
@@ -19,9 +19,11 @@
     present.insert(endpoint.id);
     Update(now, endpoint);
   }
-  std::erase_if(m_runs, [this, &present](const auto& item) {
+  std::erase_if(m_runs, [this, now, &present](const auto& item) {
     const bool removed = !present.contains(item.first);
-    m_cold -= removed && item.second.cold ? 1 : 0;
+    if (removed) {
+      Forget(now, item.first, item.second);
+    }
     return removed;
   });
 }
@@ -30,9 +32,11 @@
   const auto [found, added] = m_runs.try_emplace(listed.id);
   Run& run = found->second;
   if (added || run.incarnation != listed.started) {
-    m_cold -= run.cold ? 1 : 0;
+    Forget(now, found->first, run);
     run = {.incarnation = listed.started, .first_seen = now};
   } else if (run.era == listed.era && run.revision == listed.revision) {
+    // The service's rule may have changed.
+    Refresh(now, found->first, run);
     return;
   }
   run.era = listed.era;
@@ -43,6 +47,15 @@
   Refresh(now, found->first, run);
 }
 
+void ColdEndpoints::Forget(kernel::Time now,
+                           const std::string& id,
+                           const Run& run) {
+  if (run.cold) {
+    --m_cold;
+    m_rates.OnNamed(now, {id, run.incarnation}, std::nullopt);
+  }
+}
+
 void ColdEndpoints::OnColdTime(kernel::Time now,
                                const routing::EndpointRun& run,
                                kernel::Duration cold_time) {
--- a/source/radishrudder/direct/cold_endpoints.h
+++ b/source/radishrudder/direct/cold_endpoints.h
@@ -62,6 +62,9 @@
   };
 
   void Update(kernel::Time now, const ListedEndpoint& listed);
+  // Ends the limit of a run that is gone, which would count for minutes
+  // otherwise.
+  void Forget(kernel::Time now, const std::string& id, const Run& run);
   // Notes whether the run is cold now.
   void Refresh(kernel::Time now, const std::string& id, Run& run);
   kernel::Time ColdUntil(const Run& run) const;
