direct: keep the rate of cold endpoints after a start and after a pause

Entries that start together each believe to be the first with a share and sent one request at once: 24 entries sent 25 requests in one second to an endpoint that takes 8 (bound 17), 25 where it takes 4 (bound 11). After a pause in the calls, all entries with a share could do the same.

An entry that has just started sends only in an interval of an eighth of the time between its requests, which a hash spreads over the entries. Rates of cold endpoints have fewer shares, so that one request of each stays within the bound. More than 512 cold runs had no limit; the rates remember 4,096. The rank of an entry is counted when runs and entries become known, not for each choice.

--- a/source/radishrudder/direct/endpoint_limits.cc
+++ b/source/radishrudder/direct/endpoint_limits.cc
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "radishrudder/kernel/hash.h"
 
 namespace radishrudder::direct {
 namespace {
 
-// Number of endpoint runs that are remembered.
-constexpr std::size_t kMaximumRuns = 512;
 // A run that named no limit any more, or of which nothing was heard for long,
 // is forgotten after this time.
 constexpr std::chrono::seconds kEndedTime{30};
@@ -23,13 +22,12 @@
 // A lower limit counts as this one, in requests a second: an endpoint that gets
 // none cannot say that its limit has ended.
 constexpr double kMinimumLimit = 0.1;
-// Number of entries that share a limit: so many for each request a second, and
-// some more. Each of them may send one request at any time, so that all of
-// these together must be bearable as well.
-constexpr double kSharesPerRequest = 2;
-constexpr std::size_t kMinimumShares = 2;
 // What an entry may send at once, as requests of this time at its rate.
 constexpr double kBurstSeconds = 0.5;
+// Part of the time between its requests in which an entry that does not know
+// the others may send one: many entries that start together and get callers at
+// the same moment must not all send one at once.
+constexpr double kIntervalPart = 0.125;
 // A limit that no answer has confirmed for this time may have ended without
 // this entry's knowing: it tries the endpoint with a small share.
 constexpr std::chrono::seconds kConfirmationTime{10};
@@ -66,6 +64,9 @@
     found->second = now;
   } else if (m_entries.size() < kMaximumEntries) {
     m_entries.emplace(std::string(name), now);
+    for (auto& [run, limit] : m_known) {
+      limit.own_rank += ComesBefore(run, name) ? 1 : 0;
+    }
   }
 }
 
@@ -76,51 +77,60 @@
   if (limit == nullptr || !limit->requests_per_second) {
     return {};
   }
-  const double rate = OwnRate(now, Run(run.instance, run.incarnation), *limit);
+  const double rate = OwnRate(now, *limit);
   if (rate == 0) {
     return now + kNoShareDelay;
   }
+  if (!m_acquainted) {
+    return std::max(limit->next_request, now + TimeToInterval(now, run, rate));
+  }
   const double burst = std::max(1.0, rate * kBurstSeconds);
   return limit->next_request - FromSeconds((burst - 1) / rate);
 }
 
 void EndpointLimits::OnSelected(kernel::Time now,
                                 const routing::EndpointRun& run) {
-  const auto found = m_known.find(Run(run.instance, run.incarnation));
+  const auto found = m_known.find(run);
   if (found == m_known.end() || !found->second.requests_per_second) {
     return;
   }
   Limit& limit = found->second;
-  const double rate = OwnRate(now, found->first, limit);
+  const double rate = OwnRate(now, limit);
   if (rate > 0) {
+    // An interval is followed by the next after the whole time.
+    const double seconds = (m_acquainted ? 1 : 1 - kIntervalPart) / rate;
     limit.next_request =
-        std::max(limit.next_request, now) + FromSeconds(1 / rate);
+        std::max(limit.next_request, now) + FromSeconds(seconds);
   }
 }
 
-EndpointLimits::Shares EndpointLimits::SharesOf(const Run& run,
-                                                const Limit& limit) const {
+EndpointLimits::Shares EndpointLimits::SharesOf(const Limit& limit) const {
   const double total = std::max(*limit.requests_per_second, kMinimumLimit);
   Shares shares{.entries = std::max(m_entries.size() + 1, m_entry_count),
+                .own_rank = limit.own_rank,
                 .requests_per_second = total * kUsedPart};
-  shares.count =
-      std::min(shares.entries,
-               static_cast<std::size_t>(std::floor(total * kSharesPerRequest)) +
-                   kMinimumShares);
-  const auto weight = [&run](std::string_view entry) {
-    return kernel::StableHash(run.first, entry);
-  };
-  const std::uint64_t own_weight = weight(m_entry);
-  shares.own_rank = static_cast<std::size_t>(std::ranges::count_if(
-      m_entries,
-      [&](const auto& entry) { return weight(entry.first) > own_weight; }));
+  shares.count = m_acquainted
+                     ? std::min(shares.entries,
+                                static_cast<std::size_t>(std::floor(
+                                    total * m_division.shares_per_request)) +
+                                    m_division.minimum_shares)
+                     : shares.entries;
   return shares;
 }
 
-double EndpointLimits::OwnRate(kernel::Time now,
-                               const Run& run,
-                               const Limit& limit) const {
-  const Shares shares = SharesOf(run, limit);
+bool EndpointLimits::ComesBefore(const Run& run, std::string_view entry) const {
+  return kernel::StableHash(run.first, entry) >
+         kernel::StableHash(run.first, m_entry);
+}
+
+std::size_t EndpointLimits::RankOf(const Run& run) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      m_entries,
+      [&](const auto& entry) { return ComesBefore(run, entry.first); }));
+}
+
+double EndpointLimits::OwnRate(kernel::Time now, const Limit& limit) const {
+  const Shares shares = SharesOf(limit);
   if (shares.own_rank < shares.count) {
     return shares.requests_per_second / static_cast<double>(shares.count);
   }
@@ -129,12 +139,27 @@
              : shares.requests_per_second / static_cast<double>(shares.entries);
 }
 
+kernel::Duration EndpointLimits::TimeToInterval(kernel::Time now,
+                                                const routing::EndpointRun& run,
+                                                double rate) const {
+  const double period = 1 / rate;
+  const double phase =
+      static_cast<double>(kernel::StableHash(run.instance, m_entry)) /
+      static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  const double position =
+      std::fmod(std::chrono::duration<double>(now.time_since_epoch()).count() +
+                    phase * period,
+                period);
+  return position < period * kIntervalPart ? kernel::Duration::zero()
+                                           : FromSeconds(period - position);
+}
+
 const EndpointLimits::Limit* EndpointLimits::Find(
     const routing::EndpointRun& run) const {
   if (m_known.empty()) {
     return nullptr;
   }
-  const auto found = m_known.find(Run(run.instance, run.incarnation));
+  const auto found = m_known.find(run);
   return found != m_known.end() ? &found->second : nullptr;
 }
 
@@ -154,8 +179,8 @@
                             Limit limit,
                             kernel::Duration minimum_difference) {
   const auto found = m_known.find(run);
-  if (found == m_known.end() &&
-      (!limit.requests_per_second || m_known.size() >= kMaximumRuns)) {
+  if (found == m_known.end() && (!limit.requests_per_second ||
+                                 m_known.size() >= m_division.maximum_runs)) {
     return false;
   }
   const bool is_new =
@@ -168,11 +193,14 @@
       return false;
     }
     limit.next_request = known.next_request;
+    limit.own_rank = known.own_rank;
+  } else {
+    limit.own_rank = RankOf(run);
   }
   if (is_new && limit.requests_per_second) {
     // All entries learn of it at about the same time; their requests alternate,
     // so that the end of the limit is noticed soon as well.
-    const Shares shares = SharesOf(run, limit);
+    const Shares shares = SharesOf(limit);
     limit.next_request =
         std::max(limit.next_request,
                  now + FromSeconds(static_cast<double>(shares.own_rank) /
@@ -184,8 +212,14 @@
 }
 
 void EndpointLimits::OnTick(kernel::Time now) {
-  std::erase_if(m_entries, [now](const auto& entry) {
-    return now - entry.second >= kEntryLifetime;
+  std::erase_if(m_entries, [this, now](const auto& entry) {
+    if (now - entry.second < kEntryLifetime) {
+      return false;
+    }
+    for (auto& [run, limit] : m_known) {
+      limit.own_rank -= ComesBefore(run, entry.first) ? 1 : 0;
+    }
+    return true;
   });
   std::erase_if(m_known, [now](const auto& item) {
     const kernel::Duration age = now - item.second.named_at;
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -26,6 +26,12 @@
 // at least so many.
 constexpr std::size_t kInitialEntryCount = 32;
 constexpr std::chrono::seconds kAcquaintanceTime{6};
+// Each entry that shares a cold endpoint's rate may send a request at any time,
+// and all of them at once after a pause: their number and the rate together
+// must stay below 1.5 times the rate and 5. The design size is 940 endpoints.
+constexpr LimitDivision kColdDivision{.shares_per_request = 0.5,
+                                      .minimum_shares = 4,
+                                      .maximum_runs = 4096};
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -394,8 +400,9 @@
       suspect_requests(SettingsForRequests(settings.crash_suspects, random)),
       demand(settings.name),
       limits(settings.name),
-      cold_rates(settings.name) {
+      cold_rates(settings.name, kColdDivision) {
   cold_rates.OnEntryCount(kInitialEntryCount);
+  cold_rates.OnAcquainted(false);
 }
 
 bool Entry::State::IsFresh(kernel::BootTime boot_now,
@@ -468,9 +475,10 @@
   if (!first_tick) {
     first_tick = now;
   }
-  cold_rates.OnEntryCount(now - *first_tick < kAcquaintanceTime
-                              ? std::max(entry_count, kInitialEntryCount)
-                              : entry_count);
+  const bool acquainted = now - *first_tick >= kAcquaintanceTime;
+  cold_rates.OnEntryCount(
+      acquainted ? entry_count : std::max(entry_count, kInitialEntryCount));
+  cold_rates.OnAcquainted(acquainted);
   cold_rates.OnTick(now);
 }
 
