direct: move placement out of entry.cc

Allowed regions, evacuations and the rates of cold endpoints are in entry_placement.cc. No change of behaviour.

--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -4,7 +4,6 @@
 #include <iterator>
 #include <utility>
 
-#include "radishrudder/direct/allowed_regions.h"
 #include "radishrudder/direct/request_digest.h"
 #include "source/radishrudder/direct/entry_state.h"
 
@@ -21,17 +20,6 @@
 // A configuration that another entry uses and the store has not returned for
 // this long counts as gone.
 constexpr std::chrono::seconds kMaximumSupersededTime{10};
-// A process that has just started has not heard of all other entries. Until it
-// should have, it takes a share of the rates of cold endpoints as if there were
-// at least so many.
-constexpr std::size_t kInitialEntryCount = 32;
-constexpr std::chrono::seconds kAcquaintanceTime{6};
-// Each entry that shares a cold endpoint's rate may send a request at any time,
-// and all of them at once after a pause: their number and the rate together
-// must stay below 1.5 times the rate and 5. The design size is 940 endpoints.
-constexpr LimitDivision kColdDivision{.shares_per_request = 0.5,
-                                      .minimum_shares = 4,
-                                      .maximum_runs = 4096};
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -400,10 +388,7 @@
       suspect_requests(SettingsForRequests(settings.crash_suspects, random)),
       demand(settings.name),
       limits(settings.name),
-      cold_rates(settings.name, kColdDivision) {
-  cold_rates.OnEntryCount(kInitialEntryCount);
-  cold_rates.OnAcquainted(false);
-}
+      cold_rates(MakeColdRates(settings.name)) {}
 
 bool Entry::State::IsFresh(kernel::BootTime boot_now,
                            std::chrono::milliseconds maximum_age) const {
@@ -471,80 +456,6 @@
   UpdatePools(now);
 }
 
-void Entry::State::TickColdRates(kernel::Time now) {
-  if (!first_tick) {
-    first_tick = now;
-  }
-  const bool acquainted = now - *first_tick >= kAcquaintanceTime;
-  cold_rates.OnEntryCount(
-      acquainted ? entry_count : std::max(entry_count, kInitialEntryCount));
-  cold_rates.OnAcquainted(acquainted);
-  cold_rates.OnTick(now);
-}
-
-void Entry::State::NoteColdChanges(kernel::Time now) {
-  for (const auto& [service, pool] : pools) {
-    for (ColdChange& change : pool->TakeColdChanges()) {
-      Emit(EndpointCold{
-          .service = service,
-          .endpoint = std::move(change.endpoint),
-          .cold = change.cold,
-          .duration = std::chrono::duration_cast<std::chrono::milliseconds>(
-              change.cold ? change.until - now : kernel::Duration::zero())});
-    }
-  }
-}
-
-void Entry::State::ApplyEvacuations(kernel::Time now,
-                                    std::span<const EvacuationChange> changes) {
-  for (const EvacuationChange& change : changes) {
-    Emit(DataCentreEvacuated{
-        .data_centre = change.data_centre,
-        .evacuated = change.evacuated,
-        .known = settings.regions.contains(change.data_centre)});
-  }
-  if (!changes.empty()) {
-    for (const auto& [service, pool] : pools) {
-      pool->OnEvacuations(now);
-    }
-  }
-}
-
-std::optional<std::vector<std::string>> Entry::State::AllowedDataCentresOf(
-    const Call& call) const {
-  return AllowedDataCentres(call.route.allowed_regions, call.workspace_regions,
-                            settings.regions);
-}
-
-void Entry::State::UpdateAllowedRegions() {
-  for (auto& [id, call] : calls) {
-    const RouteRule* route =
-        configurations.FindRoute(call.request->host, call.request->path);
-    if (route != nullptr) {
-      call.route.allowed_regions = route->allowed_regions;
-    }
-    const WorkspaceRule* workspace =
-        call.workspace.empty()
-            ? nullptr
-            : configurations.FindWorkspaceByName(call.workspace);
-    if (workspace != nullptr) {
-      call.workspace_regions = workspace->allowed_regions;
-    }
-  }
-}
-
-void Entry::State::NoteNoAllowedRegion(const Call& call) {
-  const std::uint64_t version = configurations.Current().version;
-  if (std::exchange(logged_configuration, version) != version) {
-    logged_without_region.clear();
-  }
-  if (logged_without_region.emplace(call.route.name, call.workspace).second) {
-    Emit(NoAllowedRegion{.route = call.route.name,
-                         .workspace = call.workspace,
-                         .configuration = version});
-  }
-}
-
 void Entry::State::RequireVersions(kernel::Time now) {
   for (auto& [model, versions] : declared) {
     std::uint64_t required = 0;
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -137,6 +137,7 @@
   void NoteNoAllowedRegion(const Call& call);
   void ApplyEvacuations(kernel::Time now,
                         std::span<const EvacuationChange> changes);
+  static EndpointLimits MakeColdRates(std::string entry);
   void TickColdRates(kernel::Time now);
   void NoteColdChanges(kernel::Time now);
   ServicePool& Pool(std::string_view service);
