serving: count evacuations of unknown data centres together

Any name can be written below op/evacuate/; each was a series of the metrics that is kept for ever. Names that the settings do not have count as unknown.

--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -127,8 +127,10 @@
 
 void CallJournal::RecordEvacuation(
     const direct::DataCentreEvacuated& evacuation) {
-  m_metrics.Count("radishrudder_evacuation_changes_total",
-                  {{"data_centre", evacuation.data_centre}});
+  // Any name can be written to the store; each would be a series of its own.
+  m_metrics.Count(
+      "radishrudder_evacuation_changes_total",
+      {{"data_centre", evacuation.known ? evacuation.data_centre : "unknown"}});
   logging::Log(
       evacuation.evacuated ? logging::kEvacuated : logging::kEvacuationEnded,
       {{"instance", m_instance},
