--- a/include/radishrudder/direct/configuration.h
+++ b/include/radishrudder/direct/configuration.h
@@ -22,6 +22,8 @@
 struct WeightedService {
   std::string service{};
   std::uint32_t weight = 1;
+
+  bool operator==(const WeightedService&) const = default;
 };
 
 // How the calls of one host and path prefix are treated.
@@ -109,6 +111,9 @@
   CallerLimits caller_limits{};
 };
 
+// Returns a Host header in lower case and without its port.
+std::string NormalizeHost(std::string_view host);
+
 // The configuration in force, indexed for lookups. A configuration whose
 // version is not newer than the one in force is rejected.
 class ConfigurationTable {
--- a/source/radishrudder/direct/configuration.cc
+++ b/source/radishrudder/direct/configuration.cc
@@ -5,8 +5,6 @@
 #include <utility>
 
 namespace radishrudder::direct {
-namespace {
-
 std::string NormalizeHost(std::string_view host) {
   std::string normalized(host.substr(0, host.find(':')));
   std::ranges::transform(normalized, normalized.begin(),
@@ -16,8 +14,6 @@
   return normalized;
 }
 
-}  // namespace
-
 bool ConfigurationTable::Apply(Configuration configuration) {
   if (m_has_configuration && configuration.version <= m_configuration.version) {
     return false;
