direct: warn of a configuration version far above the one in force

Cause: entries ignore lower versions, so a mistyped version can't be undone. Change: a step of more than 1,000,000 is a warning.

--- a/source/radishrudder/direct/configuration_check.cc
+++ b/source/radishrudder/direct/configuration_check.cc
@@ -13,6 +13,10 @@
 
 constexpr std::size_t kShownKeyCharacters = 4;
 
+// A larger step is more likely a mistake, which can't be undone: the entries
+// ignore lower versions from then on.
+constexpr std::uint64_t kMaximumVersionStep = 1'000'000;
+
 using Names = std::span<const std::string>;
 
 kernel::Place PlaceOf(std::string_view subject) {
@@ -250,6 +254,25 @@
   }
 }
 
+void CheckVersion(std::uint64_t version,
+                  std::uint64_t in_force,
+                  kernel::Findings& findings) {
+  const kernel::Place place = PlaceOf("version");
+  if (version <= in_force) {
+    findings.Error(place,
+                   std::to_string(version) +
+                       " is not higher than the one in force: the entries "
+                       "ignore the configuration",
+                   "more than " + std::to_string(in_force));
+  } else if (version - in_force > kMaximumVersionStep) {
+    findings.Warning(place,
+                     std::to_string(version) +
+                         " is far above the one in force: all later ones must "
+                         "be higher still",
+                     "usually " + std::to_string(in_force + 1));
+  }
+}
+
 void CheckLimits(const CallerLimits& limits, kernel::Findings& findings) {
   if (limits.head_bytes == 0) {
     findings.Error(PlaceOf("limits"), "head bytes is 0: all calls are rejected",
@@ -273,12 +296,8 @@
 kernel::Findings CheckConfiguration(const Configuration& candidate,
                                     const CheckContext& context) {
   kernel::Findings findings;
-  if (context.in_force && candidate.version <= context.in_force->version) {
-    findings.Error(PlaceOf("version"),
-                   std::to_string(candidate.version) +
-                       " is not higher than the one in force: the entries "
-                       "ignore the configuration",
-                   std::to_string(context.in_force->version + 1) + " or more");
+  if (context.in_force) {
+    CheckVersion(candidate.version, context.in_force->version, findings);
   }
   CheckRoutes(candidate, context, findings);
   CheckNames("service", candidate.services, findings);
