--- a/tests/platform/configuration_text_test.cc
+++ b/tests/platform/configuration_text_test.cc
@@ -62,6 +62,8 @@
                    R"("secret-key")"},
         MemberCase{"KeyOfAnotherType", "/tenants/0/api_keys/0",
                    R"(["secret-key"])"},
+        MemberCase{"WorkspacesOfAnotherType", "/tenants",
+                   R"({"api_keys": ["secret-key"]})"},
         MemberCase{"NegativeHeadTimeout", "/limits/header_timeout_ms", "-1"},
         MemberCase{"HugeIdleTimeout", "/limits/idle_timeout_ms", "1e19"}),
     [](const auto& info) { return std::string(info.param.name); });
