agent: report the endpoint's load to entries

Entries had no view of an endpoint's load other than their own responses.

The agent takes subscriptions by UDP at its peers address. The requests are independent of those of staging. DecodeReport also reads the calls, the pace and the KV figures. A malformed report is logged when it begins. Event 707 tells of problems with datagrams, once for each cause; an agent whose UDP port is taken works without reports.

--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -199,6 +199,9 @@
     "A message from a peer violated the protocol and was discarded."};
 inline constexpr Event kHttpFailed{704, Level::kWarning, "http-failed",
                                    "An HTTP request ended without a response."};
+inline constexpr Event kDatagramFailed{
+    707, Level::kWarning, "datagram-failed",
+    "A datagram was not sent or received; written once for each cause."};
 
 }  // namespace radishrudder::logging
 
--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -22,6 +22,7 @@
 #include "radishrudder/exchange/frame_links.h"
 #include "radishrudder/kernel/boot_time.h"
 #include "radishrudder/logging/events.h"
+#include "radishrudder/serving/load_reporter.h"
 #include "radishrudder/serving/settings_change.h"
 #include "radishrudder/serving/store_follower.h"
 #include "radishrudder/staging/stager.h"
@@ -91,11 +92,18 @@
                          .region = m_settings.region,
                          .regions = m_settings.regions},
                         kernel::Random(m_random.Next())),
+        m_load_reporter(
+            context,
+            m_settings.instance,
+            [this](LoadReporter::Done done) { ReadLoad(std::move(done)); }),
         m_tick(context) {}
 
   std::error_code Start() {
     const std::error_code error = m_links.Listen(m_settings.peers_address);
     if (!error) {
+      if (!m_settings.endpoint_address.empty()) {
+        m_load_reporter.Listen(m_settings.peers_address);
+      }
       m_version_follower.Start();
       Tick();
     }
@@ -536,15 +544,37 @@
                     });
   }
   void Execute(staging::OrderLoad& output) {
+    m_load_reporter.OnOrderSent(kernel::Now());
     m_fetcher.Fetch(m_settings.endpoint_address,
                     Platform::Endpoint::EncodeOrder(output), kEndpointTimeout,
                     [this](std::optional<exchange::FetchedAnswer> response) {
-                      m_stager->OnOrderResult(
-                          kernel::Now(),
-                          Platform::Endpoint::DecodeOrder(response));
+                      const staging::OrderResult result =
+                          Platform::Endpoint::DecodeOrder(response);
+                      m_load_reporter.OnOrderResult(kernel::Now(), result);
+                      m_stager->OnOrderResult(kernel::Now(), result);
                       TakeOutputs();
                     });
   }
+  // Independent of the stager's requests for the report, so that it sees the
+  // same results as without subscribers.
+  void ReadLoad(LoadReporter::Done done) {
+    m_fetcher.Fetch(
+        m_settings.endpoint_address, Platform::Endpoint::EncodeReport(),
+        kEndpointTimeout,
+        [this, done = std::move(done)](
+            std::optional<exchange::FetchedAnswer> response) {
+          kernel::Findings findings;
+          done(response && response->status == kOk
+                   ? Platform::DecodeReport(response->body, findings)
+                   : staging::EndpointReport());
+          // A malformed report is read several times in a second.
+          const bool malformed = !findings.Items().empty();
+          if (malformed && !m_malformed_load) {
+            LogFindings(findings);
+          }
+          m_malformed_load = malformed;
+        });
+  }
   // The next read of the declarations finds the version.
   void Execute(staging::NewerVersionSeen& output) {
     logging::Log(logging::kNewerVersionSeen,
@@ -653,6 +683,8 @@
   exchange::FrameLinks m_links;
   StoreFollower<typename Platform::Store> m_version_follower;
   dissemination::InstanceListRelay m_instance_list;
+  LoadReporter m_load_reporter;
+  bool m_malformed_load = false;  // The latest reading.
   asio::steady_timer m_tick;
   direct::ConfigurationTable m_configuration;
   direct::ServiceRule m_origin;
--- a/include/radishrudder/staging/stager.h
+++ b/include/radishrudder/staging/stager.h
@@ -53,6 +53,12 @@
   std::uint64_t version = 0;          // 0: no model is completely loaded.
   bool busy = false;                  // A load order is in progress.
   std::uint64_t accepted_orders = 0;  // Load orders accepted since the start.
+  // Calls. Staging uses neither these nor the following members.
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  double pace = 1;  // Time that work takes, relative to the usual time.
+  std::uint64_t kv_used = 0;
+  std::uint64_t kv_total = 0;
 };
 
 enum class OrderResult {
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -68,7 +68,8 @@
                                       kPeerConnected,
                                       kPeerLost,
                                       kMessageRejected,
-                                      kHttpFailed};
+                                      kHttpFailed,
+                                      kDatagramFailed};
   return kEvents;
 }
 
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -155,5 +155,77 @@
       findings));
 }
 
+TEST(ReportTest, DecodesTheLoad) {
+  kernel::Findings findings;
+  const staging::EndpointReport report = DecodeReport(
+      R"({"born": 1790000000123, "busy": true, "sequence": 4,
+          "models": [{"name": "m", "version": 3}], "active": 11, "queued": 3,
+          "pace": 2.5, "kv_used": 40000, "kv_total": 120000})",
+      findings);
+  EXPECT_TRUE(findings.Items().empty());
+  EXPECT_TRUE(report.reachable);
+  EXPECT_EQ(report.started_at_ms, 1790000000123U);
+  EXPECT_TRUE(report.busy);
+  EXPECT_EQ(report.version, 3U);
+  EXPECT_EQ(report.running, 11U);
+  EXPECT_EQ(report.waiting, 3U);
+  EXPECT_EQ(report.pace, 2.5);
+  EXPECT_EQ(report.kv_used, 40000U);
+  EXPECT_EQ(report.kv_total, 120000U);
+}
+
+// Guards against an endpoint of an older release that staging no longer
+// supplies because its report states no load.
+TEST(ReportTest, TheLoadMayBeMissing) {
+  kernel::Findings findings;
+  const staging::EndpointReport report =
+      DecodeReport(R"({"born": 5, "busy": false})", findings);
+  EXPECT_TRUE(findings.Items().empty());
+  EXPECT_TRUE(report.reachable);
+  EXPECT_EQ(report.running, 0U);
+  EXPECT_EQ(report.pace, 1);
+}
+
+struct PaceCase {
+  const char* name;
+  const char* text;
+  double pace;
+};
+
+class ReportPaceTest : public testing::TestWithParam<PaceCase> {};
+
+// Guards against an absurd pace that excludes or prefers an endpoint, and
+// against a report that is lost because of it.
+TEST_P(ReportPaceTest, Pace) {
+  kernel::Findings findings;
+  const staging::EndpointReport report =
+      DecodeReport(GetParam().text, findings);
+  EXPECT_EQ(report.pace, GetParam().pace);
+  EXPECT_EQ(report.running, 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ReportPaceTest,
+    testing::Values(
+        PaceCase{"Number", R"({"active": 2, "pace": 0.5})", 0.5},
+        PaceCase{"Integer", R"({"active": 2, "pace": 3})", 3},
+        PaceCase{"Slowest", R"({"active": 2, "pace": 100})", 100},
+        PaceCase{"TooHigh", R"({"active": 2, "pace": 100.5})", 1},
+        PaceCase{"Zero", R"({"active": 2, "pace": 0})", 1},
+        PaceCase{"Negative", R"({"active": 2, "pace": -1})", 1},
+        PaceCase{"Huge", R"({"active": 2, "pace": 1e308})", 1},
+        PaceCase{"Text", R"({"active": 2, "pace": "2"})", 1},
+        PaceCase{"Null", R"({"active": 2, "pace": null})", 1},
+        PaceCase{"OfAModel",
+                 R"({"active": 2, "models": [{"name": "m"}, {"pace": 2}]})", 2},
+        PaceCase{"OfTheReportFirst",
+                 R"({"active": 2, "pace": 3, "models": [{"pace": 2}]})", 3},
+        PaceCase{"OfAModelIfAbsurd",
+                 R"({"active": 2, "pace": 0, "models": [{"pace": 2}]})", 2},
+        PaceCase{"AbsurdOfAModel", R"({"active": 2, "models": [{"pace": -2}]})",
+                 1}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace radishrudder::platform
