entry: subscribe to load reports and route by them

An entry heard of an endpoint's load only in responses to its own calls.

Entry::ReportingEndpoints names the endpoints of services with an engine in which one has stated its pace in a response, or whose routes differ in priority. Entry::OnLoadReports passes the load and the pace to the router with the time of the measurement. Counters, a gauge and events 705 and 706 show whether reports arrive.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -18,6 +18,7 @@
 #include "radishrudder/direct/endpoint_limits.h"
 #include "radishrudder/direct/endpoint_list.h"
 #include "radishrudder/direct/evacuations.h"
+#include "radishrudder/direct/load_report.h"
 #include "radishrudder/kernel/boot_time.h"
 #include "radishrudder/kernel/random.h"
 #include "radishrudder/kernel/time.h"
@@ -151,6 +152,14 @@
   std::vector<EndpointLimit> KnownEndpointLimits() const;
   std::uint64_t EndpointLimitsRevision() const;
 
+  // The endpoints of which agents should report the load: those with an engine,
+  // of services in which an endpoint has stated its pace in a response or whose
+  // routes differ in priority.
+  std::vector<ReportedEndpoint> ReportingEndpoints() const;
+  // Applies reports; those of other runs than the listed ones are ignored.
+  void OnLoadReports(kernel::Time now,
+                     std::span<const EndpointLoadReport> reports);
+
   // Applies deadlines and timeouts; must be called every few tens of
   // milliseconds.
   void OnTick(kernel::Time now);
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -199,6 +199,12 @@
     "A message from a peer violated the protocol and was discarded."};
 inline constexpr Event kHttpFailed{704, Level::kWarning, "http-failed",
                                    "An HTTP request ended without a response."};
+inline constexpr Event kLoadReportsArrive{
+    705, Level::kInfo, "load-reports-arrive",
+    "Agents of a service report the load of their endpoints."};
+inline constexpr Event kLoadReportsStopped{
+    706, Level::kWarning, "load-reports-stopped",
+    "No agent of a service reports the load of its endpoint any more."};
 inline constexpr Event kDatagramFailed{
     707, Level::kWarning, "datagram-failed",
     "A datagram was not sent or received; written once for each cause."};
--- a/include/radishrudder/serving/call_journal.h
+++ b/include/radishrudder/serving/call_journal.h
@@ -2,13 +2,16 @@
 #define RADISHRUDDER_SERVING_CALL_JOURNAL_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
+#include <utility>
 
 #include "radishrudder/direct/call.h"
 #include "radishrudder/kernel/findings.h"
 #include "radishrudder/kernel/time.h"
 #include "radishrudder/kernel/token_bucket.h"
 #include "radishrudder/metrics/metrics.h"
+#include "radishrudder/serving/load_collector.h"
 
 namespace radishrudder::serving {
 
@@ -27,6 +30,8 @@
                              const direct::NoAllowedRegion& refusal);
   void RecordEvacuation(const direct::DataCentreEvacuated& evacuation);
   void RecordCold(kernel::Time now, const direct::EndpointCold& cold);
+  // Updates the metrics of load reports, if there are any.
+  void RecordLoadReports(kernel::Time now, const LoadCollector& collector);
   void LogFindings(const kernel::Findings& findings);
   void CountStoreEra() { m_metrics.Count("radishrudder_store_eras_total", {}); }
   void CountCallerDisconnected() {
@@ -39,12 +44,19 @@
   // Takes a line from the budget, or counts it as suppressed.
   bool TryTakeLine(kernel::Time now);
 
+  // Counts what a total has grown by since the last call for the series.
+  void CountTotal(const std::string& name,
+                  const std::string& reason,
+                  std::uint64_t total);
+
   std::string m_instance;
   metrics::Metrics m_metrics;
   kernel::TokenBucket m_line_budget;
   std::uint64_t m_successes = 0;
   // Lines suppressed since the last written one.
   std::uint64_t m_suppressed_lines = 0;
+  // Totals that have been counted, by name and reason.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> m_totals;
 };
 
 }  // namespace radishrudder::serving
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -25,6 +25,7 @@
 #include "radishrudder/peers/peer_report.h"
 #include "radishrudder/serving/call_journal.h"
 #include "radishrudder/serving/call_session.h"
+#include "radishrudder/serving/load_collector.h"
 #include "radishrudder/serving/settings_change.h"
 #include "radishrudder/serving/store_follower.h"
 
@@ -57,6 +58,9 @@
   std::string store_address{};
   std::string peers_address{};            // Empty: takes no peers' reports.
   std::vector<std::string> peer_seeds{};  // Addresses of some other entries.
+  // Takes agents' load reports by UDP; empty: none.
+  std::string load_reports_address{};
+  std::uint16_t agents_port = 0;  // The same on all instances.
   // Time from SIGTERM until the platform kills the process.
   std::chrono::milliseconds stop_timeout{8000};
 };
@@ -122,6 +126,14 @@
         m_peers({.address = m_settings.peers_address,
                  .seeds = m_settings.peer_seeds},
                 kernel::Random(random.Next())),
+        m_load_collector(context,
+                         {.instance = m_settings.entry.name,
+                          .address = m_settings.load_reports_address,
+                          .agents_port = m_settings.agents_port},
+                         [this](const direct::EndpointLoadReport& report) {
+                           m_core.OnLoadReports(kernel::Now(), {&report, 1});
+                           TakeOutputs();
+                         }),
         m_tick(context) {}
 
   std::error_code Start() {
@@ -192,6 +204,10 @@
                  change);
     DeferSetting("peers-address", current.peers_address, updated.peers_address,
                  change);
+    DeferSetting("load-reports-address", current.load_reports_address,
+                 updated.load_reports_address, change);
+    DeferSetting("agents-port", current.agents_port, updated.agents_port,
+                 change);
     return change;
   }
 
@@ -699,8 +715,11 @@
     PassOnNews();
     m_peers.OnTick(now);
     TakePeerOutputs();
+    m_load_collector.OnTick(now);
     if (now >= m_next_maintenance) {
       m_next_maintenance = now + kMaintenanceInterval;
+      m_load_collector.SetEndpoints(now, m_core.ReportingEndpoints());
+      m_journal.RecordLoadReports(now, m_load_collector);
       m_callers.CheckTimes(now);
       m_readiness.CheckTimes(now);
       m_metrics_server.CheckTimes(now);
@@ -763,6 +782,7 @@
   exchange::CallerServer m_peer_server;
   peers::PeerExchange m_peers;
   std::uint64_t m_told_revision = 0;  // What peers were told of.
+  LoadCollector m_load_collector;
   asio::steady_timer m_tick;
   kernel::Time m_next_maintenance{};
   std::optional<kernel::Time> m_stop_started;
--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -212,6 +212,7 @@
   if (found == m_listed.end()) {
     return;
   }
+  m_states_pace = m_states_pace || load.pace.has_value();
   routing::Endpoint endpoint = ToRouterEndpoint(found->second);
   endpoint.load = load;
   endpoint.load_known = true;
@@ -220,6 +221,26 @@
   m_router.OnEndpoint(now, endpoint);
 }
 
+void ServicePool::OnLoadReport(kernel::Time now,
+                               const EndpointLoadReport& report) {
+  const auto found = m_listed.find(report.endpoint);
+  if (found == m_listed.end() || found->second.started != report.started) {
+    return;
+  }
+  if (m_reported_states.OnReport(now, {report.endpoint, report.started},
+                                 report.takes_no_new_calls)) {
+    UpdateRouter(now);
+  }
+  routing::Endpoint endpoint = ToRouterEndpoint(found->second);
+  endpoint.load = {.running = report.running,
+                   .waiting = report.waiting,
+                   .capacity = CapacityOf(found->second.slots),
+                   .pace = report.pace,
+                   .measured_at = report.measured_at};
+  endpoint.load_known = true;
+  m_router.OnEndpoint(now, endpoint);
+}
+
 bool ServicePool::IsBelowShare(const EndpointRequirements& requirements,
                                double unavailable_capacity) const {
   double attempts = m_attempts;
@@ -313,7 +334,7 @@
     return now - item.second >= kLeavingLifetime &&
            !m_listed.contains(item.first.first);
   });
-  bool changed = false;
+  bool changed = m_reported_states.OnTick(now);
   for (auto item = m_response_states.begin();
        item != m_response_states.end();) {
     ResponseState& state = item->second;
@@ -345,6 +366,7 @@
   return !listed.leaving && !excluded &&
          !m_evacuations.Contains(listed.data_centre) &&
          !HasLeft({listed.id, listed.started}) &&
+         !m_reported_states.TakesNoNewCalls({listed.id, listed.started}) &&
          (!m_engine || (listed.model_version > 0 &&
                         listed.model_version >= m_required_version));
 }
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -20,6 +20,7 @@
 #include "radishrudder/routing/router.h"
 #include "source/radishrudder/direct/cold_endpoints.h"
 #include "source/radishrudder/direct/endpoint_pauses.h"
+#include "source/radishrudder/direct/reported_states.h"
 
 namespace radishrudder::direct {
 
@@ -79,6 +80,10 @@
   void OnLoad(kernel::Time now,
               std::string_view id,
               const routing::LoadReport& load);
+  // An agent reported the load of its endpoint.
+  void OnLoadReport(kernel::Time now, const EndpointLoadReport& report);
+  // Whether an endpoint has stated its pace in a response.
+  bool StatesPace() const { return m_states_pace; }
   void OnSent(kernel::Time now, const routing::EndpointRun& run);
   void OnAnswered(kernel::Time now,
                   const routing::EndpointRun& run,
@@ -168,6 +173,8 @@
   routing::Router m_router;
   calls::RetryBudget m_budget;
   EndpointPauses m_pauses;
+  ReportedStates m_reported_states;
+  bool m_states_pace = false;
   // Endpoint runs that said in an answer that they leave, whatever is listed,
   // and when they did.
   std::map<std::pair<std::string, std::uint64_t>, kernel::Time> m_leaving;
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -69,6 +69,8 @@
                                       kPeerLost,
                                       kMessageRejected,
                                       kHttpFailed,
+                                      kLoadReportsArrive,
+                                      kLoadReportsStopped,
                                       kDatagramFailed};
   return kEvents;
 }
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -186,6 +186,42 @@
                 {"lines_left_out", std::to_string(suppressed_lines)}});
 }
 
+void CallJournal::RecordLoadReports(kernel::Time now,
+                                    const LoadCollector& collector) {
+  if (!collector.WasUsed()) {
+    return;
+  }
+  const peers::LoadSubscriber::Counters& reports =
+      collector.Subscriber().Count();
+  const exchange::DatagramSocket::Counters& datagrams =
+      collector.Socket().Count();
+  const std::string dropped = "radishrudder_load_datagrams_dropped_total";
+  CountTotal("radishrudder_load_datagrams_sent_total", "", datagrams.sent);
+  CountTotal("radishrudder_load_datagrams_received_total", "",
+             datagrams.received);
+  CountTotal(dropped, "malformed", reports.malformed);
+  CountTotal(dropped, "unknown_sender", reports.unknown_sender);
+  CountTotal(dropped, "other_run", reports.other_run);
+  CountTotal(dropped, "out_of_order", reports.out_of_order);
+  CountTotal(dropped, "too_long", datagrams.too_long);
+  CountTotal(dropped, "send_failed", datagrams.send_failed);
+  CountTotal(dropped, "receive_failed", datagrams.receive_failed);
+  m_metrics.Gauge("radishrudder_endpoints_with_load_report", {},
+                  static_cast<double>(collector.FreshReports(now)));
+}
+
+void CallJournal::CountTotal(const std::string& name,
+                             const std::string& reason,
+                             std::uint64_t total) {
+  std::vector<metrics::Label> labels;
+  if (!reason.empty()) {
+    labels.push_back({"reason", reason});
+  }
+  std::uint64_t& counted = m_totals[{name, reason}];
+  m_metrics.Count(name, labels, static_cast<double>(total - counted));
+  counted = total;
+}
+
 void CallJournal::LogFindings(const kernel::Findings& findings) {
   for (const kernel::Finding& finding : findings.Items()) {
     logging::Log(logging::kDocumentRejected,
--- a/tests/peers/load_subscriber_test.cc
+++ b/tests/peers/load_subscriber_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <ctime>
 #include <set>
 
 #include "radishrudder/peers/load_reports.h"
@@ -181,6 +182,36 @@
   EXPECT_EQ(m_subscriber.Count().unknown_sender, 1U);
 }
 
+// Guards against reports that cost an entry more than the 20 us of processor
+// time that the design allows for each, with today's largest service.
+TEST(LoadReportsTest, ProcessingADatagramTakesAtMost20Microseconds) {
+  constexpr int kAgents = 68;
+  constexpr int kRounds = 300;
+  kernel::Time now{std::chrono::hours(1)};
+  LoadSubscriber entry{{}};
+  std::vector<ReportedAgent> agents;
+  for (int i = 0; i < kAgents; ++i) {
+    const std::string number = std::to_string(i);
+    agents.push_back({"e-" + number, "10.0.1." + number + ":7000", kRun});
+  }
+  entry.SetAgents(now, agents);
+  std::vector<std::string> reports;
+  for (int round = 0; round < kRounds; ++round) {
+    reports.push_back(Report(1'790'000'000'000U + round));
+  }
+  const std::clock_t start = std::clock();
+  for (const std::string& report : reports) {
+    now += milliseconds(150);
+    for (const ReportedAgent& agent : agents) {
+      EXPECT_TRUE(entry.OnDatagram(now, agent.address, report));
+    }
+  }
+  const double microseconds = 1e6 * static_cast<double>(std::clock() - start) /
+                              CLOCKS_PER_SEC / (kAgents * kRounds);
+  RecordProperty("microseconds", std::to_string(microseconds));
+  EXPECT_LE(microseconds, 20);
+}
+
 // Guards against an entry that needs anything but its own subscription after a
 // restart, and an agent that must know of it.
 TEST(LoadReportsTest, ARestartedEntryHearsFromARunningAgent) {
