--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -101,11 +101,20 @@
                          std::span<const ListedEndpoint> endpoints) {
   m_listed.clear();
   for (const ListedEndpoint& endpoint : endpoints) {
-    m_listed.emplace(endpoint.id, endpoint);
+    ListedEndpoint& listed =
+        m_listed.emplace(endpoint.id, endpoint).first->second;
+    const auto reported =
+        m_reported_versions.find(std::pair(endpoint.id, endpoint.started));
+    if (reported != m_reported_versions.end()) {
+      listed.model_version = std::max(listed.model_version, reported->second);
+    }
     if (endpoint.slots > 0) {
       m_router.SetDefaultCapacity(CapacityOf(endpoint.slots));
     }
   }
+  std::erase_if(m_reported_versions, [this](const auto& item) {
+    return !m_listed.contains(item.first.first);
+  });
   m_cold.OnList(now, endpoints);
   UpdateRouter(now);
 }
@@ -257,6 +266,34 @@
   m_router.OnEndpoint(now, endpoint);
 }
 
+void ServicePool::OnLoadReport(kernel::Time now,
+                               const EndpointLoadReport& report) {
+  const auto found = m_listed.find(report.endpoint);
+  if (found == m_listed.end() || found->second.started != report.started) {
+    return;
+  }
+  // The list tells of a new version some seconds later.
+  const bool newer_version = report.model_version > found->second.model_version;
+  if (newer_version) {
+    found->second.model_version = report.model_version;
+    m_reported_versions[{report.endpoint, report.started}] =
+        report.model_version;
+  }
+  if (m_reported_states.OnReport(now, {report.endpoint, report.started},
+                                 report.takes_no_new_calls) ||
+      newer_version) {
+    UpdateRouter(now);
+  }
+  routing::Endpoint endpoint = ToRouterEndpoint(found->second);
+  endpoint.load = {.running = report.running,
+                   .waiting = report.waiting,
+                   .capacity = CapacityOf(found->second.slots),
+                   .pace = report.pace,
+                   .measured_at = report.measured_at};
+  endpoint.load_known = true;
+  m_router.OnEndpoint(now, endpoint);
+}
+
 bool ServicePool::IsBelowShare(const EndpointRequirements& requirements,
                                double unavailable_capacity) const {
   double attempts = m_attempts;
@@ -370,7 +407,7 @@
     return now - item.second >= kLeavingLifetime &&
            !m_listed.contains(item.first.first);
   });
-  bool changed = false;
+  bool changed = m_reported_states.OnTick(now);
   for (auto item = m_response_states.begin();
        item != m_response_states.end();) {
     ResponseState& state = item->second;
@@ -402,6 +439,7 @@
   return !listed.leaving && !excluded &&
          !m_evacuations.Contains(listed.data_centre) &&
          !HasLeft({listed.id, listed.started}) &&
+         !m_reported_states.TakesNoNewCalls({listed.id, listed.started}) &&
          (!m_engine || (listed.model_version > 0 &&
                         listed.model_version >= m_required_version));
 }
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -20,6 +20,7 @@
 #include "radishrudder/routing/router.h"
 #include "source/radishrudder/direct/cold_endpoints.h"
 #include "source/radishrudder/direct/endpoint_pauses.h"
+#include "source/radishrudder/direct/reported_states.h"
 
 namespace radishrudder::direct {
 
@@ -96,6 +97,8 @@
   void OnProgress(const routing::EndpointRun& run, std::uint32_t events) {
     m_router.OnProgress(run, events);
   }
+  // An agent reported the load of its endpoint.
+  void OnLoadReport(kernel::Time now, const EndpointLoadReport& report);
   void OnAnswered(kernel::Time now,
                   const routing::EndpointRun& run,
                   const routing::Answer& answer);
@@ -188,6 +191,10 @@
   routing::Router m_router;
   calls::RetryBudget m_budget;
   EndpointPauses m_pauses;
+  ReportedStates m_reported_states;
+  // Versions that agents reported of endpoint runs.
+  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t>
+      m_reported_versions;
   // Endpoint runs that said in an answer that they leave, whatever is listed,
   // and when they did.
   std::map<std::pair<std::string, std::uint64_t>, kernel::Time> m_leaving;
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -68,7 +68,10 @@
                                       kPeerConnected,
                                       kPeerLost,
                                       kMessageRejected,
-                                      kHttpFailed};
+                                      kHttpFailed,
+                                      kLoadReportsArrive,
+                                      kLoadReportsStopped,
+                                      kDatagramFailed};
   return kEvents;
 }
 
