--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -209,6 +209,41 @@
         LimitCase{"Text", "few", std::nullopt, "Server-Limit: few"}),
     [](const auto& test) { return test.param.name; });
 
+struct ColdCase {
+  const char* name;
+  const char* text;
+  std::optional<std::chrono::milliseconds> cold_time;
+  const char* unreadable;
+};
+
+class ColdTest : public testing::TestWithParam<ColdCase> {};
+
+// Guards against the time that an endpoint stays cold being lost or misread,
+// which nothing in the log would show.
+TEST_P(ColdTest, DecodesHowLongTheEndpointStaysCold) {
+  exchange::ResponseHead head;
+  head.status = 200;
+  head.headers = {{"Radishrudder-Cold-Ms", GetParam().text}};
+  const direct::EndpointResponse response =
+      CallCodec::DecodeResponse(head, "i-1");
+  EXPECT_EQ(response.cold_time, GetParam().cold_time);
+  EXPECT_EQ(response.unreadable, GetParam().unreadable);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ColdTest,
+    testing::Values(
+        ColdCase{"Whole", "1500", std::chrono::milliseconds(1500), ""},
+        ColdCase{"Fraction", "20.5", std::chrono::milliseconds(20), ""},
+        ColdCase{"Zero", "0", std::chrono::milliseconds(0), ""},
+        ColdCase{"Huge", "1e300", std::chrono::milliseconds(86'400'000), ""},
+        ColdCase{"Absent", "", std::nullopt, ""},
+        ColdCase{"Negative", "-1", std::nullopt, "Radishrudder-Cold-Ms: -1"},
+        ColdCase{"NoNumber", "nan", std::nullopt, "Radishrudder-Cold-Ms: nan"},
+        ColdCase{"Text", "long", std::nullopt, "Radishrudder-Cold-Ms: long"}),
+    [](const auto& test) { return test.param.name; });
+
 TEST(CallCodecTest, DecodesLoadAndVersion) {
   exchange::ResponseHead head;
   head.status = 200;
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -49,6 +49,150 @@
   EXPECT_EQ(findings.Items()[0].place.pointer, "/routes/2/kind");
 }
 
+struct RegionsCase {
+  const char* name;
+  const char* list;
+  std::vector<std::string> expected;
+  std::size_t findings;
+};
+
+class RegionsTest : public testing::TestWithParam<RegionsCase> {};
+
+// Guards against a list that can't be read allowing all regions, and against it
+// discarding the rest of the configuration.
+TEST_P(RegionsTest, DecodesListOfRouteAndWorkspaceOrAllowsNone) {
+  const std::string list = GetParam().list;
+  const std::string text =
+      R"({"version": 1, "routes": [{"name": "r", "host": "h.example",
+          "prefix": "/a/", "kind": "idempotent", "service": "s")" +
+      list + R"(}], "services": [{"name": "s"}],
+          "tenants": [{"name": "t", "api_keys": ["k"])" +
+      list + "}]}";
+  kernel::Findings findings;
+  const auto configuration = DecodeConfiguration(text, findings);
+  ASSERT_TRUE(configuration);
+  ASSERT_EQ(configuration->routes.size(), 1U);
+  ASSERT_EQ(configuration->workspaces.size(), 1U);
+  EXPECT_EQ(configuration->routes[0].allowed_regions, GetParam().expected);
+  EXPECT_EQ(configuration->workspaces[0].allowed_regions, GetParam().expected);
+  ASSERT_EQ(findings.Items().size(), GetParam().findings);
+  if (GetParam().findings > 0) {
+    EXPECT_EQ(findings.Items()[0].place.pointer, "/routes/0/allowed_regions");
+    EXPECT_EQ(findings.Items()[1].place.pointer, "/tenants/0/allowed_regions");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    RegionsTest,
+    testing::Values(
+        RegionsCase{"Absent", "", {}, 0},
+        RegionsCase{"Null", R"(,"allowed_regions":null)", {}, 0},
+        RegionsCase{"Empty", R"(,"allowed_regions":[])", {}, 0},
+        RegionsCase{"Two", R"(,"allowed_regions":["a","b"])", {"a", "b"}, 0},
+        RegionsCase{"Text", R"(,"allowed_regions":"a")", {""}, 2},
+        RegionsCase{"Object", R"(,"allowed_regions":{})", {""}, 2},
+        RegionsCase{"Numbers", R"(,"allowed_regions":["a",1])", {""}, 2},
+        RegionsCase{"Nested", R"(,"allowed_regions":[["a"]])", {""}, 2}),
+    [](const auto& test) { return test.param.name; });
+
+struct ColdRuleCase {
+  const char* name;
+  const char* fields;
+  std::chrono::milliseconds start;
+  double rate;
+  std::size_t findings;
+};
+
+class ColdRuleTest : public testing::TestWithParam<ColdRuleCase> {};
+
+// Guards against absurd figures, which count as missing and are reported.
+TEST_P(ColdRuleTest, DecodesFiguresOrReportsThem) {
+  const std::string text =
+      R"({"version": 1, "routes": [], "services": [{"name": "s")" +
+      std::string(GetParam().fields) + "}]}";
+  kernel::Findings findings;
+  const auto configuration = DecodeConfiguration(text, findings);
+  ASSERT_TRUE(configuration);
+  ASSERT_EQ(configuration->services.size(), 1U);
+  EXPECT_EQ(configuration->services[0].cold_start, GetParam().start);
+  EXPECT_EQ(configuration->services[0].cold_requests_per_second,
+            GetParam().rate);
+  EXPECT_EQ(findings.Items().size(), GetParam().findings);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ColdRuleTest,
+    testing::Values(
+        ColdRuleCase{"Absent", "", std::chrono::milliseconds(0), 0, 0},
+        ColdRuleCase{"Both", R"(,"cold_start_s":20.5,"cold_per_s":8)",
+                     std::chrono::milliseconds(20500), 8, 0},
+        ColdRuleCase{"Negative", R"(,"cold_start_s":-1,"cold_per_s":-8)",
+                     std::chrono::milliseconds(0), 0, 2},
+        ColdRuleCase{"Huge", R"(,"cold_start_s":1e300,"cold_per_s":1e300)",
+                     std::chrono::milliseconds(0), 0, 2},
+        ColdRuleCase{"Text", R"(,"cold_start_s":"20","cold_per_s":8)",
+                     std::chrono::milliseconds(0), 8, 1}),
+    [](const auto& test) { return test.param.name; });
+
+struct ColdTimeCase {
+  const char* name;
+  const char* value;
+  std::chrono::milliseconds cold_time;
+  bool reported;
+};
+
+class ColdTimeTest : public testing::TestWithParam<ColdTimeCase> {};
+
+// Guards against an endpoint being lost from the list because of its cold time.
+TEST_P(ColdTimeTest, DecodesTimeOrReportsIt) {
+  const std::string text =
+      R"({"service":"s","address":"1.2.3.4:5","state":"ready",
+          "cold_remaining_ms":)" +
+      std::string(GetParam().value) + "}";
+  kernel::Findings findings;
+  const auto endpoint =
+      DecodeEndpoint({"servers/i-1", text, 4, false}, findings);
+  ASSERT_TRUE(endpoint);
+  EXPECT_EQ(endpoint->cold_time, GetParam().cold_time);
+  EXPECT_EQ(!findings.Items().empty(), GetParam().reported);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ColdTimeTest,
+    testing::Values(
+        ColdTimeCase{"Whole", "1500", std::chrono::milliseconds(1500), false},
+        ColdTimeCase{"Zero", "0", std::chrono::milliseconds(0), false},
+        ColdTimeCase{"Null", "null", std::chrono::milliseconds(0), false},
+        ColdTimeCase{"Negative", "-5", std::chrono::milliseconds(0), true},
+        ColdTimeCase{"Huge", "1e300", std::chrono::milliseconds(0), true},
+        ColdTimeCase{"Text", R"("5")", std::chrono::milliseconds(0), true}),
+    [](const auto& test) { return test.param.name; });
+
+struct EvacuationKeyCase {
+  const char* name;
+  const char* key;
+  const char* data_centre;
+};
+
+class EvacuationKeyTest : public testing::TestWithParam<EvacuationKeyCase> {};
+
+TEST_P(EvacuationKeyTest, NamesTheDataCentre) {
+  EXPECT_EQ(EvacuatedDataCentre(GetParam().key), GetParam().data_centre);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    EvacuationKeyTest,
+    testing::Values(EvacuationKeyCase{"Evacuation", "op/evacuate/a-1", "a-1"},
+                    EvacuationKeyCase{"NoName", "op/evacuate/", ""},
+                    EvacuationKeyCase{"Configuration", "op/config", ""},
+                    EvacuationKeyCase{"Version", "op/version/m", ""},
+                    EvacuationKeyCase{"Endpoint", "servers/i-1", ""}),
+    [](const auto& test) { return test.param.name; });
+
 struct EndpointCase {
   const char* name;
   const char* text;
