--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <memory>
 #include <utility>
@@ -105,11 +106,58 @@
   m_thread.join();
 }
 
+void PlatformStandin::Write(StandinEntry entry) {
+  asio::post(m_context,
+             [this, entry = std::move(entry)] { ApplyWrite(entry); });
+}
+
+void PlatformStandin::Remove(std::string key) {
+  asio::post(m_context, [this, key = std::move(key)] { ApplyRemoval(key); });
+}
+
+void PlatformStandin::ApplyWrite(const StandinEntry& entry) {
+  ++m_revision;
+  m_entries.push_back(entry);
+  m_changes.push_back({m_revision, entry.key,
+                       R"({"key": ")" + entry.key + R"(", "revision": )" +
+                           std::to_string(m_revision) + R"(, "value": ")" +
+                           EncodeBase64(entry.value) + "\"}"});
+}
+
+void PlatformStandin::ApplyRemoval(const std::string& key) {
+  ++m_revision;
+  std::erase_if(m_entries,
+                [&key](const StandinEntry& entry) { return entry.key == key; });
+  m_changes.push_back({m_revision, key,
+                       R"({"key": ")" + key + R"(", "revision": )" +
+                           std::to_string(m_revision) +
+                           R"(, "tombstone": true})"});
+}
+
+std::string PlatformStandin::WatchBody(std::string_view prefix,
+                                       std::uint64_t after) const {
+  std::string events;
+  for (const Change& change : m_changes) {
+    if (change.revision > after && change.key.starts_with(prefix)) {
+      events += (events.empty() ? "" : ", ") + change.event;
+    }
+  }
+  return R"({"at": )" + std::to_string(m_revision) + R"(, "events": [)" +
+         events + "]}";
+}
+
 void PlatformStandin::AnswerStore(const exchange::ReceivedRequest& request,
                                   const Exchange& caller) {
   const std::string& target = request.head.target;
+  const std::string_view prefix =
+      target.find("servers") == std::string::npos ? "op/" : "servers/";
   if (target.starts_with("/kv-watch")) {
-    std::string body = R"({"at": 9, "events": []})";
+    constexpr std::string_view kAfter = "&after=";
+    const std::size_t position = target.find(kAfter);
+    std::string body = WatchBody(
+        prefix, position == std::string::npos
+                    ? 0
+                    : std::stoull(target.substr(position + kAfter.size())));
     if (m_watches < m_watch_bodies.size()) {
       body = m_watch_bodies[m_watches++];
     }
@@ -117,8 +165,6 @@
                caller, {200, {}}, std::move(body));
     return;
   }
-  const std::string_view prefix =
-      target.find("servers") == std::string::npos ? "op/" : "servers/";
   std::string items;
   for (const StandinEntry& entry : m_entries) {
     if (entry.key.starts_with(prefix)) {
@@ -127,8 +173,9 @@
                EncodeBase64(entry.value) + "\"}";
     }
   }
-  caller->Reply({200, {}},
-                R"({"at": 9, "has_more": false, "items": [)" + items + "]}");
+  caller->Reply({200, {}}, R"({"at": )" + std::to_string(m_revision) +
+                               R"(, "has_more": false, "items": [)" + items +
+                               "]}");
 }
 
 void PlatformStandin::AnswerCall(const exchange::ReceivedRequest& request,
--- a/tests/platform/platform_standin.h
+++ b/tests/platform/platform_standin.h
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <span>
 #include <string>
@@ -33,9 +34,23 @@
   PlatformStandin(const PlatformStandin&) = delete;
   PlatformStandin& operator=(const PlatformStandin&) = delete;
 
+  // Changes the store; watches return the change.
+  void Write(StandinEntry entry);
+  void Remove(std::string key);
+
  private:
   using Exchange = std::shared_ptr<exchange::CallerExchange>;
 
+  struct Change {
+    std::uint64_t revision = 0;
+    std::string key{};
+    std::string event{};
+  };
+
+  void ApplyWrite(const StandinEntry& entry);
+  void ApplyRemoval(const std::string& key);
+  // Body of an answer to a watch of the prefix.
+  std::string WatchBody(std::string_view prefix, std::uint64_t after) const;
   void AnswerStore(const exchange::ReceivedRequest& request,
                    const Exchange& caller);
   void AnswerCall(const exchange::ReceivedRequest& request,
@@ -51,6 +66,8 @@
   std::vector<StandinEntry> m_entries;
   std::vector<std::string> m_watch_bodies;
   std::size_t m_watches = 0;
+  std::uint64_t m_revision = 9;
+  std::vector<Change> m_changes;
   std::thread m_thread;
 };
 
