--- a/include/radishrudder/direct/allowed_regions.h
+++ b/include/radishrudder/direct/allowed_regions.h
@@ -23,7 +23,7 @@
     const RegionsByDataCentre& regions);
 
 // Whether a data centre is among those that `AllowedDataCentres` returned.
-bool IsAllowed(const std::optional<std::vector<std::string>>& allowed,
+bool IsAllowed(std::optional<std::span<const std::string>> allowed,
                std::string_view data_centre);
 
 }  // namespace radishrudder::direct
--- a/source/radishrudder/direct/allowed_regions.cc
+++ b/source/radishrudder/direct/allowed_regions.cc
@@ -28,7 +28,7 @@
   return allowed;
 }
 
-bool IsAllowed(const std::optional<std::vector<std::string>>& allowed,
+bool IsAllowed(std::optional<std::span<const std::string>> allowed,
                std::string_view data_centre) {
   return !allowed || std::ranges::find(*allowed, data_centre) != allowed->end();
 }
--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -53,8 +53,6 @@
 
 }  // namespace
 
-const std::optional<std::vector<std::string>> EndpointRequirements::kAnywhere;
-
 ServicePool::ServicePool(const EntrySettings& settings,
                          const EndpointKnowledge& knowledge,
                          kernel::Random random)
@@ -109,10 +107,8 @@
       .manifest_digest = version,
       .excluded = requirements.excluded,
       .unavailable = unavailable.ids,
+      .data_centres = requirements.data_centres,
       .require_free_capacity = requirements.require_free_capacity};
-  if (requirements.data_centres) {
-    request.data_centres = *requirements.data_centres;
-  }
   routing::Route route = m_router.Choose(now, request);
   if (route.instance.empty() &&
       route.reason == routing::NoRoute::kNoFreeCapacity &&
@@ -136,7 +132,7 @@
 
 ServicePool::Unavailable ServicePool::FindUnavailable(
     kernel::Time now,
-    const std::optional<std::vector<std::string>>& data_centres) const {
+    std::optional<std::span<const std::string>> data_centres) const {
   Unavailable unavailable;
   if (m_pauses.IsEmpty() && m_limits.IsEmpty() && m_cold.IsEmpty()) {
     return unavailable;
@@ -202,7 +198,7 @@
 bool ServicePool::MaySend(
     kernel::Time now,
     const routing::EndpointRun& run,
-    const std::optional<std::vector<std::string>>& data_centres) const {
+    std::optional<std::span<const std::string>> data_centres) const {
   // Where a run is that is not listed any more is unknown.
   const auto listed = m_listed.find(run.instance);
   const bool place_known =
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -44,9 +44,7 @@
   // endpoints appear to be full.
   double capacity_share = 0;
   // Data centres whose endpoints may be used; nothing: all.
-  const std::optional<std::vector<std::string>>& data_centres = kAnywhere;
-
-  static const std::optional<std::vector<std::string>> kAnywhere;
+  std::optional<std::span<const std::string>> data_centres{};
 };
 
 // What an entry knows of all endpoints, whatever their service.
@@ -106,10 +104,9 @@
                   const routing::EndpointRun& run,
                   kernel::Duration cold_time);
   // Whether an attempt for which the run was selected may still be sent to it.
-  bool MaySend(
-      kernel::Time now,
-      const routing::EndpointRun& run,
-      const std::optional<std::vector<std::string>>& data_centres) const;
+  bool MaySend(kernel::Time now,
+               const routing::EndpointRun& run,
+               std::optional<std::span<const std::string>> data_centres) const;
   // The evacuated data centres changed.
   void OnEvacuations(kernel::Time now) { UpdateRouter(now); }
   std::vector<ColdChange> TakeColdChanges() { return m_cold.TakeChanges(); }
@@ -137,7 +134,7 @@
 
   Unavailable FindUnavailable(
       kernel::Time now,
-      const std::optional<std::vector<std::string>>& data_centres) const;
+      std::optional<std::span<const std::string>> data_centres) const;
   bool CanBeUsed(const ListedEndpoint& listed) const;
   bool HasLeft(const routing::EndpointRun& run) const;
   // Whether this entry uses less than its share of the capacity in the data
