measure routing: engines with the published figures, noisy pace, deadlines

The comparison had engines with a prefix cache and one token in a step, answers without estimates, and no pace, target or deadline, so least-predicted-wait could not be compared.

--published-engine gives engines with the passes of limited-capacity.md; the options for the spread of answers, slow endpoints and the deadline need it. The figures are the share of calls with the first token within 500 ms, its 99th percentile, the calls cut and the error of the expected lengths. Calls there start at the clock's time; elsewhere they still start an hour before it, as the tables in routing.md were measured.

--- a/measure/routing/cluster.h
+++ b/measure/routing/cluster.h
@@ -2,6 +2,7 @@
 #define RADISHRUDDER_MEASURE_ROUTING_CLUSTER_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "measure/routing/figures.h"
 #include "measure/routing/options.h"
 #include "measure/routing/workload.h"
+#include "radishrudder/routing/call_cost.h"
 #include "radishrudder/routing/router.h"
 
 namespace radishrudder::measure {
@@ -32,6 +34,16 @@
   struct Entry {
     std::uint32_t data_centre = 0;
     std::unique_ptr<routing::Router> router;
+    routing::CallCosts costs;
+  };
+  // A call that an entry has sent.
+  struct SentCall {
+    std::uint32_t entry = 0;
+    std::uint32_t endpoint = 0;
+    routing::CallId id = 0;
+    Prompt prompt;
+    kernel::Time called;
+    std::optional<kernel::Duration> first_byte{};
   };
   // A cache event message on its way to one entry.
   struct CacheMessage {
@@ -44,23 +56,33 @@
   double Distance(const Entry& entry, std::uint32_t endpoint) const;
   void ScheduleCall();
   void OnCall();
-  void Send(std::uint32_t entry,
-            std::uint32_t endpoint,
-            const Prompt& prompt,
-            kernel::Time called);
-  void OnFirstToken(kernel::Time called, double distance, bool hit);
+  void Send(const std::shared_ptr<SentCall>& call);
+  routing::EndpointRun RunOf(const SentCall& call) const;
+  routing::CallFeatures FeaturesOf(const Prompt& prompt) const;
+  routing::CallCost CostOf(const Entry& entry, const Prompt& prompt) const;
+  void OnFirstToken(SentCall& call, double distance, bool hit);
+  void OnEnd(const std::shared_ptr<SentCall>& call,
+             std::uint32_t tokens,
+             bool complete);
+  void DrawPaces();
+  double MeanOverEntries(double (routing::CallCosts::*error)() const) const;
   void ScheduleReport(std::uint32_t endpoint, double seconds);
   void Report(std::uint32_t endpoint);
   void ReportCache(std::uint32_t endpoint);
   void Sample();
 
   Options m_options;
+  bool m_exact_cost;
+  CallSizes m_sizes;
+  EngineSettings m_engine;
   EventQueue m_events;
   kernel::Time m_begin;  // Of the measured time, after the warm-up.
   kernel::Random m_random;
   Workload m_workload;
   std::vector<EndpointState> m_endpoints;
   std::vector<Entry> m_entries;
+  std::vector<std::string> m_workspace_names;
+  routing::CallId m_next_call = 1;
   FigureCollector m_figures;
 };
 
--- a/measure/routing/main.cc
+++ b/measure/routing/main.cc
@@ -1,5 +1,6 @@
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 
 #include "measure/routing/cluster.h"
 #include "measure/routing/options.h"
@@ -33,7 +34,10 @@
   if (!options) {
     return EXIT_FAILURE;
   }
-  const auto state = radishrudder::measure::MeasureRouterState();
+  std::optional<radishrudder::measure::RouterState> state;
+  if (options->router_state) {
+    state = radishrudder::measure::MeasureRouterState();
+  }
   const std::vector<PolicyFigures> measured = MeasurePolicies(*options);
   std::cout << radishrudder::measure::FormatReport(*options, measured, state)
             << "\n";
--- a/measure/routing/options.cc
+++ b/measure/routing/options.cc
@@ -31,6 +31,16 @@
       "load-factor", "rate over that of the engines with half cached",
       number(defaults.load_factor))("seconds", "virtual time measured",
                                     number(defaults.seconds))(
+      "published-engine", "published figures, no prefix cache")(
+      "output-spread", "deviation of ln(answer / estimate)",
+      number(defaults.output_spread))("deadline-ms", "calls are cut after it",
+                                      number(defaults.deadline_ms))(
+      "slow-percent", "endpoints that are slow at a time",
+      number(defaults.slow_percent))("pace-factor", "how slow they are",
+                                     number(defaults.pace_factor))(
+      "pace-ms", "time until slow endpoints are drawn again",
+      number(defaults.pace_ms))("skip-router-state",
+                                "do not measure a large router")(
       "policy", "policies to compare instead of all",
       cxxopts::value<std::vector<std::string>>())("help", "print this");
   return options;
@@ -61,12 +71,17 @@
   CheckPositive("--seconds", options.seconds, findings);
   CheckPercent("--gap-percent", options.gap_percent, findings);
   CheckPercent("--shared-percent", options.shared_percent, findings);
+  CheckPositive("--output-spread", options.output_spread, findings);
+  CheckPositive("--deadline-ms", options.deadline_ms, findings);
+  CheckPercent("--slow-percent", options.slow_percent, findings);
+  CheckPositive("--pace-factor", options.pace_factor, findings);
+  CheckPositive("--pace-ms", options.pace_ms, findings);
   std::string names;
   for (const std::string& name : routing::PolicyRegistry::Instance().Names()) {
     names += (names.empty() ? "" : ", ") + name;
   }
   for (const std::string& name : options.policies) {
-    if (!routing::PolicyRegistry::Instance().Find(name)) {
+    if (!routing::PolicyRegistry::Instance().Find(RegisteredName(name))) {
       findings.Error({"--policy", 0, 0, {}}, "no policy \"" + name + "\"",
                      names);
     }
@@ -84,6 +99,13 @@
   options.shared_percent = result["shared-percent"].as<double>();
   options.load_factor = result["load-factor"].as<double>();
   options.seconds = result["seconds"].as<double>();
+  options.published_engine = result.count("published-engine") > 0;
+  options.output_spread = result["output-spread"].as<double>();
+  options.deadline_ms = result["deadline-ms"].as<std::uint32_t>();
+  options.slow_percent = result["slow-percent"].as<double>();
+  options.pace_factor = result["pace-factor"].as<double>();
+  options.pace_ms = result["pace-ms"].as<std::uint32_t>();
+  options.router_state = result.count("skip-router-state") == 0;
   if (result.count("policy") > 0) {
     options.policies = result["policy"].as<std::vector<std::string>>();
   }
@@ -92,6 +114,13 @@
 
 }  // namespace
 
+std::string_view RegisteredName(std::string_view policy) {
+  if (policy.ends_with(kExactSuffix)) {
+    policy.remove_suffix(kExactSuffix.size());
+  }
+  return policy;
+}
+
 std::optional<Options> ParseOptions(int argc, char** argv) {
   routing::RegisterBuiltInPolicies();
   cxxopts::Options declared = Declare();
--- a/measure/routing/report.h
+++ b/measure/routing/report.h
@@ -1,6 +1,7 @@
 #ifndef RADISHRUDDER_MEASURE_ROUTING_REPORT_H_
 #define RADISHRUDDER_MEASURE_ROUTING_REPORT_H_
 
+#include <optional>
 #include <span>
 #include <string>
 
@@ -18,7 +19,7 @@
 // Returns the last line of the program: one JSON object.
 std::string FormatReport(const Options& options,
                          std::span<const PolicyFigures> policies,
-                         const RouterState& state);
+                         const std::optional<RouterState>& state);
 
 }  // namespace radishrudder::measure
 
--- a/measure/routing/router_state.cc
+++ b/measure/routing/router_state.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "measure/routing/engine.h"
 #include "radishrudder/routing/router.h"
 
 namespace radishrudder::measure {
@@ -82,6 +83,36 @@
       MicrosecondsOf(kSubsets, [&] { router.OnEndpoints(now, endpoints); });
 }
 
+// Returns the processor time of one choice of least-predicted-wait, with eight
+// calls of this entry at each endpoint.
+double MeasurePredictedChoice(kernel::Time now) {
+  constexpr std::size_t kChoices = 20'000;
+  constexpr std::size_t kServiceEndpoints = 58;
+  constexpr std::size_t kOwnCalls = 8;
+  std::vector<routing::Endpoint> endpoints = Endpoints();
+  endpoints.resize(kServiceEndpoints);
+  routing::Router router({.entry = "entry-0",
+                          .policy = "least-predicted-wait",
+                          .subset = {.size = kServiceEndpoints}},
+                         kernel::Random(1));
+  router.SetEngine(PublishedFigures());
+  const routing::CallCost cost{1'000, 100, 200};
+  routing::CallId next_call = 1;
+  for (routing::Endpoint& endpoint : endpoints) {
+    endpoint.load.pace = 1.5;
+    endpoint.load.measured_at = now;
+  }
+  router.OnEndpoints(now, endpoints);
+  for (const routing::Endpoint& endpoint : endpoints) {
+    for (std::size_t i = 0; i < kOwnCalls; ++i) {
+      router.OnSent(now, {endpoint.instance, 1, next_call}, {.cost = &cost});
+      ++next_call;
+    }
+  }
+  return MicrosecondsOf(kChoices,
+                        [&] { router.Choose(now, {.call = {.cost = &cost}}); });
+}
+
 }  // namespace
 
 RouterState MeasureRouterState() {
@@ -110,6 +141,7 @@
   }
   state.prefix_bytes = AllocatedBytes() - with_endpoints;
   MeasureTime(router, endpoints, now, state);
+  state.predicted_choose_microseconds = MeasurePredictedChoice(now);
   MeasureCoverage(endpoints, state);
   return state;
 }
--- a/measure/routing/router_state.h
+++ b/measure/routing/router_state.h
@@ -20,6 +20,8 @@
   std::size_t most_entries = 0;
   // Processor time of one choice, and of choosing the subset anew.
   double choose_microseconds = 0;
+  // Of one choice of least-predicted-wait among 58 endpoints.
+  double predicted_choose_microseconds = 0;
   double subset_microseconds = 0;
 };
 
