--- a/tests/programs/command_test.cc
+++ b/tests/programs/command_test.cc
@@ -75,7 +75,8 @@
   EXPECT_EQ(result.errors,
             "cases/unknown_policy.json: warning: \"round-robbin\" is no policy "
             "of this program at /calls/routingPolicy; valid: "
-            "least-expected-latency, least-loaded-of-two, prefix-affinity, "
+            "least-expected-latency, least-loaded-of-two, "
+            "least-predicted-wait, prefix-affinity, "
             "random, round-robin\n");
 }
 
