admission: a larger reserve for each rank, urgent calls queue at endpoints

With reports 150 ms old and 16 entries, calls of the lowest rank filled the places that were left free for others within one report interval.

--- a/source/radishrudder/admission/rank_limits.cc
+++ b/source/radishrudder/admission/rank_limits.cc
@@ -14,12 +14,12 @@
 // Places that a rank leaves free for each more urgent rank. With 12 places and
 // a call of 1.5 s, one place in eight comes free within 200 ms, the time in
 // which other entries' load reports are late.
-constexpr double kReservePerRank = 0.085;
+constexpr double kReservePerRank = 0.125;
 // The reserve is whole if more urgent calls are at least this part of all.
 constexpr double kFullReserveShare = 0.2;
 // Most urgent calls may exceed the places by this share: the endpoint takes
 // them first as soon as a place comes free.
-constexpr double kUrgentQueueShare = 0.085;
+constexpr double kUrgentQueueShare = 0.25;
 
 }  // namespace
 
--- a/source/radishrudder/direct/entry_admission.cc
+++ b/source/radishrudder/direct/entry_admission.cc
@@ -131,7 +131,9 @@
       .excluded = call.excluded,
       .version = call.response_started ? call.version : std::nullopt,
       .require_free_capacity = require_free_capacity,
-      .capacity_share = demand.Share(now, call.service),
+      // Reports are recent enough to see a place wherever it comes free, and a
+      // call beyond the places would delay those that are running.
+      .capacity_share = by_cost ? 0 : demand.Share(now, call.service),
       .places_share =
           by_cost ? Admission(call.service).PlacesShare(call.priority) : 1,
       .call = by_cost ? ViewOf(now, call) : routing::CallView{},
