--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -153,7 +153,7 @@
   std::uint32_t attempts = 0;
   std::chrono::milliseconds elapsed{0};
   std::chrono::milliseconds configuration_age{0};
-  std::uint32_t priority = 0;           // 0 is the highest.
+  std::uint32_t rank = 0;               // 0 is the most urgent.
   std::chrono::milliseconds waited{0};  // For a place at an endpoint.
   std::string detail{};
   std::uint64_t events = 0;  // Passed on to the caller.
--- a/source/radishrudder/admission/rank_limits.cc
+++ b/source/radishrudder/admission/rank_limits.cc
@@ -11,15 +11,16 @@
 // Weight of the latest window in the rate: an old rate is a tenth of itself
 // after 1.5 s.
 constexpr double kWindowWeight = 0.3;
-// Places that a rank leaves free for each more urgent rank. With 12 places and
-// a call of 1.5 s, one place in eight comes free within 200 ms, the time in
-// which other entries' load reports are late.
-constexpr double kReservePerRank = 0.125;
-// The reserve is whole if more urgent calls are at least this part of all.
+// The most urgent calls may exceed the places by this share, and the least
+// urgent ones leave as much free; the ranks between them are spaced evenly.
+// With 12 places and a call of 1.5 s, three places come free in 0.4 s: an
+// endpoint takes the most urgent first and so still in time. Within a report
+// interval of 150 ms, other entries send up to two calls that this one does not
+// see.
+constexpr double kLargestDifference = 0.25;
+// Less urgent calls leave all of it free if more urgent ones are at least this
+// part of all.
 constexpr double kFullReserveShare = 0.2;
-// Most urgent calls may exceed the places by this share: the endpoint takes
-// them first as soon as a place comes free.
-constexpr double kUrgentQueueShare = 0.25;
 
 }  // namespace
 
@@ -59,13 +60,17 @@
       ++ranks_above;
     }
   }
-  if (ranks_above == 0) {
-    return m_rates.size() > 1 ? 1 + kUrgentQueueShare : 1;
+  if (m_rates.size() < 2) {
+    return 1;
+  }
+  const double position = static_cast<double>(ranks_above) /
+                          static_cast<double>(m_rates.size() - 1);
+  const double difference = kLargestDifference * (1 - 2 * position);
+  if (difference >= 0) {
+    return 1 + difference;
   }
   const double share = all > 0 ? more_urgent / all : 0;
-  const double reserve =
-      kReservePerRank * ranks_above * std::min(1.0, share / kFullReserveShare);
-  return 1 - reserve;
+  return 1 + difference * std::min(1.0, share / kFullReserveShare);
 }
 
 }  // namespace radishrudder::admission
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -230,11 +230,10 @@
   call.id = id;
   call.route = *route;
   call.service = state.ChooseService(*route);
-  call.priority = route->priority;
+  call.rank = state.RankOf(*route, workspace);
   if (workspace != nullptr) {
     call.workspace = workspace->name;
     call.workspace_regions = workspace->allowed_regions;
-    call.priority = workspace->priority.value_or(call.priority);
   }
   call.configuration_age =
       state.age.Age(boot_now).value_or(std::chrono::milliseconds(0));
@@ -254,7 +253,7 @@
   inserted.cost = state.costs.Estimate(state.FeaturesOf(inserted));
   state.demand.OnOffered(inserted.service);
   if (state.Pool(inserted.service).PlacesByCost()) {
-    state.Admission(inserted.service).OnArrived(now, inserted.priority);
+    state.Admission(inserted.service).OnArrived(now, inserted.rank);
   }
   state.Pool(inserted.service).Budget().Earn();
   state.StartAttempt(now, inserted, /*require_free_capacity=*/true);
@@ -458,6 +457,7 @@
 }
 
 void Entry::State::ApplyConfiguration(kernel::Time now) {
+  UpdateRanks();
   for (const ServiceRule& rule : configurations.Current().services) {
     Pool(rule.name).Configure(rule, RanksDiffer(rule.name));
   }
--- a/source/radishrudder/direct/entry_admission.cc
+++ b/source/radishrudder/direct/entry_admission.cc
@@ -46,6 +46,43 @@
   return false;
 }
 
+void Entry::State::UpdateRanks() {
+  std::set<std::uint32_t> routes;
+  for (const RouteRule& route : configurations.Current().routes) {
+    routes.insert(route.priority);
+  }
+  std::set<std::uint32_t> workspaces;
+  for (const WorkspaceRule& workspace : configurations.Current().workspaces) {
+    if (workspace.priority) {
+      workspaces.insert(*workspace.priority);
+    }
+  }
+  route_priorities.assign(routes.begin(), routes.end());
+  workspace_priorities.assign(workspaces.begin(), workspaces.end());
+}
+
+// The workspace's priority decides before the route's. A workspace without one
+// comes with the least urgent.
+std::uint32_t Entry::State::RankOf(const RouteRule& route,
+                                   const WorkspaceRule* workspace) const {
+  const auto index = [](std::span<const std::uint32_t> priorities,
+                        std::uint32_t priority) {
+    return static_cast<std::uint32_t>(
+        std::ranges::lower_bound(priorities, priority) - priorities.begin());
+  };
+  const std::uint32_t by_route = index(route_priorities, route.priority);
+  if (workspace_priorities.empty()) {
+    return by_route;
+  }
+  const std::uint32_t by_workspace =
+      index(workspace_priorities,
+            workspace != nullptr
+                ? workspace->priority.value_or(workspace_priorities.back())
+                : workspace_priorities.back());
+  return by_workspace * static_cast<std::uint32_t>(route_priorities.size()) +
+         by_route;
+}
+
 routing::CallFeatures Entry::State::FeaturesOf(const Call& call) const {
   return {.route = call.route.name,
           .workspace = call.workspace,
@@ -58,7 +95,7 @@
                                        const Call& call) const {
   using Seconds = std::chrono::duration<double>;
   return {.workspace = call.workspace,
-          .priority = call.priority,
+          .priority = call.rank,
           .cost = &call.cost,
           .seconds_to_deadline = Seconds(call.deadline - now).count(),
           .pause_target_seconds = Seconds(call.route.event_gap_target).count()};
@@ -88,7 +125,7 @@
   // Calls that wait already come before new ones of their rank.
   const auto admission = admissions.find(call.service);
   if (require_free_capacity && admission != admissions.end() &&
-      admission->second.Waiting().CountUpTo(call.priority) > 0 &&
+      admission->second.Waiting().CountUpTo(call.rank) > 0 &&
       TryWait(now, call)) {
     return;
   }
@@ -110,7 +147,7 @@
   if (admission != admissions.end()) {
     available_after = std::max(
         available_after, std::min<kernel::Duration>(
-                             admission->second.ExpectedWait(now, call.priority),
+                             admission->second.ExpectedWait(now, call.rank),
                              kMaximumExpectedWait));
   }
   FailCall(now, call, ReasonOf(selected), available_after);
@@ -131,11 +168,9 @@
       .excluded = call.excluded,
       .version = call.response_started ? call.version : std::nullopt,
       .require_free_capacity = require_free_capacity,
-      // Reports are recent enough to see a place wherever it comes free, and a
-      // call beyond the places would delay those that are running.
-      .capacity_share = by_cost ? 0 : demand.Share(now, call.service),
+      .capacity_share = demand.Share(now, call.service),
       .places_share =
-          by_cost ? Admission(call.service).PlacesShare(call.priority) : 1,
+          by_cost ? Admission(call.service).PlacesShare(call.rank) : 1,
       .call = by_cost ? ViewOf(now, call) : routing::CallView{},
       .data_centres = data_centres};
   SelectedEndpoint selected = pool.SelectEndpoint(now, requirements);
@@ -172,7 +207,7 @@
   send.last_event_id = call.response_started ? call.events.LastId()
                                              : call.request->last_event_id;
   if (pool.RanksDiffer()) {
-    send.priority = std::min(call.priority, kMaximumSentPriority);
+    send.priority = std::min(call.rank, kMaximumSentPriority);
   }
   Emit(std::move(send));
   return selected;
@@ -186,7 +221,7 @@
       Admission(call.service)
           .TryWait(now,
                    {.id = call.id,
-                    .rank = call.priority,
+                    .rank = call.rank,
                     .cost = call.cost.prompt_tokens + call.cost.answer_tokens,
                     .workspace = call.workspace,
                     .received = call.request->received_at,
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -142,7 +142,7 @@
   record.detail = call.detail;
   record.events = call.events.EventsReturned();
   record.prompt_parts = call.request->prompt_parts;
-  record.priority = call.priority;
+  record.rank = call.rank;
   record.waited = ToMilliseconds(call.waited);
   if (reason != Reason::kNone && call.may_have_run) {
     record.request_digest = DigestOf(call);
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -51,7 +51,8 @@
   // Regions that the workspace allows, by the last configuration that has it;
   // those of the route are in `route`.
   std::vector<std::string> workspace_regions{};
-  std::uint32_t priority = 0;
+  // Among the calls of all routes and workspaces; 0 is the most urgent.
+  std::uint32_t rank = 0;
   routing::CallCost cost{};
   bool waiting = false;  // For a place at an endpoint.
   kernel::Duration waited{};
@@ -115,6 +116,9 @@
   routing::CallView ViewOf(kernel::Time now, const Call& call) const;
   // Learns from the length of the answer of an attempt.
   void LearnCost(const Call& call, bool complete);
+  void UpdateRanks();
+  std::uint32_t RankOf(const RouteRule& route,
+                       const WorkspaceRule* workspace) const;
   // Whether the service's calls have different priorities.
   bool RanksDiffer(std::string_view service) const;
   // An attempt ended without a complete response of the endpoint.
@@ -223,6 +227,9 @@
   // By model, the latest declared versions, oldest first.
   std::map<std::string, std::vector<DeclaredVersion>, std::less<>> declared;
   routing::CallCosts costs;
+  // Distinct priorities of the configuration, the most urgent first.
+  std::vector<std::uint32_t> route_priorities;
+  std::vector<std::uint32_t> workspace_priorities;
   // By service; only of those that place calls by cost.
   std::map<std::string, admission::ServiceAdmission, std::less<>> admissions;
   std::map<CallId, Call> calls;
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -163,10 +163,10 @@
                       {{"service", record.service}},
                       std::chrono::duration<double>(record.elapsed).count());
     if (record.waited.count() > 0) {
-      m_metrics.Observe("radishrudder_call_wait_seconds",
-                        {{"service", record.service},
-                         {"priority", std::to_string(record.priority)}},
-                        std::chrono::duration<double>(record.waited).count());
+      m_metrics.Observe(
+          "radishrudder_call_wait_seconds",
+          {{"service", record.service}, {"rank", std::to_string(record.rank)}},
+          std::chrono::duration<double>(record.waited).count());
     }
   } else {
     m_metrics.Count("radishrudder_attempts_failed_total",
@@ -185,7 +185,7 @@
                 {"reason", reason},
                 {"attempts", std::to_string(record.attempts)},
                 {"elapsed_ms", std::to_string(record.elapsed.count())},
-                {"priority", std::to_string(record.priority)},
+                {"rank", std::to_string(record.rank)},
                 {"waited_ms", std::to_string(record.waited.count())},
                 {"configuration_age_ms",
                  std::to_string(record.configuration_age.count())},
