agent: keep connections to an origin that has enough of them

Connections are closed only where the instances of the origin's region would keep more of them than the configuration states.

--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -77,8 +77,8 @@
         m_random(random),
         m_pool(context, {}),
         m_fetcher(context, m_pool),
-        m_origin_pool(context, {.maximum_idle = 0}),
-        m_origin_fetcher(context, m_origin_pool),
+        m_unkept_pool(context, {.maximum_idle = 0}),
+        m_unkept_fetcher(context, m_unkept_pool),
         m_links(context, [this](std::string_view frame) { OnFrame(frame); }),
         m_version_follower(context,
                            m_fetcher,
@@ -166,6 +166,8 @@
   static constexpr std::chrono::milliseconds kMaximumTickInterval{200};
   static constexpr std::chrono::milliseconds kEndpointTimeout{1000};
   static constexpr std::chrono::milliseconds kOriginTimeout{2500};
+  // Connections to the origin that an instance may use at the same time.
+  static constexpr std::size_t kOriginConnections = 2;
   // A version must reach all instances within seconds: transfer timeouts are a
   // quarter of the default, and the origin is retried soon.
   static constexpr double kTransferTimeoutFactor = 0.25;
@@ -439,12 +441,15 @@
       return;
     }
     std::vector<weights::TransferPeer> peers;
+    m_origin_region_instances = 0;
     for (const dissemination::RelayedInstance& instance :
          m_instance_list.Instances()) {
       peers.push_back({.instance = instance.instance,
                        .data_centre = instance.data_centre,
                        .region = RegionOf(instance.data_centre),
                        .alive = !instance.leaving});
+      m_origin_region_instances +=
+          peers.back().region == RegionOf(m_origin.origin_data_centre) ? 1 : 0;
     }
     m_stager->OnPeers(kernel::Now(), std::move(peers));
     TakeOutputs();
@@ -475,9 +480,16 @@
     m_links.Send(output.to + ":" + std::to_string(m_settings.peers_port),
                  output.message.SerializeAsString());
   }
+  exchange::Fetcher& OriginFetcher() {
+    const std::size_t limit = m_origin.maximum_connections;
+    const bool scarce =
+        limit > 0 && m_origin_region_instances * kOriginConnections > limit;
+    return scarce ? m_unkept_fetcher : m_fetcher;
+  }
+
   void Execute(staging::FetchPieceList& output) {
     const staging::VersionId version = output.version;
-    m_origin_fetcher.Fetch(
+    OriginFetcher().Fetch(
         m_origin.origin, Platform::Endpoint::EncodePieceList(version),
         kOriginTimeout,
         [this, version](std::optional<exchange::FetchedAnswer> response) {
@@ -495,7 +507,7 @@
   }
   void Execute(staging::FetchPiece& output) {
     const staging::FetchPiece fetch = output;
-    m_origin_fetcher.Fetch(
+    OriginFetcher().Fetch(
         m_origin.origin,
         Platform::Endpoint::EncodePiece(fetch.version, fetch.index),
         kOriginTimeout,
@@ -682,10 +694,10 @@
   kernel::Random m_random;
   exchange::EndpointPool m_pool;
   exchange::Fetcher m_fetcher;
-  // Keeps no connection: the origin accepts fewer than there are instances, and
-  // idle ones would keep out the instances that still have chunks to fetch.
-  exchange::EndpointPool m_origin_pool;
-  exchange::Fetcher m_origin_fetcher;
+  // For an origin that accepts fewer connections than its region's instances
+  // would keep: idle ones would keep out those that still have chunks to fetch.
+  exchange::EndpointPool m_unkept_pool;
+  exchange::Fetcher m_unkept_fetcher;
   exchange::FrameLinks m_links;
   StoreFollower<typename Platform::Store> m_version_follower;
   dissemination::InstanceListRelay m_instance_list;
@@ -694,6 +706,7 @@
   asio::steady_timer m_tick;
   direct::ConfigurationTable m_configuration;
   direct::ServiceRule m_origin;
+  std::size_t m_origin_region_instances = 0;  // That are listed.
   std::string m_model;
   std::map<std::string, std::uint64_t> m_declared;
   std::unique_ptr<staging::Stager> m_stager;
