--- a/include/radishrudder/admission/service_admission.h
+++ b/include/radishrudder/admission/service_admission.h
@@ -61,7 +61,8 @@
 
   RankLimits m_limits;
   WaitingCalls m_waiting;
-  kernel::Time m_window_start{};
+  std::optional<kernel::Time> m_window_start{};  // None before a call is sent.
+  kernel::Time m_last_placed{};
   std::uint32_t m_placed = 0;  // In the present window.
   double m_places_per_second = 0;
   double m_first_byte_seconds = 0;  // Smoothed; 0: unknown.
--- a/include/radishrudder/admission/waiting_calls.h
+++ b/include/radishrudder/admission/waiting_calls.h
@@ -47,6 +47,10 @@
   using Position = std::tuple<std::uint32_t, double, std::uint64_t>;
   using Share = std::pair<std::uint32_t, std::string>;  // Rank and workspace.
 
+  // The workspace does not pay for a call that was not sent: its later calls
+  // move forward.
+  void Refund(const WaitingCall& removed, const Position& removed_at);
+
   std::map<Position, WaitingCall> m_calls;
   std::map<std::uint64_t, Position> m_positions;
   // Virtual time of each rank, and the virtual finish of each workspace's last
--- a/source/radishrudder/admission/rank_limits.cc
+++ b/source/radishrudder/admission/rank_limits.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <utility>
 
 namespace radishrudder::admission {
 namespace {
@@ -15,6 +14,10 @@
 // a call of 1.5 s, one place in eight comes free within 200 ms, the time in
 // which other entries' load reports are late.
 constexpr double kReservePerRank = 0.085;
+// With many ranks, the last one would keep no place at all.
+constexpr double kMaximumReserve = 0.5;
+// Calls a window below which a rank has ended and reserves nothing.
+constexpr double kMinimumRate = 0.01;
 // The reserve is whole if more urgent calls are at least this part of all.
 constexpr double kFullReserveShare = 0.2;
 // Most urgent calls may exceed the places by this share: the endpoint takes
@@ -33,13 +36,15 @@
   m_window_start = now;
   for (auto& [rank, rate] : m_rates) {
     const auto found = m_arrived.find(rank);
-    const double arrived =
-        found == m_arrived.end() ? 0 : std::exchange(found->second, 0);
+    const double arrived = found == m_arrived.end() ? 0 : found->second;
     rate += kWindowWeight * (arrived - rate);
     for (std::int64_t window = 1; window < windows; ++window) {
       rate *= 1 - kWindowWeight;
     }
   }
+  std::erase_if(m_rates,
+                [](const auto& item) { return item.second < kMinimumRate; });
+  m_arrived.clear();
 }
 
 void RankLimits::OnArrived(kernel::Time now, std::uint32_t rank) {
@@ -64,7 +69,8 @@
   }
   const double share = all > 0 ? more_urgent / all : 0;
   const double reserve =
-      kReservePerRank * ranks_above * std::min(1.0, share / kFullReserveShare);
+      std::min(kMaximumReserve, kReservePerRank * ranks_above) *
+      std::min(1.0, share / kFullReserveShare);
   return 1 - reserve;
 }
 
--- a/source/radishrudder/admission/service_admission.cc
+++ b/source/radishrudder/admission/service_admission.cc
@@ -1,7 +1,7 @@
 #include "radishrudder/admission/service_admission.h"
 
 #include <algorithm>
-#include <utility>
+#include <cmath>
 
 namespace radishrudder::admission {
 namespace {
@@ -18,24 +18,42 @@
 // Number of calls that may wait while nothing is known of how fast places come
 // free.
 constexpr std::size_t kInitialWaiting = 2;
+// Waiting calls of a rank and the more urgent ones; less urgent calls take no
+// room from them.
 constexpr std::size_t kMaximumWaiting = 256;
+// Expected waits are cut off here, so that a low rate overflows no duration.
+constexpr double kMaximumExpectedSeconds = 3600;
 
 kernel::Duration ToDuration(double seconds) {
   return std::chrono::duration_cast<kernel::Duration>(Seconds(seconds));
 }
 
+// Weight of a window that is longer than usual, as after a pause.
+double WeightOf(Seconds length) {
+  return 1 - std::pow(1 - kWindowWeight, length / Seconds(kWindow));
+}
+
 }  // namespace
 
 void ServiceAdmission::OnSent(kernel::Time now, std::uint64_t id) {
   m_waiting.OnSent(id);
   ++m_placed;
-  if (now - m_window_start < kWindow) {
+  m_last_placed = now;
+  if (!m_window_start) {
+    m_window_start = now;
+  }
+  if (now - *m_window_start < kWindow) {
     return;
   }
-  const double seconds = Seconds(now - m_window_start).count();
+  const Seconds length = now - *m_window_start;
+  const double rate = m_placed / length.count();
+  m_places_per_second =
+      m_places_per_second == 0
+          ? rate
+          : m_places_per_second +
+                WeightOf(length) * (rate - m_places_per_second);
   m_window_start = now;
-  const double rate = std::exchange(m_placed, 0) / seconds;
-  m_places_per_second += kWindowWeight * (rate - m_places_per_second);
+  m_placed = 0;
 }
 
 void ServiceAdmission::OnFirstByte(kernel::Duration delay) {
@@ -48,11 +66,11 @@
 }
 
 double ServiceAdmission::PlacesPerSecond(kernel::Time now) const {
-  // Without a place since the window began, the rate is at most this.
-  const double seconds = Seconds(now - m_window_start).count();
-  return std::min(m_places_per_second,
-                  (m_placed + 1) / std::max(seconds, Seconds(kWindow).count()) +
-                      m_places_per_second / 2);
+  // While no place comes free, no window ends: the rate is at most that of a
+  // place that comes now.
+  const Seconds gap = now - m_last_placed;
+  return gap > kWindow ? std::min(m_places_per_second, 1 / gap.count())
+                       : m_places_per_second;
 }
 
 kernel::Duration ServiceAdmission::ExpectedWait(kernel::Time now,
@@ -63,7 +81,8 @@
     return ahead < kInitialWaiting ? kernel::Duration::zero()
                                    : kernel::Duration::max();
   }
-  return ToDuration(static_cast<double>(ahead + 1) / rate);
+  return ToDuration(
+      std::min(kMaximumExpectedSeconds, static_cast<double>(ahead + 1) / rate));
 }
 
 bool ServiceAdmission::TryWait(kernel::Time now, const UnplacedCall& call) {
@@ -76,7 +95,7 @@
                 kWaitShareWithoutTarget * (call.deadline - call.received));
   const kernel::Time give_up = std::min(call.received + wait, call.deadline);
   const kernel::Duration expected = ExpectedWait(now, call.rank);
-  if (m_waiting.Size() >= kMaximumWaiting || give_up <= now ||
+  if (m_waiting.CountUpTo(call.rank) >= kMaximumWaiting || give_up <= now ||
       expected > give_up - now) {
     return false;
   }
--- a/source/radishrudder/admission/waiting_calls.cc
+++ b/source/radishrudder/admission/waiting_calls.cc
@@ -31,18 +31,35 @@
   if (position == m_positions.end()) {
     return false;
   }
-  const auto call = m_calls.find(position->second);
-  // The workspace does not pay for a call that was not sent.
-  const auto finish =
-      m_finishes.find(Share(call->second.rank, call->second.workspace));
-  if (finish != m_finishes.end()) {
-    finish->second -= std::max(call->second.cost, kMinimumCost);
-  }
-  m_calls.erase(call);
+  const Position removed_at = position->second;
+  const auto node = m_calls.extract(removed_at);
   m_positions.erase(position);
+  Refund(node.mapped(), removed_at);
   return true;
 }
 
+void WaitingCalls::Refund(const WaitingCall& removed,
+                          const Position& removed_at) {
+  const double cost = std::max(removed.cost, kMinimumCost);
+  const auto finish = m_finishes.find(Share(removed.rank, removed.workspace));
+  if (finish != m_finishes.end()) {
+    finish->second -= cost;
+  }
+  std::vector<Position> later;
+  for (auto call = m_calls.upper_bound(removed_at);
+       call != m_calls.end() && call->second.rank == removed.rank; ++call) {
+    if (call->second.workspace == removed.workspace) {
+      later.push_back(call->first);
+    }
+  }
+  for (const Position& position : later) {
+    auto node = m_calls.extract(position);
+    std::get<double>(node.key()) -= cost;
+    m_positions[node.mapped().id] = node.key();
+    m_calls.insert(std::move(node));
+  }
+}
+
 void WaitingCalls::OnSent(std::uint64_t id) {
   const auto position = m_positions.find(id);
   if (position == m_positions.end()) {
