direct: tests of a shortage, less urgent calls keep to their places

With several entries in a burst at 1.5 times the capacity, the least urgent rank was served as often as the one before it: an entry below its share of the demand sent calls to full endpoints whatever their rank. The places that are left to more urgent calls no longer belong to that share. Waiting calls were sent shortly before they gave up, so that many of them were late by a few milliseconds: they now leave two deviations for the first byte beyond its mean, and calls that have given up are refused before places are given away.

--- a/include/radishrudder/admission/service_admission.h
+++ b/include/radishrudder/admission/service_admission.h
@@ -65,7 +65,8 @@
   kernel::Time m_last_placed{};
   std::uint32_t m_placed = 0;  // In the present window.
   double m_places_per_second = 0;
-  double m_first_byte_seconds = 0;  // Smoothed; 0: unknown.
+  double m_first_byte_seconds = 0;    // Smoothed; 0: unknown.
+  double m_first_byte_deviation = 0;  // Smoothed distance from it.
 };
 
 }  // namespace radishrudder::admission
--- a/source/radishrudder/admission/service_admission.cc
+++ b/source/radishrudder/admission/service_admission.cc
@@ -12,6 +12,10 @@
 // Weight of the latest window in the rate at which places come free.
 constexpr double kWindowWeight = 0.4;
 constexpr double kFirstByteWeight = 0.1;
+// Deviations that a waiting call leaves for its first byte beyond the mean: in
+// a lasting shortage, calls are sent shortly before they give up, and half of
+// them would be late.
+constexpr double kFirstByteDeviations = 2;
 constexpr double kDefaultFirstByteSeconds = 0.15;
 // A service without a stated target: part of a call's time that it may wait.
 constexpr double kWaitShareWithoutTarget = 0.1;
@@ -58,11 +62,14 @@
 
 void ServiceAdmission::OnFirstByte(kernel::Duration delay) {
   const double seconds = Seconds(delay).count();
-  m_first_byte_seconds =
-      m_first_byte_seconds == 0
-          ? seconds
-          : m_first_byte_seconds +
-                kFirstByteWeight * (seconds - m_first_byte_seconds);
+  if (m_first_byte_seconds == 0) {
+    m_first_byte_seconds = seconds;
+    return;
+  }
+  const double error = seconds - m_first_byte_seconds;
+  m_first_byte_seconds += kFirstByteWeight * error;
+  m_first_byte_deviation +=
+      kFirstByteWeight * (std::abs(error) - m_first_byte_deviation);
 }
 
 double ServiceAdmission::PlacesPerSecond(kernel::Time now) const {
@@ -86,8 +93,10 @@
 }
 
 bool ServiceAdmission::TryWait(kernel::Time now, const UnplacedCall& call) {
-  const double first_byte = m_first_byte_seconds > 0 ? m_first_byte_seconds
-                                                     : kDefaultFirstByteSeconds;
+  const double first_byte =
+      m_first_byte_seconds > 0
+          ? m_first_byte_seconds + kFirstByteDeviations * m_first_byte_deviation
+          : kDefaultFirstByteSeconds;
   const kernel::Duration wait =
       call.latency_target.count() > 0
           ? kernel::Duration(call.latency_target) - ToDuration(first_byte)
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -295,10 +295,10 @@
     pool->OnTick(now);
   }
   state.NoteColdChanges(now);
+  state.RefuseExpiredWaiting(now);
   for (const auto& [service, admission] : state.admissions) {
     state.ServeWaiting(now, service);
   }
-  state.RefuseExpiredWaiting(now);
   std::vector<CallId> ids;
   ids.reserve(state.calls.size());
   for (const auto& [id, call] : state.calls) {
--- a/source/radishrudder/direct/service_pool.cc
+++ b/source/radishrudder/direct/service_pool.cc
@@ -306,7 +306,9 @@
       capacity += CanBeUsed(listed) ? CapacityOf(listed.slots) : 0;
     }
   }
+  // Places that are left to more urgent calls are none of its share.
   return attempts + 1 <= requirements.capacity_share * kUsableShare *
+                             std::min(1.0, requirements.places_share) *
                              (capacity - unavailable_capacity);
 }
 
