direct: waiting calls are sent once, to one place each

Sent calls leave the waiting ones whatever the service does, a round of waiting calls gives each endpoint one call, and blocked and expired calls are refused first.

--- a/source/radishrudder/direct/entry_admission.cc
+++ b/source/radishrudder/direct/entry_admission.cc
@@ -118,7 +118,8 @@
 
 SelectedEndpoint Entry::State::TryPlace(kernel::Time now,
                                         Call& call,
-                                        bool require_free_capacity) {
+                                        bool require_free_capacity,
+                                        std::span<const std::string> taken) {
   const auto data_centres = AllowedDataCentresOf(call);
   if (data_centres && data_centres->empty()) {
     NoteNoAllowedRegion(call);
@@ -127,8 +128,10 @@
   }
   ServicePool& pool = Pool(call.service);
   const bool by_cost = pool.PlacesByCost();
+  std::vector<std::string> excluded = call.excluded;
+  excluded.insert(excluded.end(), taken.begin(), taken.end());
   const EndpointRequirements requirements{
-      .excluded = call.excluded,
+      .excluded = excluded,
       .version = call.response_started ? call.version : std::nullopt,
       .require_free_capacity = require_free_capacity,
       .capacity_share = demand.Share(now, call.service),
@@ -140,7 +143,8 @@
   if (selected.id.empty()) {
     return selected;
   }
-  if (by_cost) {
+  // A call may still wait after its service has ceased to place by cost.
+  if (by_cost || call.waiting) {
     Admission(call.service).OnSent(now, call.id);
   }
   if (call.waiting) {
@@ -198,6 +202,10 @@
   if (admission == admissions.end() || admission->second.Waiting().IsEmpty()) {
     return;
   }
+  RefuseExpiredWaiting(now);
+  // An attempt counts at its endpoint once it is sent, after this function:
+  // without the list, all waiting calls would go to one free place.
+  std::vector<std::string> taken;
   std::size_t misses = 0;
   for (const CallId id : admission->second.Waiting().InOrder()) {
     Call* call = FindCall(id);
@@ -205,9 +213,16 @@
       admission->second.Remove(id);
       continue;
     }
-    const bool placed =
-        !TryPlace(now, *call, /*require_free_capacity=*/true).id.empty();
-    if (!placed && ++misses >= kMaximumMisses) {
+    if (const Reason reason = BlockReason(now, *call);
+        reason != Reason::kNone) {
+      FailCall(now, *call, reason);
+      continue;
+    }
+    SelectedEndpoint selected =
+        TryPlace(now, *call, /*require_free_capacity=*/true, taken);
+    if (!selected.id.empty()) {
+      taken.push_back(std::move(selected.id));
+    } else if (++misses >= kMaximumMisses) {
       return;
     }
   }
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -100,9 +100,11 @@
 
   void StartAttempt(kernel::Time now, Call& call, bool require_free_capacity);
   // Selects an endpoint and sends the call there; the reason why not otherwise.
+  // `taken`: further endpoints that it may not use.
   SelectedEndpoint TryPlace(kernel::Time now,
                             Call& call,
-                            bool require_free_capacity);
+                            bool require_free_capacity,
+                            std::span<const std::string> taken = {});
   // The call found no endpoint. Returns whether it waits for one.
   bool TryWait(kernel::Time now, Call& call);
   // Sends waiting calls for which there is a place now.
