--- a/source/radishrudder/admission/rank_limits.cc
+++ b/source/radishrudder/admission/rank_limits.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <utility>
 
 namespace radishrudder::admission {
 namespace {
@@ -11,6 +10,8 @@
 // Weight of the latest window in the rate: an old rate is a tenth of itself
 // after 1.5 s.
 constexpr double kWindowWeight = 0.3;
+// Calls a window below which a rank has ended and reserves nothing.
+constexpr double kMinimumRate = 0.01;
 // The most urgent calls may exceed the places by this share, and the least
 // urgent ones leave as much free; the ranks between them are spaced evenly.
 // With 12 places and a call of 1.5 s, three places come free in 0.4 s: an
@@ -34,13 +35,15 @@
   m_window_start = now;
   for (auto& [rank, rate] : m_rates) {
     const auto found = m_arrived.find(rank);
-    const double arrived =
-        found == m_arrived.end() ? 0 : std::exchange(found->second, 0);
+    const double arrived = found == m_arrived.end() ? 0 : found->second;
     rate += kWindowWeight * (arrived - rate);
     for (std::int64_t window = 1; window < windows; ++window) {
       rate *= 1 - kWindowWeight;
     }
   }
+  std::erase_if(m_rates,
+                [](const auto& item) { return item.second < kMinimumRate; });
+  m_arrived.clear();
 }
 
 void RankLimits::OnArrived(kernel::Time now, std::uint32_t rank) {
