tests: load reports between an entry and an agent as processes

Cause: load reports were tested only within one process; nothing showed that the two programs reach each other through their settings and sockets.

The stand-in can have an engine, a load header and a report.

--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -24,10 +24,10 @@
 constexpr milliseconds kWatchTime{300};
 constexpr milliseconds kAnswerLimit{8000};
 
-std::string FreeAddress(asio::io_context& context) {
+std::string FreeAddress(asio::io_context& context, const std::string& ip) {
   const asio::ip::tcp::acceptor acceptor(
-      context, {asio::ip::address_v4::loopback(), std::uint16_t{0}});
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+      context, {asio::ip::make_address(ip), std::uint16_t{0}});
+  return ip + ":" + std::to_string(acceptor.local_endpoint().port());
 }
 
 std::string EncodeBase64(std::string_view bytes) {
@@ -73,7 +73,8 @@
 
 PlatformStandin::PlatformStandin(std::string_view store_address,
                                  std::vector<StandinEntry> more_entries,
-                                 std::vector<std::string> watch_bodies)
+                                 std::vector<std::string> watch_bodies,
+                                 StandinEndpoint endpoint)
     : m_store(m_context,
               [this](const exchange::ReceivedRequest& request,
                      const Exchange& caller) { AnswerStore(request, caller); }),
@@ -81,23 +82,26 @@
           m_context,
           [this](const exchange::ReceivedRequest& request,
                  const Exchange& caller) { AnswerCall(request, caller); }),
+      m_endpoint_settings(std::move(endpoint)),
+      m_endpoint_address(FreeAddress(m_context, m_endpoint_settings.ip)),
       m_entries(std::move(more_entries)),
       m_watch_bodies(std::move(watch_bodies)) {
-  const std::string endpoint = FreeAddress(m_context);
   m_entries.push_back(
       {"op/config",
        R"({"version": 3, "routes": [{"name": "r", "host": "h.example",)"
        R"("prefix": "/s/", "kind": "idempotent", "service": "plain",)"
        R"("max_attempts": 2, "timeout_ms": 5000,)"
        R"("target_latency_ms": 1000}], "services": [{"name": "plain",)"
-       R"("max_connections": 64}], "limits": {}})"});
+       R"("max_connections": 64)" +
+           m_endpoint_settings.service_members + R"(}], "limits": {}})"});
   m_entries.push_back(
       {"servers/i-1",
        R"({"service": "plain", "zone": "a", "slots": 32, "state": "ready",)"
        R"("born": 1, "address": ")" +
-           endpoint + "\"}"});
+           m_endpoint_address + "\"" + m_endpoint_settings.listed_members +
+           "}"});
   m_store.Listen(store_address);
-  m_endpoint.Listen(endpoint);
+  m_endpoint.Listen(m_endpoint_address);
   m_thread = std::thread([this] { m_context.run(); });
 }
 
@@ -180,12 +184,20 @@
 
 void PlatformStandin::AnswerCall(const exchange::ReceivedRequest& request,
                                  const Exchange& caller) {
+  if (request.head.target == "/report") {
+    caller->Reply({200, {}}, m_endpoint_settings.report);
+    return;
+  }
   constexpr std::string_view kAttemptId = "Radishrudder-Attempt-Id";
   exchange::AnswerHead head{
       .status = 200, .headers = {{"Radishrudder-Response-Signature", "proof"}}};
   head.headers.push_back(
       {std::string(kAttemptId),
        std::string(http::FindHeader(request.head.headers, kAttemptId))});
+  if (!m_endpoint_settings.load_header.empty()) {
+    head.headers.push_back(
+        {"Radishrudder-Instance-Load", m_endpoint_settings.load_header});
+  }
   ReplyLater(kServiceTime, caller, std::move(head), "done");
 }
 
--- a/tests/platform/platform_standin.h
+++ b/tests/platform/platform_standin.h
@@ -21,6 +21,17 @@
   std::string value{};
 };
 
+// How the stand-in's endpoint differs from a plain one.
+struct StandinEndpoint {
+  std::string ip = "127.0.0.1";
+  // Members of the service in the configuration and of the endpoint in the
+  // list, each preceded by a comma.
+  std::string service_members{};
+  std::string listed_members{};
+  std::string load_header{};  // Value in responses; empty: no header.
+  std::string report{};       // Body of the response to GET /report.
+};
+
 // The platform's store with one configuration and one endpoint, and this
 // endpoint, on a thread of their own.
 class PlatformStandin {
@@ -29,7 +40,8 @@
   // first watches.
   explicit PlatformStandin(std::string_view store_address,
                            std::vector<StandinEntry> more_entries = {},
-                           std::vector<std::string> watch_bodies = {});
+                           std::vector<std::string> watch_bodies = {},
+                           StandinEndpoint endpoint = {});
   ~PlatformStandin();
   PlatformStandin(const PlatformStandin&) = delete;
   PlatformStandin& operator=(const PlatformStandin&) = delete;
@@ -37,6 +49,7 @@
   // Changes the store; watches return the change.
   void Write(StandinEntry entry);
   void Remove(std::string key);
+  const std::string& EndpointAddress() const { return m_endpoint_address; }
 
  private:
   using Exchange = std::shared_ptr<exchange::CallerExchange>;
@@ -63,6 +76,8 @@
   asio::io_context m_context{1};
   exchange::CallerServer m_store;
   exchange::CallerServer m_endpoint;
+  StandinEndpoint m_endpoint_settings;
+  std::string m_endpoint_address;
   std::vector<StandinEntry> m_entries;
   std::vector<std::string> m_watch_bodies;
   std::size_t m_watches = 0;
