entry: gauges of waiting calls, cold endpoints, evacuations, cost errors

Cause: what an entry decides under limited capacity was visible as log lines and counters of changes, but its present state was not.

Change: direct::Entry::Gauges, and on the metrics page radishrudder_calls_waiting and radishrudder_endpoints_cold by service, radishrudder_data_centres_evacuated (those of the settings) and radishrudder_answer_length_error by quantile, left out before there is an answer. The agent has no metrics server; it is unchanged.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -17,6 +17,7 @@
 #include "radishrudder/direct/crash_suspects.h"
 #include "radishrudder/direct/endpoint_limits.h"
 #include "radishrudder/direct/endpoint_list.h"
+#include "radishrudder/direct/entry_gauges.h"
 #include "radishrudder/direct/evacuations.h"
 #include "radishrudder/direct/load_report.h"
 #include "radishrudder/kernel/boot_time.h"
@@ -171,6 +172,7 @@
   bool IsReady(kernel::BootTime boot_now) const;
   const ConfigurationTable& Configurations() const;
   std::size_t CallsInProgress() const;
+  EntryGauges Gauges() const;
   std::vector<Output> TakeOutputs();
   // Describes in words which endpoints calls of a service would go to, and why.
   std::string Explain(kernel::Time now, std::string_view service) const;
--- a/include/radishrudder/serving/call_journal.h
+++ b/include/radishrudder/serving/call_journal.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "radishrudder/direct/call.h"
+#include "radishrudder/direct/entry_gauges.h"
 #include "radishrudder/kernel/findings.h"
 #include "radishrudder/kernel/time.h"
 #include "radishrudder/kernel/token_bucket.h"
@@ -32,6 +33,7 @@
   void RecordCold(kernel::Time now, const direct::EndpointCold& cold);
   // Updates the metrics of load reports, if there are any.
   void RecordLoadReports(kernel::Time now, const LoadCollector& collector);
+  void RecordGauges(const direct::EntryGauges& gauges);
   void LogFindings(const kernel::Findings& findings);
   void CountStoreEra() { m_metrics.Count("radishrudder_store_eras_total", {}); }
   void CountCallerDisconnected() {
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -720,6 +720,7 @@
       m_next_maintenance = now + kMaintenanceInterval;
       m_load_collector.SetEndpoints(now, m_core.ReportingEndpoints());
       m_journal.RecordLoadReports(now, m_load_collector);
+      m_journal.RecordGauges(m_core.Gauges());
       m_callers.CheckTimes(now);
       m_readiness.CheckTimes(now);
       m_metrics_server.CheckTimes(now);
--- a/source/radishrudder/direct/cold_endpoints.h
+++ b/source/radishrudder/direct/cold_endpoints.h
@@ -45,6 +45,7 @@
   std::vector<ColdChange> TakeChanges() { return std::exchange(m_changes, {}); }
 
   bool IsEmpty() const { return m_cold == 0; }
+  std::size_t Count() const { return m_cold; }
   // When this entry may send the run a request; not after `now` if it may at
   // once.
   kernel::Time AvailableAt(kernel::Time now,
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -125,6 +125,7 @@
                std::optional<std::span<const std::string>> data_centres) const;
   // The evacuated data centres changed.
   void OnEvacuations(kernel::Time now) { UpdateRouter(now); }
+  std::size_t ColdCount() const { return m_cold.Count(); }
   std::vector<ColdChange> TakeColdChanges() { return m_cold.TakeChanges(); }
 
   // Bytes of a response arrived from an endpoint.
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -220,6 +220,24 @@
                   static_cast<double>(collector.FreshReports(now)));
 }
 
+void CallJournal::RecordGauges(const direct::EntryGauges& gauges) {
+  for (const direct::ServiceGauges& service : gauges.services) {
+    const std::vector<metrics::Label> labels{{"service", service.service}};
+    m_metrics.Gauge("radishrudder_calls_waiting", labels,
+                    static_cast<double>(service.waiting_calls));
+    m_metrics.Gauge("radishrudder_endpoints_cold", labels,
+                    static_cast<double>(service.cold_endpoints));
+  }
+  m_metrics.Gauge("radishrudder_data_centres_evacuated", {},
+                  static_cast<double>(gauges.evacuated_data_centres));
+  // Without answers there is no error; 0 would look like a perfect estimate.
+  if (gauges.median_cost_error > 0) {
+    const std::string error = "radishrudder_answer_length_error";
+    m_metrics.Gauge(error, {{"quantile", "0.5"}}, gauges.median_cost_error);
+    m_metrics.Gauge(error, {{"quantile", "0.9"}}, gauges.high_cost_error);
+  }
+}
+
 void CallJournal::CountTotal(const std::string& name,
                              const std::string& reason,
                              std::uint64_t total) {
