direct: want load reports only of the endpoints that the router considers

Cause: an entry subscribed to every endpoint of a service. With 400 entries and 940 endpoints they displace each other among the 64 subscribers of an agent.

Change: ReportingEndpoints returns the router's subset, the endpoints that would be in it if all listed ones took calls, and those that report that they take none. Without the last two, an endpoint with an older version or one that is loading would lose its subscription, and the entry would learn of its new version from the list alone.

The time to choose the endpoints was not measured.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -155,7 +155,8 @@
 
   // The endpoints of which agents should report the load: those with an engine,
   // of services in which an endpoint has stated its pace in a response or whose
-  // routes differ in priority.
+  // routes differ in priority. Only those that this entry may send calls to:
+  // its subset of the service's endpoints.
   std::vector<ReportedEndpoint> ReportingEndpoints() const;
   // Applies reports; those of other runs than the listed ones are ignored.
   void OnLoadReports(kernel::Time now,
--- a/include/radishrudder/routing/router.h
+++ b/include/radishrudder/routing/router.h
@@ -143,6 +143,12 @@
   double Capacity() const;
   // Describes the routing state for operators, one line per endpoint.
   std::string Explain(kernel::Time now) const;
+  // Whether calls can be sent to the endpoint: it is in the subset.
+  bool IsInSubset(std::string_view instance) const {
+    const std::optional<Slot> slot = Find(instance);
+    return slot && m_tracked[*slot].in_subset;
+  }
+  const SubsetSettings& Subset() const { return m_settings.subset; }
   // Returns the number of tracked endpoints: those of the subset, and removed
   // ones that still have calls in flight.
   std::size_t TrackedEndpointCount() const { return m_slots.size(); }
--- a/source/radishrudder/direct/entry_reports.cc
+++ b/source/radishrudder/direct/entry_reports.cc
@@ -1,23 +1,16 @@
-#include <set>
+#include <algorithm>
+#include <iterator>
 
 #include "source/radishrudder/direct/entry_state.h"
 
 namespace radishrudder::direct {
+
 std::vector<ReportedEndpoint> Entry::ReportingEndpoints() const {
-  std::set<std::string, std::less<>> services;
+  std::vector<ReportedEndpoint> reporting;
   for (const auto& [service, pool] : m_state->pools) {
     if (pool->Engine() && pool->PlacesByCost()) {
-      services.insert(service);
-    }
-  }
-  std::vector<ReportedEndpoint> reporting;
-  for (const ListedEndpoint& endpoint : m_state->endpoints) {
-    if (services.contains(endpoint.service) && !endpoint.leaving &&
-        endpoint.started != 0) {
-      reporting.push_back({.service = endpoint.service,
-                           .id = endpoint.id,
-                           .address = endpoint.address,
-                           .started = endpoint.started});
+      std::ranges::move(pool->ReportingEndpoints(),
+                        std::back_inserter(reporting));
     }
   }
   return reporting;
--- a/source/radishrudder/direct/service_pool.h
+++ b/source/radishrudder/direct/service_pool.h
@@ -72,6 +72,10 @@
   // has calls of different priorities, or its endpoints state their pace.
   bool PlacesByCost() const { return m_ranks_differ || m_pace_stated; }
   bool RanksDiffer() const { return m_ranks_differ; }
+  // The endpoints of which load reports are of use: those that the router
+  // considers, and those of its subset that only take no calls at present, so
+  // that a report can say when they do again.
+  std::vector<ReportedEndpoint> ReportingEndpoints() const;
   // Whether some calls may use only the endpoints of some data centres. Applies
   // from the next list on.
   void LimitDataCentres(bool limited);
--- a/tests/direct/load_reports_test.cc
+++ b/tests/direct/load_reports_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 
 #include "tests/direct/entry_fixture.h"
@@ -104,6 +105,41 @@
   EXPECT_EQ(m_entry.ReportingEndpoints().size(), 2U);
 }
 
+// Guards against entries that displace each other at agents, which keep 64
+// subscribers: at the design size, 400 entries would subscribe to all of 940.
+TEST_F(LoadReportsTest, WantsReportsOfTheEndpointsThatTheRouterConsiders) {
+  Configure({0, 2}, /*engine=*/true);
+  List(940);
+  EXPECT_EQ(m_entry.ReportingEndpoints().size(), 64U);
+}
+
+// Guards against an exclusion that ends because the entry no longer subscribes,
+// while the endpoint still takes no calls.
+TEST_F(LoadReportsTest, WantsReportsOfAnEndpointWhileItTakesNoCalls) {
+  Configure({0, 2}, /*engine=*/true);
+  List(940);
+  const std::string endpoint = m_entry.ReportingEndpoints().front().id;
+  Report(endpoint, /*takes_no_new_calls=*/true);
+  const auto wanted = m_entry.ReportingEndpoints();
+  EXPECT_TRUE(std::ranges::any_of(wanted, [&endpoint](const auto& reported) {
+    return reported.id == endpoint;
+  }));
+  EXPECT_EQ(wanted.size(), 65U);
+}
+
+// Guards against an entry that hears of a new version from the list alone,
+// because endpoints with an older one are not routed to.
+TEST_F(LoadReportsTest, WantsReportsOfEndpointsWithAnOlderVersion) {
+  Configure({0, 2}, /*engine=*/true);
+  List(2);
+  m_entry.OnVersionDeclared(m_now,
+                            {.model = "m", .version = 2, .absent_at = m_now});
+  AdvanceTime(std::chrono::seconds(10));
+  m_entry.OnConfigurationConfirmed(m_boot);
+  EXPECT_EQ(Chosen(), std::set<std::string>{""});
+  EXPECT_EQ(m_entry.ReportingEndpoints().size(), 2U);
+}
+
 TEST_F(LoadReportsTest, CallsAvoidAnEndpointThatReportsMoreLoad) {
   Configure({0, 2}, true);
   List(2);
