--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -17,6 +17,7 @@
 #include "radishrudder/direct/crash_suspects.h"
 #include "radishrudder/direct/endpoint_limits.h"
 #include "radishrudder/direct/endpoint_list.h"
+#include "radishrudder/direct/entry_gauges.h"
 #include "radishrudder/direct/evacuations.h"
 #include "radishrudder/direct/load_report.h"
 #include "radishrudder/kernel/boot_time.h"
@@ -154,7 +155,8 @@
 
   // The endpoints of which agents should report the load: those with an engine,
   // of services in which an endpoint has stated its pace in a response or whose
-  // routes differ in priority.
+  // routes differ in priority. Only those that this entry may send calls to:
+  // its subset of the service's endpoints.
   std::vector<ReportedEndpoint> ReportingEndpoints() const;
   // Applies reports; those of other runs than the listed ones are ignored.
   void OnLoadReports(kernel::Time now,
@@ -171,6 +173,7 @@
   bool IsReady(kernel::BootTime boot_now) const;
   const ConfigurationTable& Configurations() const;
   std::size_t CallsInProgress() const;
+  EntryGauges Gauges() const;
   std::vector<Output> TakeOutputs();
   // Describes in words which endpoints calls of a service would go to, and why.
   std::string Explain(kernel::Time now, std::string_view service) const;
