direct: calls that wait are refused before the process ends

A call may wait for as long as its target allows, which can be longer than a planned stop: its caller then got no answer, although the call had not been executed. 200 ms before the end of the stop, the entry refuses its waiting calls and lets no more wait.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -167,6 +167,9 @@
   // Makes `IsReady` return false, so that callers are sent to other instances.
   // Requests that still arrive are served.
   void OnDrain();
+  // Refuses the calls that wait for a place, and lets no further call wait: the
+  // process is about to end, and they have not been executed.
+  void StopWaiting(kernel::Time now);
   // Whether new callers should be sent to this instance.
   bool IsReady(kernel::BootTime boot_now) const;
   const ConfigurationTable& Configurations() const;
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -243,6 +243,9 @@
   static constexpr std::chrono::milliseconds kStopIdleTimeout{400};
   // A stop ends this long before the platform would kill the process.
   static constexpr std::chrono::milliseconds kStopMargin{250};
+  // Calls that wait for a place are refused this long before the stop ends, so
+  // that the responses reach their callers.
+  static constexpr std::chrono::milliseconds kRefusalMargin{200};
 
   void OnRequest(exchange::ReceivedRequest received,
                  std::shared_ptr<exchange::CallerExchange> caller) {
@@ -749,6 +752,10 @@
     if (elapsed >= kLateArrivalTime) {
       m_callers.StopAccepting();
     }
+    if (elapsed >= m_settings.stop_timeout - kStopMargin - kRefusalMargin) {
+      m_core.StopWaiting(now);
+      TakeOutputs();
+    }
     const bool idle = elapsed >= kLateArrivalTime &&
                       m_core.CallsInProgress() == 0 &&
                       m_callers.Connections() == 0;
--- a/source/radishrudder/direct/entry_admission.cc
+++ b/source/radishrudder/direct/entry_admission.cc
@@ -181,7 +181,8 @@
 }
 
 bool Entry::State::TryWait(kernel::Time now, Call& call) {
-  if (!Pool(call.service).PlacesByCost() || call.response_started) {
+  if (!Pool(call.service).PlacesByCost() || call.response_started ||
+      waiting_stopped) {
     return false;
   }
   call.waiting =
@@ -228,6 +229,19 @@
   }
 }
 
+void Entry::StopWaiting(kernel::Time now) {
+  m_state->waiting_stopped = true;
+  std::vector<CallId> waiting;
+  for (const auto& [id, call] : m_state->calls) {
+    if (call.waiting) {
+      waiting.push_back(id);
+    }
+  }
+  for (const CallId id : waiting) {
+    m_state->FailCall(now, *m_state->FindCall(id), Reason::kAllBusy);
+  }
+}
+
 void Entry::State::RefuseExpiredWaiting(kernel::Time now) {
   for (auto& [service, admission] : admissions) {
     for (const admission::WaitingCall& expired : admission.TakeExpired(now)) {
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -220,6 +220,7 @@
   std::uint64_t logged_configuration = 0;
   bool endpoints_known = false;
   bool draining = false;
+  bool waiting_stopped = false;  // No call may wait any more.
   std::vector<ListedEndpoint> endpoints;
   std::map<std::string, std::unique_ptr<ServicePool>, std::less<>> pools;
   // By model, the latest declared versions, oldest first.
--- a/tests/direct/waiting_test.cc
+++ b/tests/direct/waiting_test.cc
@@ -204,6 +204,16 @@
   EXPECT_EQ(Refused(), std::vector{m_less_urgent});
 }
 
+// Guards against a caller without an answer, whose call has not been executed,
+// because the process ends while the call waits.
+TEST_F(WaitingTest, IsRefusedBeforeProcessEnds) {
+  m_entry.StopWaiting(m_now);
+  EXPECT_EQ(Refused(), (std::vector{m_waiting, m_less_urgent}));
+  EXPECT_EQ(m_entry.CallsInProgress(), m_running.size());
+  const CallId late = Call("key-1", "/0/b");
+  EXPECT_EQ(Refused(), std::vector{late});
+}
+
 // Guards against calls that wait on while the configuration is out of date.
 TEST_F(WaitingTest, IsServedOrRefusedWithoutFreshConfiguration) {
   m_boot += std::chrono::hours(1);
