direct, peers: evacuations beside placement, names of a report's memory figures

The report between processes used two names of the platform's wire format for its own fields. No change of behaviour.

--- a/include/radishrudder/peers/load_datagram.h
+++ b/include/radishrudder/peers/load_datagram.h
@@ -24,8 +24,8 @@
   bool takes_no_new_calls = false;
   std::string model{};
   std::uint64_t version = 0;  // 0: no model is completely loaded.
-  std::uint64_t kv_used = 0;
-  std::uint64_t kv_total = 0;
+  std::uint64_t cache_used = 0;
+  std::uint64_t cache_total = 0;
 
   bool operator==(const EndpointLoad&) const = default;
 };
--- a/include/radishrudder/staging/stager.h
+++ b/include/radishrudder/staging/stager.h
@@ -57,8 +57,8 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   double pace = 1;  // Time that work takes, relative to the usual time.
-  std::uint64_t kv_used = 0;
-  std::uint64_t kv_total = 0;
+  std::uint64_t cache_used = 0;
+  std::uint64_t cache_total = 0;
 };
 
 enum class OrderResult {
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -170,22 +170,6 @@
   m_state->UpdatePools(now);
 }
 
-void Entry::OnEvacuations(kernel::Time now,
-                          std::span<const EvacuationItem> items,
-                          std::uint64_t era) {
-  m_state->ApplyEvacuations(now,
-                            m_state->evacuations.OnSnapshot(now, items, era));
-}
-
-void Entry::OnEvacuated(kernel::Time now, const EvacuationItem& item) {
-  m_state->ApplyEvacuations(now, m_state->evacuations.OnWritten(item));
-}
-
-void Entry::OnEvacuationTakenBack(kernel::Time now,
-                                  const EvacuationItem& item) {
-  m_state->ApplyEvacuations(now, m_state->evacuations.OnTakenBack(item));
-}
-
 void Entry::OnRequest(kernel::Time now,
                       kernel::BootTime boot_now,
                       CallId id,
--- a/source/radishrudder/direct/entry_placement.cc
+++ b/source/radishrudder/direct/entry_placement.cc
@@ -23,6 +23,22 @@
 
 }  // namespace
 
+void Entry::OnEvacuations(kernel::Time now,
+                          std::span<const EvacuationItem> items,
+                          std::uint64_t era) {
+  m_state->ApplyEvacuations(now,
+                            m_state->evacuations.OnSnapshot(now, items, era));
+}
+
+void Entry::OnEvacuated(kernel::Time now, const EvacuationItem& item) {
+  m_state->ApplyEvacuations(now, m_state->evacuations.OnWritten(item));
+}
+
+void Entry::OnEvacuationTakenBack(kernel::Time now,
+                                  const EvacuationItem& item) {
+  m_state->ApplyEvacuations(now, m_state->evacuations.OnTakenBack(item));
+}
+
 EndpointLimits Entry::State::MakeColdRates(std::string entry) {
   EndpointLimits rates(std::move(entry), kColdDivision);
   rates.OnEntryCount(kInitialEntryCount);
--- a/source/radishrudder/peers/load_datagram.cc
+++ b/source/radishrudder/peers/load_datagram.cc
@@ -46,8 +46,8 @@
           {"m",
            load.model.size() > kMaximumModelBytes ? std::string() : load.model},
           {"v", load.version},
-          {"u", load.kv_used},
-          {"t", load.kv_total},
+          {"u", load.cache_used},
+          {"t", load.cache_total},
           {"s", report.sequence},
           {"a", static_cast<std::uint64_t>(age)}};
 }
@@ -117,8 +117,8 @@
   load.takes_no_new_calls = members.Flag("n");
   load.model = members.Text("m");
   load.version = members.Unsigned("v");
-  load.kv_used = members.Unsigned("u");
-  load.kv_total = members.Unsigned("t");
+  load.cache_used = members.Unsigned("u");
+  load.cache_total = members.Unsigned("t");
   report.sequence = members.Unsigned("s");
   report.age = std::chrono::milliseconds(static_cast<std::int64_t>(
       members.Unsigned("a", kMaximumAgeMilliseconds)));
--- a/source/radishrudder/serving/load_reporter.cc
+++ b/source/radishrudder/serving/load_reporter.cc
@@ -26,8 +26,8 @@
           .takes_no_new_calls = report.busy,
           .model = report.model,
           .version = report.version,
-          .kv_used = report.kv_used,
-          .kv_total = report.kv_total};
+          .cache_used = report.cache_used,
+          .cache_total = report.cache_total};
 }
 
 }  // namespace
--- a/tests/peers/load_datagram_test.cc
+++ b/tests/peers/load_datagram_test.cc
@@ -19,8 +19,8 @@
                    .takes_no_new_calls = true,
                    .model = "chat",
                    .version = 7,
-                   .kv_used = 40'000,
-                   .kv_total = 120'000},
+                   .cache_used = 40'000,
+                   .cache_total = 120'000},
           .sequence = 1'790'000'000'999,
           .age = milliseconds(12)};
 }
@@ -61,8 +61,8 @@
                                          .takes_no_new_calls = true,
                                          .model = std::string(64, 'm'),
                                          .version = kMaximum,
-                                         .kv_used = kMaximum,
-                                         .kv_total = kMaximum},
+                                         .cache_used = kMaximum,
+                                         .cache_total = kMaximum},
                                 .sequence = kMaximum,
                                 .age = std::chrono::hours(1000)});
   EXPECT_LT(bytes.size(), kLoadDatagramLimit);
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -314,8 +314,8 @@
   EXPECT_EQ(report.running, 11U);
   EXPECT_EQ(report.waiting, 3U);
   EXPECT_EQ(report.pace, 2.5);
-  EXPECT_EQ(report.kv_used, 40000U);
-  EXPECT_EQ(report.kv_total, 120000U);
+  EXPECT_EQ(report.cache_used, 40000U);
+  EXPECT_EQ(report.cache_total, 120000U);
 }
 
 // Guards against an endpoint of an older release that staging no longer
--- a/tests/serving/load_reporter_test.cc
+++ b/tests/serving/load_reporter_test.cc
@@ -27,8 +27,8 @@
     m_report.pace = 2.5;
     m_report.model = "chat";
     m_report.version = 3;
-    m_report.kv_used = 10;
-    m_report.kv_total = 20;
+    m_report.cache_used = 10;
+    m_report.cache_total = 20;
   }
 
   void Subscribe() {
@@ -76,8 +76,8 @@
   EXPECT_FALSE(load.takes_no_new_calls);
   EXPECT_EQ(load.model, "chat");
   EXPECT_EQ(load.version, 3U);
-  EXPECT_EQ(load.kv_used, 10U);
-  EXPECT_EQ(load.kv_total, 20U);
+  EXPECT_EQ(load.cache_used, 10U);
+  EXPECT_EQ(load.cache_total, 20U);
   EXPECT_EQ(m_received[1].sequence, m_received[0].sequence + 1);
 }
 
