serving: records of the calls that a planned stop cuts

The log of an entry told how many calls a stop cut, not which, nor whether they had arrived before or after it began; the record of the incident could not tell its hypotheses apart. 515 call-cut names each with the time since the stop began, 109 stop-ended sums a stop up, with connections on which bytes arrived after their last response. No decision changes.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -176,6 +176,8 @@
   bool IsReady(kernel::BootTime boot_now) const;
   const ConfigurationTable& Configurations() const;
   std::size_t CallsInProgress() const;
+  // Records of the calls in progress, for the log of a process that ends.
+  std::vector<CallRecord> UnfinishedCalls(kernel::Time now) const;
   EntryGauges Gauges() const;
   std::vector<Output> TakeOutputs();
   // Describes in words which endpoints calls of a service would go to, and why.
--- a/include/radishrudder/exchange/caller_server.h
+++ b/include/radishrudder/exchange/caller_server.h
@@ -83,6 +83,9 @@
   // Applies the time limits; to be called a few times a second.
   void CheckTimes(kernel::Time now);
   std::size_t Connections() const { return m_connections.size(); }
+  // Connections on which bytes arrived after the last response was sent; the
+  // bytes were dropped.
+  std::size_t ConnectionsWithDroppedBytes() const { return m_dropping; }
 
  private:
   class Connection;
@@ -97,6 +100,7 @@
   Handler m_handler;
   CallerLimits m_limits;
   bool m_closing = false;
+  std::size_t m_dropping = 0;
   std::set<std::shared_ptr<Connection>> m_connections;
 };
 
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -74,6 +74,10 @@
     108, Level::kError, "settings-rejected",
     "The settings file cannot be read or has errors; the previous settings "
     "stay in effect."};
+inline constexpr Event kStopEnded{
+    109, Level::kInfo, "stop-ended",
+    "A planned stop ended: how long it took and what happened to the requests "
+    "that arrived meanwhile."};
 inline constexpr Event kDocumentInForce{
     201, Level::kInfo, "document-in-force",
     "A revision of a document took effect."};
@@ -178,6 +182,9 @@
     514, Level::kInfo, "endpoint-cold",
     "An endpoint takes only a limited rate of calls after its start, or no "
     "longer."};
+inline constexpr Event kCallCut{
+    515, Level::kWarning, "call-cut",
+    "A call was in progress when a planned stop ended and was cut."};
 inline constexpr Event kOrderSent{601, Level::kInfo, "order-sent",
                                   "The agent sent its endpoint an order."};
 inline constexpr Event kOrderRefused{602, Level::kWarning, "order-refused",
--- a/include/radishrudder/serving/call_journal.h
+++ b/include/radishrudder/serving/call_journal.h
@@ -24,6 +24,11 @@
   explicit CallJournal(std::string instance);
 
   void Record(kernel::Time now, const direct::CallRecord& record);
+  // A call that a planned stop cut; it arrived `after_stop` after the stop
+  // began, or, if negative, before.
+  void RecordCut(kernel::Time now,
+                 const direct::CallRecord& record,
+                 std::chrono::milliseconds after_stop);
   void RecordPause(kernel::Time now, const direct::EndpointPaused& pause);
   void RecordLeaving(kernel::Time now, const direct::EndpointLeaves& leaves);
   void RecordLimit(kernel::Time now, const direct::EndpointLimited& limit);
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -250,6 +250,7 @@
   void OnRequest(exchange::ReceivedRequest received,
                  std::shared_ptr<exchange::CallerExchange> caller) {
     const direct::CallId id = ++m_last_call;
+    m_received_in_stop += m_stop_started ? 1 : 0;
     const auto request = std::make_shared<const direct::CallerRequest>(
         Platform::Calls::DecodeRequest(std::move(received)));
     caller->OnDisconnected([this, id] {
@@ -763,14 +764,33 @@
     if (!idle && elapsed < m_settings.stop_timeout - kStopMargin) {
       return false;
     }
-    if (m_core.CallsInProgress() > 0) {
+    LogStopEnd(now);
+    m_context.stop();
+    return true;
+  }
+
+  void LogStopEnd(kernel::Time now) {
+    using std::chrono::milliseconds;
+    const auto elapsed =
+        std::chrono::duration_cast<milliseconds>(now - *m_stop_started);
+    const std::vector<direct::CallRecord> cut = m_core.UnfinishedCalls(now);
+    if (!cut.empty()) {
       logging::Log(logging::kCallsCut,
                    {{"instance", m_settings.entry.name},
-                    {"calls", std::to_string(m_core.CallsInProgress())},
+                    {"calls", std::to_string(cut.size())},
                     {"reason", "the stop timeout expired"}});
     }
-    m_context.stop();
-    return true;
+    for (const direct::CallRecord& record : cut) {
+      m_journal.RecordCut(now, record, elapsed - record.elapsed);
+    }
+    logging::Log(logging::kStopEnded,
+                 {{"instance", m_settings.entry.name},
+                  {"elapsed_ms", std::to_string(elapsed.count())},
+                  {"received", std::to_string(m_received_in_stop)},
+                  {"cut", std::to_string(cut.size())},
+                  {"connections", std::to_string(m_callers.Connections())},
+                  {"connections_with_dropped_bytes",
+                   std::to_string(m_callers.ConnectionsWithDroppedBytes())}});
   }
 
   asio::io_context& m_context;
@@ -794,6 +814,7 @@
   asio::steady_timer m_tick;
   kernel::Time m_next_maintenance{};
   std::optional<kernel::Time> m_stop_started;
+  std::uint64_t m_received_in_stop = 0;  // Requests.
   direct::CallId m_last_call = 0;
   bool m_ready = false;
 };
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -367,6 +367,14 @@
   return m_state->calls.size();
 }
 
+std::vector<CallRecord> Entry::UnfinishedCalls(kernel::Time now) const {
+  std::vector<CallRecord> records;
+  for (const auto& [id, call] : m_state->calls) {
+    records.push_back(State::MakeRecord(now, call));
+  }
+  return records;
+}
+
 std::vector<Output> Entry::TakeOutputs() {
   return std::exchange(m_state->outputs, {});
 }
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -125,13 +125,8 @@
   Emit(std::move(record));
 }
 
-void Entry::State::RecordOutcome(kernel::Time now,
-                                 Call& call,
-                                 CallRecord::Kind kind,
-                                 int status,
-                                 Reason reason) {
-  CallRecord record{
-      .kind = kind, .call = call.id, .status = status, .reason = reason};
+CallRecord Entry::State::MakeRecord(kernel::Time now, const Call& call) {
+  CallRecord record{.call = call.id};
   record.attempt_id = call.request->attempt_id;
   record.route = call.route.name;
   record.service = call.service;
@@ -144,6 +139,18 @@
   record.prompt_parts = call.request->prompt_parts;
   record.rank = call.rank;
   record.waited = ToMilliseconds(call.waited);
+  return record;
+}
+
+void Entry::State::RecordOutcome(kernel::Time now,
+                                 Call& call,
+                                 CallRecord::Kind kind,
+                                 int status,
+                                 Reason reason) {
+  CallRecord record = MakeRecord(now, call);
+  record.kind = kind;
+  record.status = status;
+  record.reason = reason;
   if (reason != Reason::kNone && call.may_have_run) {
     record.request_digest = DigestOf(call);
   }
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -185,6 +185,7 @@
   }
   const std::string& DigestOf(Call& call);
   void Emit(Output output) { outputs.push_back(std::move(output)); }
+  static CallRecord MakeRecord(kernel::Time now, const Call& call);
   void RecordOutcome(kernel::Time now,
                      Call& call,
                      CallRecord::Kind kind,
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -167,6 +167,8 @@
           if (!self->m_refusing && !self->m_lingering_since) {
             self->m_incoming.append(self->m_buffer.data(), size);
             self->Advance();
+          } else if (!std::exchange(self->m_dropping, true)) {
+            ++self->m_server.m_dropping;
           }
           if (self->m_socket.is_open()) {
             self->Read();
@@ -415,6 +417,7 @@
   bool m_writing = false;
   bool m_ending = false;    // Close once everything is written.
   bool m_refusing = false;  // A request was refused unread.
+  bool m_dropping = false;  // Bytes arrived that are not read.
   bool m_next = false;      // An answer ended; the next request may begin.
 };
 
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -68,6 +68,27 @@
   return false;
 }
 
+void CallJournal::RecordCut(kernel::Time now,
+                            const direct::CallRecord& record,
+                            std::chrono::milliseconds after_stop) {
+  m_metrics.Count("radishrudder_calls_cut_total",
+                  {{"service", record.service}});
+  if (!TryTakeLine(now)) {
+    return;
+  }
+  logging::Log(logging::kCallCut,
+               {{"id", record.attempt_id},
+                {"route", record.route},
+                {"service", record.service},
+                {"endpoint", record.endpoint},
+                {"attempts", std::to_string(record.attempts)},
+                {"events", std::to_string(record.events)},
+                {"elapsed_ms", std::to_string(record.elapsed.count())},
+                {"after_stop_ms", std::to_string(after_stop.count())},
+                {"lines_left_out",
+                 std::to_string(std::exchange(m_suppressed_lines, 0))}});
+}
+
 void CallJournal::RecordPause(kernel::Time now,
                               const direct::EndpointPaused& pause) {
   m_metrics.Count("radishrudder_endpoint_pauses_total",
