tests: streams that arrive during a planned stop

Reproduces the incident with one entry, 40 callers on kept connections, streams of 0.3 to 5.6 s with a deadline of 6 s, and SIGTERM among them; alone, after and beside changes of the settings, and with a second SIGTERM.

--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -5,6 +5,7 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
@@ -22,6 +23,7 @@
 
 constexpr milliseconds kServiceTime{20};
 constexpr milliseconds kWatchTime{300};
+constexpr milliseconds kEventInterval{100};
 constexpr milliseconds kAnswerLimit{8000};
 
 std::string FreeAddress(asio::io_context& context, const std::string& ip) {
@@ -91,7 +93,10 @@
        R"({"version": 3, "routes": [{"name": "r", "host": "h.example",)"
        R"("prefix": "/s/", "kind": "idempotent", "service": "plain",)"
        R"("max_attempts": 2, "timeout_ms": 5000,)"
-       R"("target_latency_ms": 1000}], "services": [{"name": "plain",)"
+       R"("target_latency_ms": 1000}, {"name": "t", "host": "h.example",)"
+       R"("prefix": "/t/", "kind": "streaming", "service": "plain",)"
+       R"("max_attempts": 2, "timeout_ms": 6000, "target_latency_ms": 1000,)"
+       R"("resumable": true}], "services": [{"name": "plain",)"
        R"("max_connections": 64)" +
            m_endpoint_settings.service_members + R"(}], "limits": {}})"});
   m_entries.push_back(
@@ -198,9 +203,34 @@
     head.headers.push_back(
         {"Radishrudder-Instance-Load", m_endpoint_settings.load_header});
   }
+  constexpr std::string_view kStreams = "/t/";
+  if (request.head.target.starts_with(kStreams)) {
+    head.headers.push_back({"Content-Type", "text/event-stream"});
+    caller->Begin(head);
+    StreamEvents(
+        caller, /*event=*/1,
+        milliseconds(std::stol(request.head.target.substr(kStreams.size()))));
+    return;
+  }
   ReplyLater(kServiceTime, caller, std::move(head), "done");
 }
 
+void PlatformStandin::StreamEvents(const Exchange& caller,
+                                   int event,
+                                   milliseconds left) {
+  caller->Write("id: " + std::to_string(event) + "\ndata: x\n\n");
+  if (left <= milliseconds(0)) {
+    caller->Finish();
+    return;
+  }
+  const milliseconds pause = std::min(left, kEventInterval);
+  const auto timer = std::make_shared<asio::steady_timer>(m_context, pause);
+  timer->async_wait(
+      [this, timer, caller, event, left = left - pause](std::error_code) {
+        StreamEvents(caller, event + 1, left);
+      });
+}
+
 void PlatformStandin::ReplyLater(milliseconds delay,
                                  const Exchange& caller,
                                  exchange::AnswerHead head,
--- a/tests/platform/platform_standin.h
+++ b/tests/platform/platform_standin.h
@@ -33,7 +33,8 @@
 };
 
 // The platform's store with one configuration and one endpoint, and this
-// endpoint, on a thread of their own.
+// endpoint, on a thread of their own. Calls of /s/ are plain; a call of /t/MS
+// is answered with a stream of events that takes MS milliseconds.
 class PlatformStandin {
  public:
   // `more_entries`: other entries of the store. `watch_bodies`: bodies of the
@@ -68,6 +69,9 @@
                    const Exchange& caller);
   void AnswerCall(const exchange::ReceivedRequest& request,
                   const Exchange& caller);
+  void StreamEvents(const Exchange& caller,
+                    int event,
+                    std::chrono::milliseconds left);
   void ReplyLater(std::chrono::milliseconds delay,
                   const Exchange& caller,
                   exchange::AnswerHead head,
--- a/tests/platform/stop_under_load_test.cc
+++ b/tests/platform/stop_under_load_test.cc
@@ -4,6 +4,8 @@
 #include <signal.h>
 
 #include <atomic>
+#include <functional>
+#include <ostream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -30,18 +32,44 @@
 constexpr char kChangedBounds[] =
     R"("revoke_ms": 4000, "grace_s": 6, "retry_budget_ratio": 0.1)";
 
-std::string Request(int caller) {
-  return "POST /s/1 HTTP/1.1\r\nHost: h.example\r\nRadishrudder-Attempt-Id: " +
+std::string RequestOf(const std::string& path, int caller, int deadline_ms) {
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: h.example\r\nRadishrudder-Attempt-Id: " +
          std::to_string(caller) +
-         "\r\nRadishrudder-Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nbody";
+         "\r\nRadishrudder-Deadline-Ms: " + std::to_string(deadline_ms) +
+         "\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+std::string Request(int caller) {
+  return RequestOf("/s/1", caller, /*deadline_ms=*/4000);
+}
+
+// A stream whose length differs from caller to caller and from call to call.
+std::string StreamRequest(int caller, int call) {
+  constexpr int kShortestStreamMs = 300;
+  constexpr int kStreamRangeMs = 5300;
+  constexpr int kStepMs = 1130;
+  const int length =
+      kShortestStreamMs + (caller * 7 + call) * kStepMs % kStreamRangeMs;
+  return RequestOf("/t/" + std::to_string(length), caller,
+                   /*deadline_ms=*/6000);
 }
 
 // Calls over kept connections from several threads until they are told to end.
 class Load {
  public:
-  explicit Load(const std::string& address) {
-    for (int i = 0; i < kCallers; ++i) {
-      m_threads.emplace_back([this, address, i] { Run(address, i); });
+  // Returns the request of a caller for its next call, counted from 0.
+  using MakeRequest = std::function<std::string(int caller, int call)>;
+
+  explicit Load(
+      const std::string& address,
+      int callers = kCallers,
+      const MakeRequest& make_request = [](int caller, int) {
+        return Request(caller);
+      }) {
+    for (int i = 0; i < callers; ++i) {
+      m_threads.emplace_back(
+          [this, address, make_request, i] { Run(address, make_request, i); });
     }
   }
   ~Load() { End(); }
@@ -61,11 +89,13 @@
   int Refused() const { return m_refused; }
 
  private:
-  void Run(const std::string& address, int number) {
+  void Run(const std::string& address,
+           const MakeRequest& make_request,
+           int number) {
     StandinCaller caller(address);
-    const std::string request = Request(number);
+    int call = 0;
     while (!m_ending) {
-      switch (caller.Call(request)) {
+      switch (caller.Call(make_request(number, call++))) {
         case StandinCaller::Result::kAnswered:
           ++m_answered;
           m_refused += caller.Status() == 200 ? 0 : 1;
@@ -165,5 +195,59 @@
   EXPECT_EQ(m_program.AwaitExit(kLimit), 0);
 }
 
+// What happens around SIGTERM.
+struct StopCase {
+  const char* name;
+  bool changes_before = false;
+  bool changes_after = false;
+  bool second_signal = false;
+};
+
+void PrintTo(const StopCase& stop, std::ostream* out) {
+  *out << stop.name;
+}
+
+class StopDuringStreamsTest : public StopUnderLoadTest,
+                              public testing::WithParamInterface<StopCase> {};
+
+// Guards against LOST on sb-quotes-large: streams that arrived on open
+// connections after SIGTERM were passed on whatever time the process had left,
+// and were cut when it ended.
+TEST_P(StopDuringStreamsTest, CutsNoAcceptedStream) {
+  constexpr milliseconds kBeforeStop{1500};
+  constexpr milliseconds kChangePause{200};
+  constexpr int kChanges = 6;
+  constexpr int kStreamCallers = 40;
+  Load load(m_program.CallersAddress(), kStreamCallers, StreamRequest);
+  std::this_thread::sleep_for(kBeforeStop);
+  if (GetParam().changes_before) {
+    ChangeSettings(0);
+    std::this_thread::sleep_for(kChangePause);
+  }
+  m_program.Signal(SIGTERM);
+  for (int i = 0; GetParam().changes_after && i < kChanges; ++i) {
+    std::this_thread::sleep_for(kChangePause);
+    ChangeSettings(i);
+  }
+  if (GetParam().second_signal) {
+    std::this_thread::sleep_for(kChangePause);
+    m_program.Signal(SIGTERM);
+  }
+  EXPECT_EQ(m_program.AwaitExit(kLimit), 0);
+  load.End();
+  EXPECT_EQ(load.Lost(), 0);
+  EXPECT_GT(load.Answered(), load.Refused());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Stops,
+    StopDuringStreamsTest,
+    testing::Values(
+        StopCase{"Alone"},
+        StopCase{.name = "AfterSettingsChange", .changes_before = true},
+        StopCase{.name = "BesideSettingsChanges", .changes_after = true},
+        StopCase{.name = "WithSecondSignal", .second_signal = true}),
+    [](const auto& test) { return std::string(test.param.name); });
+
 }  // namespace
 }  // namespace radishrudder::platform
