serving: settings that change during a stop do not end it sooner

A stop ended by the stop timeout in force at each moment: settings that shortened it during a stop cut calls that had been accepted by the longer one. The end is now fixed when the stop begins, and newer settings only limit which calls are still accepted, since the platform may kill the process by them.

The streams of StopDuringStreamsTest were too short after SIGTERM to show this; they are now 0.3 to 3 s, then 4.3 to 5.6 s on the same connection, and the last change shortens the stop.

--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -161,8 +161,10 @@
       return;
     }
     m_stop_started = kernel::Now();
-    m_core.OnDrain(*m_stop_started, *m_stop_started + m_settings.stop_timeout -
-                                        kStopMargin - kResponseMargin);
+    // Calls were accepted by this limit: settings that change during the stop
+    // do not make it earlier.
+    m_stop_ends_at = *m_stop_started + m_settings.stop_timeout - kStopMargin;
+    LimitServing();
     m_callers.CloseAfterAnswers();
     logging::Log(logging::kProcessDraining,
                  {{"instance", m_settings.entry.name},
@@ -188,6 +190,9 @@
                  change);
     ApplySetting("peer-seeds", current.peer_seeds, updated.peer_seeds, change);
     m_core.OnSettings(current.entry);
+    if (m_stop_started) {
+      LimitServing();
+    }
     m_peers.OnSeeds(current.peer_seeds);
     DeferSetting("instance", current.entry.name, updated.entry.name, change);
     DeferSetting("data-centre", current.entry.data_centre,
@@ -266,6 +271,12 @@
     TakeOutputs();
   }
 
+  // The platform may kill the process by the newest settings.
+  void LimitServing() {
+    m_core.OnDrain(kernel::Now(), *m_stop_started + m_settings.stop_timeout -
+                                      kStopMargin - kResponseMargin);
+  }
+
   void AnswerReadiness(exchange::CallerExchange& caller) {
     const bool ready = m_core.IsReady(kernel::BootTimeNow());
     if (ready != m_ready) {
@@ -755,14 +766,14 @@
     if (elapsed >= kLateArrivalTime) {
       m_callers.StopAccepting();
     }
-    if (elapsed >= m_settings.stop_timeout - kStopMargin - kResponseMargin) {
+    if (now >= m_stop_ends_at - kResponseMargin) {
       m_core.StopWaiting(now);
       TakeOutputs();
     }
     const bool idle = elapsed >= kLateArrivalTime &&
                       m_core.CallsInProgress() == 0 &&
                       m_callers.Connections() == 0;
-    if (!idle && elapsed < m_settings.stop_timeout - kStopMargin) {
+    if (!idle && now < m_stop_ends_at) {
       return false;
     }
     LogStopEnd(now);
@@ -815,6 +826,7 @@
   asio::steady_timer m_tick;
   kernel::Time m_next_maintenance{};
   std::optional<kernel::Time> m_stop_started;
+  kernel::Time m_stop_ends_at{};         // If a stop has started.
   std::uint64_t m_received_in_stop = 0;  // Requests.
   direct::CallId m_last_call = 0;
   bool m_ready = false;
--- a/tests/platform/stop_under_load_test.cc
+++ b/tests/platform/stop_under_load_test.cc
@@ -10,6 +10,7 @@
 #include <thread>
 #include <vector>
 
+#include "radishrudder/kernel/random.h"
 #include "tests/platform/platform_standin.h"
 #include "tests/platform/running_program.h"
 
@@ -44,13 +45,12 @@
   return RequestOf("/s/1", caller, /*deadline_ms=*/4000);
 }
 
-// A stream whose length differs from caller to caller and from call to call.
+// A stream of 0.3 to 3 s, then, on the same connection, streams of 4.3 to 5.6
+// s.
 std::string StreamRequest(int caller, int call) {
-  constexpr int kShortestStreamMs = 300;
-  constexpr int kStreamRangeMs = 5300;
-  constexpr int kStepMs = 1130;
-  const int length =
-      kShortestStreamMs + (caller * 7 + call) * kStepMs % kStreamRangeMs;
+  kernel::Random random(static_cast<std::uint64_t>(caller));
+  const std::uint64_t length =
+      call == 0 ? 300 + random.Below(2700) : 4300 + random.Below(1300);
   return RequestOf("/t/" + std::to_string(length), caller,
                    /*deadline_ms=*/6000);
 }
@@ -222,7 +222,7 @@
   constexpr milliseconds kRedirectTime{2500};
   constexpr milliseconds kBeforeStop{1500};
   constexpr milliseconds kChangePause{200};
-  constexpr int kChanges = 6;
+  constexpr int kChanges = 5;  // The last one shortens the stop.
   constexpr int kStreamCallers = 40;
   Load load(m_program.CallersAddress(), kStreamCallers, StreamRequest);
   std::this_thread::sleep_for(kBeforeStop);
