direct: calls that a stop ends get a response where none has started

At the end of a stop the process closed the connections of all calls in progress. A caller whose response had not started learned nothing, though an error response fits into the socket's buffer. Such calls now end with 502, or with 503 if their attempt was not sent; started responses are still visibly broken off.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -175,6 +175,9 @@
   // Refuses the calls that wait for a place, and lets no further call wait: the
   // process is about to end, and they have not been executed.
   void StopWaiting(kernel::Time now);
+  // Ends all calls, with an error response where none has started: the process
+  // ends now.
+  void EndCalls(kernel::Time now);
   // Whether new callers should be sent to this instance.
   bool IsReady(kernel::BootTime boot_now) const;
   const ConfigurationTable& Configurations() const;
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -777,6 +777,8 @@
       return false;
     }
     LogStopEnd(now);
+    m_core.EndCalls(now);
+    TakeOutputs();
     m_context.stop();
     return true;
   }
--- a/source/radishrudder/direct/entry_admission.cc
+++ b/source/radishrudder/direct/entry_admission.cc
@@ -283,6 +283,17 @@
   }
 }
 
+void Entry::EndCalls(kernel::Time now) {
+  while (!m_state->calls.empty()) {
+    Call& call = m_state->calls.begin()->second;
+    if (call.attempt) {
+      m_state->Emit(CancelAttempt{call.id});
+      call.may_have_run = call.may_have_run || call.attempt->sent;
+    }
+    m_state->FailCall(now, call, Reason::kStopping);
+  }
+}
+
 void Entry::State::RefuseExpiredWaiting(kernel::Time now) {
   for (auto& [service, admission] : admissions) {
     for (const admission::WaitingCall& expired : admission.TakeExpired(now)) {
--- a/tests/direct/draining_test.cc
+++ b/tests/direct/draining_test.cc
@@ -95,6 +95,32 @@
   EXPECT_EQ(ResponseStatus(), kUnavailable);
 }
 
+// Guards against callers whose connection is closed without a response when the
+// process ends, although none has started, and against one that says that a
+// call was not executed which an endpoint runs.
+TEST_F(DrainingTest, RespondsToUnfinishedCallsAtTheEnd) {
+  constexpr int kBadGateway = 502;
+  const CallId unsent = Call();
+  const CallId running = Call();
+  m_entry.OnSending(m_now, running);
+  const CallId streaming = Call();
+  m_entry.OnSending(m_now, streaming);
+  m_entry.OnResponseHead(m_now, streaming, SignedResponse(streaming, 200));
+  m_entry.OnResponseBody(m_now, streaming, "id: 1\ndata: x\n\n");
+  m_entry.EndCalls(m_now);
+  const auto responses = TakeOutputsOf<SendResponse>();
+  ASSERT_EQ(responses.size(), 2U);
+  EXPECT_EQ(responses[0].call, unsent);
+  EXPECT_EQ(responses[0].status, kUnavailable);
+  EXPECT_EQ(responses[1].call, running);
+  EXPECT_EQ(responses[1].status, kBadGateway);
+  const auto aborted = TakeOutputsOf<AbortResponse>();
+  ASSERT_EQ(aborted.size(), 1U);
+  EXPECT_EQ(aborted.front().call, streaming);
+  EXPECT_EQ(TakeOutputsOf<CancelAttempt>().size(), 3U);
+  EXPECT_EQ(m_entry.CallsInProgress(), 0U);
+}
+
 // Guards against calls that are accepted for longer than the process lives,
 // because a later drain limit replaces an earlier one.
 TEST_F(DrainingTest, KeepsEarliestLimit) {
