http: a response that ends within its head is an error

An endpoint that stopped in the middle of its response's head and closed the connection gave the caller of the project's own interface a 200 with an empty body, framed as complete: libcurl reports a connection that closes after the status line or within a header as success. The client now takes a response as complete only if its head was. The platform entry has a reader of its own and is not affected; PoolAnswerTest covers five such cuts, and that the connection is closed after a refusal.

--- a/source/radishrudder/http/client_transfer.cc
+++ b/source/radishrudder/http/client_transfer.cc
@@ -142,8 +142,11 @@
                          std::string(Trim(line.substr(colon + 1)))});
     return;
   }
-  const bool is_end_of_head = Trim(line).empty();
-  if (is_end_of_head && m_status >= kFirstFinalStatus && m_handlers.on_head) {
+  if (!Trim(line).empty() || m_status < kFirstFinalStatus) {
+    return;
+  }
+  m_head_complete = true;
+  if (m_handlers.on_head) {
     m_handlers.on_head(m_status, std::exchange(m_headers, {}));
   }
 }
@@ -170,6 +173,11 @@
 }
 
 void ClientTransfer::Finish(CURLcode code) {
+  // libcurl takes a connection that closes within the head for the end of a
+  // response without a body.
+  if (code == CURLE_OK && !m_head_complete) {
+    code = CURLE_RECV_ERROR;
+  }
   FinishWith(ErrorOf(code));
 }
 
--- a/source/radishrudder/http/client_transfer.h
+++ b/source/radishrudder/http/client_transfer.h
@@ -61,6 +61,7 @@
   std::unique_ptr<curl_slist, FreeList> m_header_lines;
   std::vector<Header> m_headers;
   int m_status = 0;
+  bool m_head_complete = false;  // Of the final response.
   std::size_t m_body_bytes = 0;
   bool m_connected = false;
   bool m_too_large = false;
--- a/tests/exchange/endpoint_pool_test.cc
+++ b/tests/exchange/endpoint_pool_test.cc
@@ -18,6 +18,10 @@
 class Recorder : public AnswerListener {
  public:
   HeadVerdict OnHead(const ResponseHead& head) override {
+    if (head.status == 503) {
+      rejected = true;
+      return HeadVerdict::kReject;
+    }
     return http::FindHeader(head.headers, "X-Foreign").empty()
                ? HeadVerdict::kAccept
                : HeadVerdict::kSkip;
@@ -26,11 +30,12 @@
   void OnBody(std::string data) override { body += data; }
   void OnEnd() override { ended = true; }
   void OnFailure(Failure reason) override { failure = reason; }
-  bool Done() const { return ended || failure; }
+  bool Done() const { return ended || failure || rejected; }
 
   int sendings = 0;
   std::string body;
   bool ended = false;
+  bool rejected = false;
   std::optional<Failure> failure;
 };
 
@@ -123,6 +128,31 @@
                  "",
                  Failure::kInterrupted,
                  false},
+        PoolCase{"CutInStatusLine",
+                 {"HTTP/1.1 200", true},
+                 "",
+                 Failure::kInterrupted,
+                 false},
+        PoolCase{"CutAfterStatusLine",
+                 {"HTTP/1.1 200 OK\r\n", true},
+                 "",
+                 Failure::kInterrupted,
+                 false},
+        PoolCase{"CutInHeader",
+                 {"HTTP/1.1 200 OK\r\nContent-Le", true},
+                 "",
+                 Failure::kInterrupted,
+                 false},
+        PoolCase{"CutInLengthValue",
+                 {"HTTP/1.1 200 OK\r\nContent-Length: 2", true},
+                 "",
+                 Failure::kInterrupted,
+                 false},
+        PoolCase{"CutAfterHeader",
+                 {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", true},
+                 "",
+                 Failure::kInterrupted,
+                 false},
         PoolCase{"ClosedWithoutAnswer",
                  {"", true},
                  "",
@@ -136,6 +166,20 @@
                  false}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against an endpoint that writes an earlier refusal once more, as the
+// response to the next request on the connection: that request runs, and its
+// caller is told that it was not executed.
+TEST_F(PoolTest, ConnectionIsClosedAfterRefusal) {
+  constexpr char kRefusal[] =
+      "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n";
+  ScriptedPeer peer(m_context, {{std::string(kRefusal) + kRefusal}, {kOk}});
+  EXPECT_TRUE(Send(peer.Address())->rejected);
+  const auto next = Send(peer.Address());
+  EXPECT_FALSE(next->rejected);
+  EXPECT_EQ(next->body, "ok");
+  EXPECT_EQ(peer.Connections(), 2U);
+}
+
 // Nothing has left: the request may go elsewhere whatever it is.
 TEST_F(PoolTest, RefusedConnectionIsNotSent) {
   std::string address;
--- a/tests/http/broken_connection_test.cc
+++ b/tests/http/broken_connection_test.cc
@@ -14,7 +14,7 @@
 
 // Answers the first request of each connection and keeps it; closes the
 // connection without an answer at any further request, and at a first request
-// for /breaks.
+// for /breaks. A first request for /cut/N gets the first N bytes of the answer.
 class BreakingServer {
  public:
   BreakingServer()
@@ -54,6 +54,12 @@
     if (first.empty() || first.find("/breaks") != std::string::npos) {
       return;
     }
+    constexpr std::string_view kCut = "/cut/";
+    if (const std::size_t cut = first.find(kCut); cut != std::string::npos) {
+      const std::size_t size = std::stoul(first.substr(cut + kCut.size()));
+      asio::write(socket, asio::buffer(kAnswer.substr(0, size)), error);
+      return;
+    }
     asio::write(socket, asio::buffer(kAnswer), error);
     ReadHead(socket);
   }
@@ -95,5 +101,25 @@
   EXPECT_EQ(server.Requests(), 3);
 }
 
+class CutResponseTest : public testing::TestWithParam<int> {};
+
+// Guards against a 200 with an empty or short body, framed as complete, from an
+// endpoint that stopped within its response and closed the connection.
+TEST_P(CutResponseTest, IsAnError) {
+  BreakingServer server;
+  Client client;
+  const WholeAnswer answer = client.FetchNow(
+      {.method = "GET",
+       .url = server.Url("/cut/" + std::to_string(GetParam()))});
+  EXPECT_TRUE(answer.result.error);
+  EXPECT_TRUE(answer.result.may_have_been_sent);
+}
+
+// In the status line, at its end, in a header, at its end, before the empty
+// line is complete, and in the body.
+INSTANTIATE_TEST_SUITE_P(Cuts,
+                         CutResponseTest,
+                         testing::Values(7, 15, 17, 25, 36, 38, 39, 40));
+
 }  // namespace
 }  // namespace radishrudder::http
