direct: tests of refusals and errors that belong to another request

Shown not to happen here: a refusal with another attempt's id is skipped, and a stream that another endpoint began is visibly broken off, without the text, when the next one answers with an error (eight statuses).

--- a/tests/direct/entry_attempts_test.cc
+++ b/tests/direct/entry_attempts_test.cc
@@ -287,6 +287,33 @@
   EXPECT_EQ(replies.front().body, "whole");
 }
 
+// Guards against an earlier refusal that an endpoint writes once more on a kept
+// connection: the caller is told that a request was not executed which runs.
+TEST_F(AttemptsTest, SkipsRefusalOfAnotherRequest) {
+  Start(Route(RouteKind::kNonIdempotent, false));
+  const CallId call = Call();
+  m_entry.OnSending(m_now, call);
+  TakeOutputsOf<SendAttempt>();
+  EndpointResponse earlier = NotExecutedResponse();
+  earlier.attempt_id = "id-of-another";
+  EXPECT_EQ(m_entry.OnResponseHead(m_now, call, earlier),
+            ResponseVerdict::kSkip);
+  EXPECT_TRUE(TakeOutputsOf<SendResponse>().empty());
+  EXPECT_TRUE(TakeOutputsOf<SendAttempt>().empty());
+}
+
+// The same without the attempt id, which endpoints echo in their responses.
+TEST_F(AttemptsTest, DoesNotBelieveRefusalWithoutAttemptId) {
+  Start(Route(RouteKind::kNonIdempotent, false));
+  const CallId call = Call();
+  m_entry.OnSending(m_now, call);
+  EndpointResponse earlier;
+  earlier.status = 503;
+  earlier.not_executed = true;
+  m_entry.OnResponseHead(m_now, call, earlier);
+  EXPECT_EQ(ResponseStatus(), 502);
+}
+
 TEST_F(AttemptsTest, RespondsBadGatewayWhenResponseIsTruncated) {
   Start(Route(RouteKind::kNonIdempotent, false));
   const CallId call = Call();
@@ -486,6 +513,46 @@
   EXPECT_EQ(TakeOutputsOf<FinishResponse>().size(), 1U);
 }
 
+class StreamErrorTest : public StreamTest,
+                        public testing::WithParamInterface<StatusCase> {};
+
+// Guards against an endpoint's error within a stream that another endpoint
+// began, and against a stream that ends as complete after it.
+TEST_P(StreamErrorTest, AbortsStreamThatNextEndpointsAnswerWithAnError) {
+  const CallId call = StartStream(true);
+  std::vector<ListedEndpoint> listed{MakeEndpoint("1"), MakeEndpoint("2"),
+                                     MakeEndpoint("3")};
+  for (ListedEndpoint& endpoint : listed) {
+    endpoint.model_version = 3;  // That of the stream.
+  }
+  m_entry.OnEndpoints(m_now, listed);
+  m_entry.OnAttemptFailed(m_now, call, AttemptFailure::kInterrupted);
+  ASSERT_EQ(TakeOutputsOf<SendAttempt>().size(), 1U);
+  m_entry.OnSending(m_now, call);
+  if (m_entry.OnResponseHead(m_now, call,
+                             SignedResponse(call, GetParam().status)) ==
+      ResponseVerdict::kAccept) {
+    m_entry.OnResponseBody(m_now, call, "{\"error\": \"busy\"}\n\n");
+    m_entry.OnResponseEnd(m_now, call);
+  }
+  EXPECT_EQ(BodyData(), "");
+  EXPECT_TRUE(TakeOutputsOf<FinishResponse>().empty());
+  EXPECT_TRUE(TakeOutputsOf<SendResponse>().empty());
+  EXPECT_EQ(TakeOutputsOf<AbortResponse>().size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Errors,
+                         StreamErrorTest,
+                         testing::Values(StatusCase{"Redirect", 302},
+                                         StatusCase{"BadRequest", 400},
+                                         StatusCase{"NotFound", 404},
+                                         StatusCase{"TooMany", 429},
+                                         StatusCase{"Internal", 500},
+                                         StatusCase{"BadGateway", 502},
+                                         StatusCase{"Unavailable", 503},
+                                         StatusCase{"Timeout", 504}),
+                         [](const auto& info) { return info.param.name; });
+
 TEST_F(StreamTest, AbortsResponseWhenStreamIsNotResumable) {
   const CallId call = StartStream(false);
   m_entry.OnAttemptFailed(m_now, call, AttemptFailure::kInterrupted);
