staging: orders, changes of the target and restarts are logged with their state

Of an endpoint that answered from mixed weights, the log could not tell whether a change of the target, a verification of an earlier process or an order to another process was the cause: 601 order-sent had no more than the versions.

601, 602 and 604 now have the endpoint's start time, its number of orders, the verified pieces, the unanswered accesses and the age of the verification and of an order. New: 605 order-answered, 606 staging-target-changed.

--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -195,6 +195,12 @@
 inline constexpr Event kEndpointRestarted{
     604, Level::kInfo, "endpoint-restarted",
     "The endpoint restarted and holds nothing."};
+inline constexpr Event kOrderAnswered{
+    605, Level::kInfo, "order-answered",
+    "The endpoint accepted an order, or its response did not arrive."};
+inline constexpr Event kStagingTargetChanged{
+    606, Level::kInfo, "staging-target-changed",
+    "Another version is written to the endpoint's staging area."};
 inline constexpr Event kPeerConnected{
     701, Level::kInfo, "peer-connected",
     "A connection to a peer was established."};
--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -600,11 +600,30 @@
     m_missed_version_read_at = kernel::Now() + Jitter(kMissedVersionDelay);
   }
   void Execute(staging::ProgressReport& output) {
-    logging::Log(EventOf(output.kind),
-                 {{"instance", m_settings.instance},
-                  {"model", output.version.model},
-                  {"version", std::to_string(output.version.number)},
-                  {"detail", output.detail}});
+    const auto age = [](std::optional<std::chrono::milliseconds> time) {
+      return time ? std::to_string(time->count()) : std::string();
+    };
+    const std::string version = std::to_string(output.version.number);
+    if (!output.facts) {
+      logging::Log(EventOf(output.kind), {{"instance", m_settings.instance},
+                                          {"model", output.version.model},
+                                          {"version", version},
+                                          {"detail", output.detail}});
+      return;
+    }
+    const staging::StagingFacts& facts = *output.facts;
+    logging::Log(
+        EventOf(output.kind),
+        {{"instance", m_settings.instance},
+         {"model", output.version.model},
+         {"version", version},
+         {"detail", output.detail},
+         {"endpoint_started_at", std::to_string(facts.process_started_at_ms)},
+         {"accepted_orders", std::to_string(facts.accepted_orders)},
+         {"verified_pieces", std::to_string(facts.verified_pieces)},
+         {"unanswered_accesses", std::to_string(facts.unanswered_accesses)},
+         {"verification_age_ms", age(facts.verification_age)},
+         {"order_age_ms", age(facts.order_age)}});
   }
 
   static void LogIfFailed(
@@ -642,6 +661,10 @@
         return logging::kOrderSent;
       case staging::ProgressReport::Kind::kOrderRefused:
         return logging::kOrderRefused;
+      case staging::ProgressReport::Kind::kOrderAnswered:
+        return logging::kOrderAnswered;
+      case staging::ProgressReport::Kind::kTargetChanged:
+        return logging::kStagingTargetChanged;
       case staging::ProgressReport::Kind::kRunning:
         return logging::kVersionRunning;
       case staging::ProgressReport::Kind::kEndpointRestarted:
--- a/include/radishrudder/staging/stager.h
+++ b/include/radishrudder/staging/stager.h
@@ -103,6 +103,19 @@
 struct NewerVersionSeen {
   VersionId version{};
 };
+// What the stager knows of the endpoint and its staging area.
+struct StagingFacts {
+  // As last reported: start of the endpoint's process in Unix milliseconds, and
+  // load orders that it accepted since then.
+  std::uint64_t process_started_at_ms = 0;
+  std::uint64_t accepted_orders = 0;
+  std::size_t verified_pieces = 0;
+  std::size_t unanswered_accesses = 0;  // Writes and reads.
+  // Time since the verification of the staged pieces started.
+  std::optional<std::chrono::milliseconds> verification_age{};
+  // Time since the latest order was sent, if its effect is not known yet.
+  std::optional<std::chrono::milliseconds> order_age{};
+};
 // A state change to be logged.
 struct ProgressReport {
   enum class Kind {
@@ -114,12 +127,16 @@
     kStagedPieceCorrupted,
     kOrdered,
     kOrderRefused,
+    kOrderAnswered,
+    kTargetChanged,
     kRunning,
     kEndpointRestarted
   };
   Kind kind = Kind::kDeclared;
   VersionId version{};
   std::string detail{};
+  // Set for orders, changes of the target and restarts of the endpoint.
+  std::optional<StagingFacts> facts{};
 };
 
 using StagerOutput = std::variant<wire::Send,
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -67,6 +67,8 @@
                                       kOrderRefused,
                                       kVersionRunning,
                                       kEndpointRestarted,
+                                      kOrderAnswered,
+                                      kStagingTargetChanged,
                                       kPeerConnected,
                                       kPeerLost,
                                       kMessageRejected,
--- a/source/radishrudder/staging/stage_area.cc
+++ b/source/radishrudder/staging/stage_area.cc
@@ -31,6 +31,11 @@
          });
 }
 
+std::size_t StageArea::VerifiedCount() const {
+  return static_cast<std::size_t>(
+      std::ranges::count(m_pieces, PieceState::kVerified));
+}
+
 void StageArea::StartVerification(kernel::Time now) {
   m_verification_started = now;
   for (PieceState& state : m_pieces) {
--- a/source/radishrudder/staging/stage_area.h
+++ b/source/radishrudder/staging/stage_area.h
@@ -27,6 +27,7 @@
   // are no pieces.
   bool AllWritten() const;
   bool AllVerified() const;
+  std::size_t VerifiedCount() const;
   // Starts a new verification: verified pieces become unverified.
   void StartVerification(kernel::Time now);
   // Returns when the latest verification started.
--- a/source/radishrudder/staging/stager.cc
+++ b/source/radishrudder/staging/stager.cc
@@ -63,7 +63,30 @@
 void Stager::State::ReportProgress(ProgressReport::Kind kind,
                                    const DeclaredVersion& version,
                                    std::string detail) {
-  outputs.emplace_back(ProgressReport{kind, version.name, std::move(detail)});
+  outputs.emplace_back(
+      ProgressReport{kind, version.name, std::move(detail), std::nullopt});
+}
+
+void Stager::State::ReportStaging(kernel::Time now,
+                                  ProgressReport::Kind kind,
+                                  const DeclaredVersion& version,
+                                  std::string detail) {
+  const auto age = [now](kernel::Time since) {
+    return std::chrono::duration_cast<milliseconds>(now - since);
+  };
+  StagingFacts facts;
+  facts.process_started_at_ms = report ? report->started_at_ms : 0;
+  facts.accepted_orders = report ? report->accepted_orders : 0;
+  facts.verified_pieces = staging_area.VerifiedCount();
+  facts.unanswered_accesses = staging_area.AccessesInProgress();
+  if (const auto started = staging_area.VerificationStarted()) {
+    facts.verification_age = age(*started);
+  }
+  if (phase == Phase::kOrdered || phase == Phase::kLoading) {
+    facts.order_age = age(phase_started);
+  }
+  outputs.emplace_back(
+      ProgressReport{kind, version.name, std::move(detail), facts});
 }
 
 DeclaredVersion* Stager::State::FindVersion(const VersionId& version) {
@@ -83,14 +106,16 @@
                                                                 : nullptr;
 }
 
-void Stager::State::AdoptList(const weights::Manifest& list, bool from_origin) {
+void Stager::State::AdoptList(kernel::Time now,
+                              const weights::Manifest& list,
+                              bool from_origin) {
   DeclaredVersion& version = *newest;
   version.manifest = list;
   version.manifest_text = weights::ToText(list);
   version.manifest_digest = weights::ManifestDigest(list);
   version.origin_rejections = 0;
   if (!targets_interim) {
-    SetTarget(version, /*is_interim=*/false);
+    SetTarget(now, version, /*is_interim=*/false);
   }
   ReportProgress(ProgressReport::Kind::kListReceived, version,
                  version.manifest_digest);
@@ -127,7 +152,7 @@
   }
   if (newest && *name == newest->name) {
     if (!newest->manifest) {
-      AdoptList(*list, /*from_origin=*/false);
+      AdoptList(now, *list, /*from_origin=*/false);
     }
     return;
   }
@@ -269,14 +294,14 @@
                            : now;
   newest.newly_declared = newly_declared;
   if (!state.targets_interim) {
-    state.SetTarget(newest, /*is_interim=*/false);
+    state.SetTarget(now, newest, /*is_interim=*/false);
   }
   state.running_reported = false;
   state.ReportProgress(ProgressReport::Kind::kDeclared, newest);
   state.list_search.Start(now, ManifestFileName(version), newly_declared);
   if (const auto early = std::exchange(state.early_list, std::nullopt);
       early && ParseManifestFileName(early->file) == version) {
-    state.AdoptList(*early, /*from_origin=*/false);
+    state.AdoptList(now, *early, /*from_origin=*/false);
   }
   OnTick(now);
 }
@@ -315,7 +340,7 @@
   if (!list || list->digests.empty() || list->piece_bytes == 0) {
     state.list_search.OnOriginFailed(now);
   } else if (!newest.manifest) {
-    state.AdoptList(BuildManifest(version, *list), /*from_origin=*/true);
+    state.AdoptList(now, BuildManifest(version, *list), /*from_origin=*/true);
   }
   OnTick(now);
 }
@@ -384,16 +409,17 @@
   const bool restarted = state.report && state.report->reachable &&
                          report.reachable &&
                          report.started_at_ms != state.report->started_at_ms;
+  if (restarted && state.newest) {
+    state.ReportStaging(now, ProgressReport::Kind::kEndpointRestarted,
+                        *state.newest,
+                        "started at " + std::to_string(report.started_at_ms));
+  }
   if (!report.reachable && state.report) {
     state.report->reachable = false;
   } else {
     state.report = report;
   }
   if (restarted) {
-    if (state.newest) {
-      state.ReportProgress(ProgressReport::Kind::kEndpointRestarted,
-                           *state.newest);
-    }
     state.running_reported = false;
     state.phase = State::Phase::kStaging;
     state.staging_area.Reset(state.staging_area.Size());
@@ -418,13 +444,17 @@
     case OrderResult::kStarted:
     case OrderResult::kAlreadyLoaded:
     case OrderResult::kNoResponse:
+      state.ReportStaging(
+          now, ProgressReport::Kind::kOrderAnswered, state.Target(),
+          result == OrderResult::kNoResponse ? "no response" : "accepted");
       // The endpoint's next reports show whether the order takes effect.
       state.phase = State::Phase::kLoading;
       state.phase_started = now;
       break;
     case OrderResult::kPreconditionFailed:
     case OrderResult::kFailed:
-      state.ReportProgress(ProgressReport::Kind::kOrderRefused, state.Target());
+      state.ReportStaging(now, ProgressReport::Kind::kOrderRefused,
+                          state.Target());
       state.phase = State::Phase::kStaging;
       state.next_order_attempt = now + kRefusedOrderBackoff;
       break;
--- a/source/radishrudder/staging/stager_state.h
+++ b/source/radishrudder/staging/stager_state.h
@@ -78,7 +78,7 @@
   bool AdvanceDeployment(kernel::Time now);
   void SelectTarget(kernel::Time now);
   bool IsInterimDue(kernel::Time now) const;
-  void SetTarget(DeclaredVersion& version, bool is_interim);
+  void SetTarget(kernel::Time now, DeclaredVersion& version, bool is_interim);
   void ExpireOrder(kernel::Time now);
   void StageAndOrder(kernel::Time now);
   void ReadLocalPieces();
@@ -86,7 +86,9 @@
   void VerifyPieces();
 
   void SupersedeNewest();
-  void AdoptList(const weights::Manifest& list, bool from_origin);
+  void AdoptList(kernel::Time now,
+                 const weights::Manifest& list,
+                 bool from_origin);
   void SendList(const std::string& instance, const weights::Manifest& list);
   void TakeTransferOutputs(kernel::Time now);
   void OnChunkRejected(kernel::Time now,
@@ -107,6 +109,11 @@
   void ReportProgress(ProgressReport::Kind kind,
                       const DeclaredVersion& version,
                       std::string detail = {});
+  // Like `ReportProgress`, with what is known of the staging area.
+  void ReportStaging(kernel::Time now,
+                     ProgressReport::Kind kind,
+                     const DeclaredVersion& version,
+                     std::string detail = {});
 
   StagerSettings settings;
   kernel::Random random;
--- a/source/radishrudder/staging/stager_steps.cc
+++ b/source/radishrudder/staging/stager_steps.cc
@@ -136,7 +136,10 @@
   return now >= TurnStart(*interim, begin, settings.last_turn_delay);
 }
 
-void Stager::State::SetTarget(DeclaredVersion& version, bool is_interim) {
+void Stager::State::SetTarget(kernel::Time now,
+                              DeclaredVersion& version,
+                              bool is_interim) {
+  ReportStaging(now, ProgressReport::Kind::kTargetChanged, version);
   targets_interim = is_interim;
   staging_area.Reset(version.manifest ? version.manifest->chunks.size() : 0);
   phase = Phase::kStaging;
@@ -151,10 +154,10 @@
     return;
   }
   if (!targets_interim && IsInterimDue(now)) {
-    SetTarget(*interim, /*is_interim=*/true);
+    SetTarget(now, *interim, /*is_interim=*/true);
   } else if (targets_interim && (newest->complete || IsRunning(*interim))) {
     interim_finished = true;
-    SetTarget(*newest, /*is_interim=*/false);
+    SetTarget(now, *newest, /*is_interim=*/false);
   }
 }
 
@@ -236,10 +239,10 @@
   }
   VerifyPieces();
   if (staging_area.AllVerified()) {
+    ReportStaging(now, ProgressReport::Kind::kOrdered, target,
+                  "replaces " + std::to_string(report->version));
     phase = Phase::kOrdered;
     phase_started = now;
-    ReportProgress(ProgressReport::Kind::kOrdered, target,
-                   "replaces " + std::to_string(report->version));
     outputs.emplace_back(OrderLoad{target.name, report->accepted_orders});
   }
 }
