staging: test loads with an endpoint whose accesses take time

The endpoint of the staging tests answered every write, read, report and order at once, so that no test could show a piece that changes between its verification and the load. AsyncEndpoint lets each access arrive after a delay and be answered after another one. StagerFleet uses it if FleetOptions has access_timing; the present tests run as before.

--- a/tests/staging/stager_fleet.cc
+++ b/tests/staging/stager_fleet.cc
@@ -4,13 +4,13 @@
 #include <utility>
 #include <variant>
 
+#include "tests/staging/simulated_pieces.h"
+
 namespace radishrudder::staging {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr std::uint32_t kPieces = 16;
-constexpr std::uint32_t kPieceBytes = 1024;
 constexpr milliseconds kStep{5};
 constexpr milliseconds kNetworkDelay{5};
 constexpr milliseconds kLoadTime{300};
@@ -19,7 +19,6 @@
 constexpr std::size_t kListAnswerBytes = 6000;
 constexpr std::size_t kPieceAnswerBytes = 131072;
 constexpr milliseconds kOriginTimeout{2500};
-constexpr char kModel[] = "draft";
 
 }  // namespace
 
@@ -30,20 +29,23 @@
     Host& host = *m_hosts.back();
     host.name = "10.0.0." + std::to_string(i);
     host.region = std::string(1, static_cast<char>('a' + i % options.regions));
-    host.endpoint.version = 1;
-    for (std::uint32_t piece = 0; piece < kPieces; ++piece) {
-      host.endpoint.staged[piece] = MakePiece(1, piece);
-    }
+    MakeEndpoint(host, 1);
     MakeStager(host);
   }
   DistributePeers();
 }
 
-std::string StagerFleet::MakePiece(std::uint64_t version, std::uint32_t index) {
-  std::string piece =
-      std::to_string(version) + "/" + std::to_string(index) + "/";
-  piece.resize(kPieceBytes, 'x');
-  return piece;
+void StagerFleet::MakeEndpoint(Host& host, std::uint64_t version) {
+  if (m_options.access_timing) {
+    host.async = std::make_unique<AsyncEndpoint>(
+        m_agenda, kernel::Random(m_random.Next()), *m_options.access_timing);
+    host.async->Install(version);
+    return;
+  }
+  host.endpoint.version = version;
+  for (std::uint32_t piece = 0; piece < kSimulatedPieces; ++piece) {
+    host.endpoint.staged[piece] = MakePiece(version, piece);
+  }
 }
 
 void StagerFleet::MakeStager(Host& host) {
@@ -58,6 +60,7 @@
   settings.transfer.maximum_source_backoff = milliseconds(800);
   host.stager = std::make_unique<Stager>(
       std::move(settings), kernel::Random(m_random.Next()), m_now);
+  ++host.stager_number;
 }
 
 std::size_t StagerFleet::AddInstance(bool reachable) {
@@ -91,7 +94,8 @@
       continue;
     }
     const auto read = [this, &host, version, newly_declared] {
-      host->stager->OnVersionDeclared(m_now, {kModel, version}, newly_declared);
+      host->stager->OnVersionDeclared(m_now, {kSimulatedModel, version},
+                                      newly_declared);
       HandleOutputs(*host);
     };
     const auto range =
@@ -113,7 +117,7 @@
 void StagerFleet::RestartStager(std::size_t index, std::uint64_t declared) {
   MakeStager(*m_hosts[index]);
   DistributePeers();
-  m_hosts[index]->stager->OnVersionDeclared(m_now, {kModel, declared},
+  m_hosts[index]->stager->OnVersionDeclared(m_now, {kSimulatedModel, declared},
                                             /*newly_declared=*/false);
   HandleOutputs(*m_hosts[index]);
 }
@@ -128,7 +132,7 @@
 bool StagerFleet::RunUntilAllOn(std::uint64_t version, milliseconds limit) {
   const kernel::Time end = m_now + limit;
   const auto runs = [version](const auto& host) {
-    return host->endpoint.version == version;
+    return RunningVersion(*host) == version;
   };
   while (m_now < end && !std::ranges::all_of(m_hosts, runs)) {
     Step();
@@ -142,7 +146,7 @@
   if (loaded_pieces.empty()) {
     return false;
   }
-  for (std::uint32_t piece = 0; piece < kPieces; ++piece) {
+  for (std::uint32_t piece = 0; piece < kSimulatedPieces; ++piece) {
     const auto found = loaded_pieces.back().find(piece);
     if (found == loaded_pieces.back().end() ||
         found->second != MakePiece(version, piece)) {
@@ -152,8 +156,12 @@
   return true;
 }
 
+std::uint64_t StagerFleet::RunningVersion(const Host& host) {
+  return host.async ? host.async->Version() : host.endpoint.version;
+}
+
 void StagerFleet::Step() {
-  m_now += kStep;
+  m_agenda.RunUntil(m_now + kStep);
   for (std::size_t i = 0; i < m_events.size();) {
     if (m_events[i].at <= m_now) {
       const auto run = std::move(m_events[i].run);
@@ -208,8 +216,8 @@
     host.stager->OnPieceList(m_now, output.version, std::nullopt);
     return;
   }
-  PieceList list{.piece_bytes = kPieceBytes};
-  for (std::uint32_t i = 0; i < kPieces; ++i) {
+  PieceList list{.piece_bytes = kSimulatedPieceBytes};
+  for (std::uint32_t i = 0; i < kSimulatedPieces; ++i) {
     list.digests.push_back(
         weights::Sha256(MakePiece(output.version.number, i)));
   }
@@ -264,12 +272,39 @@
        }});
 }
 
+template <typename Receive>
+auto StagerFleet::ForStager(Host& host, Receive receive) {
+  return
+      [this, &host, receive, number = host.stager_number](const auto& result) {
+        if (number == host.stager_number) {
+          receive(*host.stager, result);
+          HandleOutputs(host);
+        }
+      };
+}
+
 void StagerFleet::HandleOutput(Host& host, StagePiece& output) {
+  if (host.async) {
+    host.async->Write(output, ForStager(host, [this, version = output.version,
+                                               index = output.index](
+                                                  Stager& stager, bool stored) {
+                        stager.OnPieceStaged(m_now, version, index, stored);
+                      }));
+    return;
+  }
   host.endpoint.staged[output.index] = std::move(output.bytes);
   host.stager->OnPieceStaged(m_now, output.version, output.index, true);
 }
 
 void StagerFleet::HandleOutput(Host& host, ReadStagedPiece& output) {
+  if (host.async) {
+    host.async->Read(
+        output, ForStager(host, [this, output](Stager& stager,
+                                               const std::string& bytes) {
+          stager.OnStagedPieceRead(m_now, output.version, output.index, bytes);
+        }));
+    return;
+  }
   const auto found = host.endpoint.staged.find(output.index);
   host.stager->OnStagedPieceRead(
       m_now, output.version, output.index,
@@ -277,6 +312,13 @@
 }
 
 void StagerFleet::HandleOutput(Host& host, RequestReport&) {
+  if (host.async) {
+    host.async->Report(
+        ForStager(host, [this](Stager& stager, const EndpointReport& report) {
+          stager.OnReport(m_now, report);
+        }));
+    return;
+  }
   const FakeEndpoint& endpoint = host.endpoint;
   if (!endpoint.reachable) {
     host.stager->OnReport(m_now, {});
@@ -284,7 +326,7 @@
   }
   host.stager->OnReport(m_now, {.reachable = true,
                                 .started_at_ms = endpoint.started_at_ms,
-                                .model = kModel,
+                                .model = kSimulatedModel,
                                 .version = endpoint.version,
                                 .busy = endpoint.busy,
                                 .accepted_orders = endpoint.accepted_orders});
@@ -303,6 +345,13 @@
 }
 
 void StagerFleet::HandleOutput(Host& host, OrderLoad& output) {
+  if (host.async) {
+    host.async->Order(
+        output, ForStager(host, [this](Stager& stager, OrderResult result) {
+          stager.OnOrderResult(m_now, result);
+        }));
+    return;
+  }
   FakeEndpoint& endpoint = host.endpoint;
   endpoint.order_times.push_back(m_now);
   if (endpoint.busy || output.expected_orders != endpoint.accepted_orders) {
--- a/tests/staging/stager_fleet.h
+++ b/tests/staging/stager_fleet.h
@@ -10,6 +10,8 @@
 #include <vector>
 
 #include "radishrudder/staging/stager.h"
+#include "tests/staging/agenda.h"
+#include "tests/staging/async_endpoint.h"
 
 namespace radishrudder::staging {
 
@@ -40,6 +42,8 @@
   double message_loss = 0;
   // Rate of the origin's link, which all of its answers share; 0: no limit.
   double origin_bytes_per_second = 0;
+  // Endpoints are `AsyncEndpoint` instead of `FakeEndpoint` if this is set.
+  std::optional<AccessTiming> access_timing{};
 };
 
 // Simulates the stagers of one service, their endpoints, an origin and a
@@ -50,8 +54,6 @@
       : StagerFleet(FleetOptions{.instances = instances, .seed = seed}) {}
   explicit StagerFleet(const FleetOptions& options);
 
-  static std::string MakePiece(std::uint64_t version, std::uint32_t index);
-
   // Adds an instance whose endpoint has no model and no staged pieces. Returns
   // its index.
   std::size_t AddInstance(bool reachable = true);
@@ -63,6 +65,7 @@
   bool LoadedCompletely(std::size_t index, std::uint64_t version) const;
 
   FakeEndpoint& Endpoint(std::size_t index) { return m_hosts[index]->endpoint; }
+  AsyncEndpoint& Async(std::size_t index) { return *m_hosts[index]->async; }
   kernel::Time Now() const { return m_now; }
   std::size_t OriginPieceCount() const { return m_origin_piece_count; }
   // Requests for a piece list that reached the origin.
@@ -84,6 +87,7 @@
   // Returns the number of corrupted pieces found in staging areas.
   std::size_t RepairCount() const { return m_repair_count; }
   // Replaces the stager by a new one and declares the version `declared` to it.
+  // What the former one has sent to an `AsyncEndpoint` still arrives.
   void RestartStager(std::size_t index, std::uint64_t declared);
   std::string Explain(std::size_t index) const {
     return m_hosts[index]->stager->Explain(m_now);
@@ -94,7 +98,9 @@
     std::string name;
     std::string region;
     std::unique_ptr<Stager> stager;
+    std::size_t stager_number = 0;  // Number of stagers so far.
     FakeEndpoint endpoint;
+    std::unique_ptr<AsyncEndpoint> async;
     bool store_available = true;
     std::uint64_t listed_version = 0;  // The newest one with a known list.
   };
@@ -109,10 +115,16 @@
     wire::Envelope message;
   };
 
+  void MakeEndpoint(Host& host, std::uint64_t version);
   void MakeStager(Host& host);
   void DistributePeers();
   void Step();
   void FinishDueLoad(FakeEndpoint& endpoint);
+  static std::uint64_t RunningVersion(const Host& host);
+  // Returns a function that passes a result to `receive` of the stager that is
+  // the host's at present, unless that has been replaced by then.
+  template <typename Receive>
+  auto ForStager(Host& host, Receive receive);
   void HandleOutputs(Host& host);
   void HandleOutput(Host& host, wire::Send& output);
   void HandleOutput(Host& host, FetchPieceList& output);
@@ -129,6 +141,7 @@
   FleetOptions m_options;
   kernel::Random m_random;
   kernel::Time m_now{std::chrono::hours(1)};
+  Agenda m_agenda{m_now};
   std::vector<std::unique_ptr<Host>> m_hosts;
   std::deque<Delivery> m_network;
   std::vector<Event> m_events;
