exchange: a connection may be reserved for one request

A request that must reach the process that an agent has just examined could not be bound to it: the pool sends on an idle connection or opens a new one, which leads to whichever process listens by then.

EndpointPool::Reserve keeps a connection for one exchange and tells when it is open or has ended; StartReserved and Fetcher::FetchReserved send on it or not at all. Nothing uses them yet.

--- a/include/radishrudder/exchange/endpoint_pool.h
+++ b/include/radishrudder/exchange/endpoint_pool.h
@@ -5,8 +5,10 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -61,6 +63,10 @@
 class EndpointPool {
  public:
   using ExchangeId = std::uint64_t;
+  using ReservationId = std::uint64_t;
+  // Called with true once the reserved connection is open, and with false if it
+  // could not be opened or ended: the reservation is gone then.
+  using OnReserved = std::function<void(bool open)>;
 
   EndpointPool(asio::io_context& context, PoolSettings settings);
   ~EndpointPool();
@@ -75,6 +81,21 @@
                    AnswerListener& listener);
   // Closes the connection of an exchange that is not done.
   void Cancel(ExchangeId exchange);
+  // Keeps a connection to "IP:PORT" for one exchange: an idle one unless
+  // `is_new`, or a new one. Its request then reaches the process to which the
+  // connection was opened, or none. `on_reserved` is not called before this
+  // function returns.
+  ReservationId Reserve(std::string_view address,
+                        bool is_new,
+                        OnReserved on_reserved);
+  // Sends a request on the reserved connection, as `Start` does. Returns
+  // nothing if the reservation is gone or its connection is not open: no byte
+  // is sent.
+  std::optional<ExchangeId> StartReserved(ReservationId reservation,
+                                          std::string bytes,
+                                          AnswerListener& listener);
+  // Gives up a reservation and closes its connection.
+  void CancelReservation(ReservationId reservation);
   // Closes idle connections that are too old, or all of one address.
   void CloseIdle(kernel::Time now);
   void Forget(std::string_view address);
@@ -89,12 +110,19 @@
   void KeepIdle(const std::shared_ptr<Connection>& connection);
   void DropIdle(const Connection& connection);
   void OnDone(ExchangeId exchange);
+  void OnReservation(ReservationId reservation, bool open);
 
   asio::io_context& m_context;
   PoolSettings m_settings;
   ExchangeId m_last = 0;
   std::uint64_t m_opened = 0;
   std::map<ExchangeId, std::shared_ptr<Connection>> m_active;
+  struct Reservation {
+    std::shared_ptr<Connection> connection{};
+    OnReserved on_reserved{};
+  };
+  ReservationId m_last_reservation = 0;
+  std::map<ReservationId, Reservation> m_reserved;
   // By address, the most recently used last.
   std::map<std::string, std::deque<std::shared_ptr<Connection>>, std::less<>>
       m_idle;
--- a/include/radishrudder/exchange/fetcher.h
+++ b/include/radishrudder/exchange/fetcher.h
@@ -50,6 +50,13 @@
              const FetchRequest& request,
              std::chrono::milliseconds timeout,
              Done done);
+  // Makes the request on a reserved connection of the pool. Returns false, and
+  // does not call `done`, if that connection has ended: no byte was sent.
+  bool FetchReserved(EndpointPool::ReservationId reservation,
+                     std::string_view host,
+                     const FetchRequest& request,
+                     std::chrono::milliseconds timeout,
+                     Done done);
 
  private:
   class Exchange;
--- a/source/radishrudder/exchange/endpoint_pool.cc
+++ b/source/radishrudder/exchange/endpoint_pool.cc
@@ -53,12 +53,14 @@
   const std::string& Address() const { return m_address; }
   kernel::Time UsableUntil() const { return m_usable_until; }
   bool IsOpen() const { return m_socket.is_open(); }
+  bool IsConnected() const { return m_open; }
 
   void Start(ExchangeId exchange,
              std::string bytes,
              bool head_only,
              AnswerListener& listener) {
     m_exchange = exchange;
+    m_reservation = 0;
     m_listener = &listener;
     m_request = std::move(bytes);
     m_reader.Reset(head_only);
@@ -72,6 +74,20 @@
     }
   }
 
+  // Opens the connection, if it is not open, for a later `Start`.
+  void Reserve(ReservationId reservation) {
+    m_reservation = reservation;
+    if (!m_open) {
+      Connect();
+      return;
+    }
+    asio::post(m_pool.m_context, [self = shared_from_this(), reservation] {
+      if (self->m_reservation == reservation && self->m_open) {
+        self->m_pool.OnReservation(reservation, /*open=*/true);
+      }
+    });
+  }
+
   // Ends the exchange without telling the listener.
   void Close() {
     std::error_code ignored;
@@ -81,6 +97,7 @@
       m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
     }
     m_listener = nullptr;
+    m_reservation = 0;
     m_open = false;
     m_timer.cancel();
     m_socket.close(ignored);
@@ -96,34 +113,52 @@
     ++m_pool.m_opened;
     m_timer.expires_after(m_pool.m_settings.connect_timeout);
     m_timer.async_wait([self = shared_from_this()](std::error_code error) {
-      if (!error && !self->m_open && self->m_listener != nullptr) {
-        self->Fail(Failure::kNotSent);
+      if (!error && !self->m_open) {
+        self->FailToConnect();
       }
     });
     m_socket.async_connect(
         *endpoint, [self = shared_from_this()](std::error_code error) {
-          if (self->m_listener == nullptr) {
+          if (self->m_listener == nullptr && self->m_reservation == 0) {
             return;
           }
           if (error) {
-            self->Fail(Failure::kNotSent);
+            self->FailToConnect();
             return;
           }
           self->m_timer.cancel();
           self->m_open = true;
           SetOptions(self->m_socket, self->m_pool.m_settings.silence_timeout);
-          self->Write();
-          self->Read();
+          if (self->m_reservation != 0) {
+            self->m_pool.OnReservation(self->m_reservation, /*open=*/true);
+          } else {
+            self->Write();
+          }
+          if (self->m_open) {
+            self->Read();
+          }
         });
   }
 
   // The listener must not hear of the failure while it still starts.
   void FailLater() {
-    asio::post(m_pool.m_context, [self = shared_from_this()] {
-      if (self->m_listener != nullptr) {
-        self->Fail(Failure::kNotSent);
-      }
-    });
+    asio::post(m_pool.m_context,
+               [self = shared_from_this()] { self->FailToConnect(); });
+  }
+
+  void FailToConnect() {
+    if (m_listener != nullptr) {
+      Fail(Failure::kNotSent);
+    } else if (m_reservation != 0) {
+      LoseReservation();
+    }
+  }
+
+  void LoseReservation() {
+    const auto self = shared_from_this();
+    const ReservationId reservation = m_reservation;
+    Close();
+    m_pool.OnReservation(reservation, /*open=*/false);
   }
 
   void Write() {
@@ -153,6 +188,10 @@
   }
 
   void OnRead(std::error_code error, std::size_t size) {
+    if (m_reservation != 0) {
+      LoseReservation();
+      return;
+    }
     if (m_listener == nullptr) {
       // Idle: an end, an error and bytes that nobody asked for all mean that
       // the connection is not used again.
@@ -286,6 +325,7 @@
   std::array<char, kReadBytes> m_buffer{};
   std::string m_request;
   ExchangeId m_exchange = 0;
+  ReservationId m_reservation = 0;  // 0: not reserved.
   AnswerListener* m_listener = nullptr;
   bool m_open = false;
   bool m_writing = false;
@@ -303,6 +343,9 @@
   for (const auto& [exchange, connection] : m_active) {
     connection->Close();
   }
+  for (const auto& [id, reservation] : m_reserved) {
+    reservation.connection->Close();
+  }
   for (const auto& [address, connections] : m_idle) {
     for (const auto& connection : connections) {
       connection->Close();
@@ -335,6 +378,61 @@
   connection->Close();
 }
 
+EndpointPool::ReservationId EndpointPool::Reserve(std::string_view address,
+                                                  bool is_new,
+                                                  OnReserved on_reserved) {
+  const std::string key(address);
+  std::shared_ptr<Connection> connection = is_new ? nullptr : TakeIdle(key);
+  if (!connection) {
+    connection = std::make_shared<Connection>(*this, key);
+  }
+  const ReservationId id = ++m_last_reservation;
+  m_reserved.emplace(id, Reservation{connection, std::move(on_reserved)});
+  connection->Reserve(id);
+  return id;
+}
+
+std::optional<EndpointPool::ExchangeId> EndpointPool::StartReserved(
+    ReservationId reservation,
+    std::string bytes,
+    AnswerListener& listener) {
+  const auto found = m_reserved.find(reservation);
+  if (found == m_reserved.end()) {
+    return std::nullopt;
+  }
+  const std::shared_ptr<Connection> connection = found->second.connection;
+  m_reserved.erase(found);
+  if (!connection->IsConnected()) {
+    connection->Close();
+    return std::nullopt;
+  }
+  const ExchangeId exchange = ++m_last;
+  m_active.emplace(exchange, connection);
+  connection->Start(exchange, std::move(bytes), /*head_only=*/false, listener);
+  return exchange;
+}
+
+void EndpointPool::CancelReservation(ReservationId reservation) {
+  const auto found = m_reserved.find(reservation);
+  if (found != m_reserved.end()) {
+    const std::shared_ptr<Connection> connection = found->second.connection;
+    m_reserved.erase(found);
+    connection->Close();
+  }
+}
+
+void EndpointPool::OnReservation(ReservationId reservation, bool open) {
+  const auto found = m_reserved.find(reservation);
+  if (found == m_reserved.end()) {
+    return;
+  }
+  const OnReserved on_reserved = found->second.on_reserved;
+  if (!open) {
+    m_reserved.erase(found);
+  }
+  on_reserved(open);
+}
+
 void EndpointPool::CloseIdle(kernel::Time now) {
   for (auto entry = m_idle.begin(); entry != m_idle.end();) {
     std::erase_if(entry->second, [now](const auto& connection) {
--- a/source/radishrudder/exchange/fetcher.cc
+++ b/source/radishrudder/exchange/fetcher.cc
@@ -44,17 +44,24 @@
   void Start(std::string_view address,
              const FetchRequest& request,
              std::chrono::milliseconds timeout) {
-    m_timer.expires_after(timeout);
-    m_timer.async_wait([self = shared_from_this()](std::error_code error) {
-      if (!error && self->m_done) {
-        self->m_fetcher.m_pool.Cancel(self->m_id);
-        self->End(std::nullopt);
-      }
-    });
+    StartTimer(timeout);
     m_id = m_fetcher.m_pool.Start(address, EncodeRequest(address, request),
                                   request.method == "HEAD", *this);
   }
 
+  bool StartReserved(EndpointPool::ReservationId reservation,
+                     std::string_view host,
+                     const FetchRequest& request,
+                     std::chrono::milliseconds timeout) {
+    const auto id = m_fetcher.m_pool.StartReserved(
+        reservation, EncodeRequest(host, request), *this);
+    if (id) {
+      m_id = *id;
+      StartTimer(timeout);
+    }
+    return id.has_value();
+  }
+
   void Stop() {
     m_done = nullptr;
     m_timer.cancel();
@@ -87,6 +94,16 @@
   void OnFailure(Failure failure) override { End(std::nullopt); }
 
  private:
+  void StartTimer(std::chrono::milliseconds timeout) {
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([self = shared_from_this()](std::error_code error) {
+      if (!error && self->m_done) {
+        self->m_fetcher.m_pool.Cancel(self->m_id);
+        self->End(std::nullopt);
+      }
+    });
+  }
+
   void End(std::optional<FetchedAnswer> answer) {
     const auto self = shared_from_this();
     m_timer.cancel();
@@ -119,4 +136,18 @@
   exchange->Start(address, request, timeout);
 }
 
+bool Fetcher::FetchReserved(EndpointPool::ReservationId reservation,
+                            std::string_view host,
+                            const FetchRequest& request,
+                            std::chrono::milliseconds timeout,
+                            Done done) {
+  const auto exchange = std::make_shared<Exchange>(*this, std::move(done));
+  const bool sent =
+      exchange->StartReserved(reservation, host, request, timeout);
+  if (sent) {
+    m_exchanges.insert(exchange);
+  }
+  return sent;
+}
+
 }  // namespace radishrudder::exchange
--- a/tests/exchange/scripted_peer.h
+++ b/tests/exchange/scripted_peer.h
@@ -25,16 +25,30 @@
 // with a blank line, with the next item of a script.
 class ScriptedPeer {
  public:
-  ScriptedPeer(asio::io_context& context, std::vector<ScriptedAnswer> script)
-      : m_acceptor(context,
-                   {asio::ip::address_v4::loopback(), std::uint16_t{0}}),
+  // `port` 0: any free one.
+  ScriptedPeer(asio::io_context& context,
+               std::vector<ScriptedAnswer> script,
+               std::uint16_t port = 0)
+      : m_acceptor(context, {asio::ip::address_v4::loopback(), port}),
         m_script(std::move(script)) {
     Accept();
   }
 
-  std::string Address() const {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+  // Closes the listener and resets all connections, as a process that ends.
+  void End() {
+    std::error_code ignored;
+    m_acceptor.close(ignored);
+    for (const auto& weak : m_accepted) {
+      if (const auto connection = weak.lock()) {
+        connection->socket.set_option(asio::socket_base::linger(true, 0),
+                                      ignored);
+        connection->socket.close(ignored);
+      }
+    }
   }
+
+  std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(Port()); }
   std::size_t Connections() const { return m_connections; }
   const std::vector<std::string>& Requests() const { return m_requests; }
   // How the last connection that ended did.
@@ -50,15 +64,17 @@
   };
 
   void Accept() {
-    m_acceptor.async_accept(
-        [this](std::error_code error, asio::ip::tcp::socket socket) {
-          if (error) {
-            return;
-          }
-          ++m_connections;
-          Read(std::make_shared<Connection>(std::move(socket)));
-          Accept();
-        });
+    m_acceptor.async_accept([this](std::error_code error,
+                                   asio::ip::tcp::socket socket) {
+      if (error) {
+        return;
+      }
+      ++m_connections;
+      const auto connection = std::make_shared<Connection>(std::move(socket));
+      m_accepted.push_back(connection);
+      Read(connection);
+      Accept();
+    });
   }
 
   void Read(const std::shared_ptr<Connection>& connection) {
@@ -101,6 +117,7 @@
   std::vector<ScriptedAnswer> m_script;
   std::size_t m_next = 0;
   std::size_t m_connections = 0;
+  std::vector<std::weak_ptr<Connection>> m_accepted;
   std::vector<std::string> m_requests;
   std::error_code m_last_end;
 };
