exchange: a reserved connection is always a new one

On an idle connection, an endpoint may write the response to an earlier request once more, which would be taken for the response to the reserved one. ReservedConnectionTest and the pool tests pass (30 tests).

--- a/include/radishrudder/exchange/endpoint_pool.h
+++ b/include/radishrudder/exchange/endpoint_pool.h
@@ -81,13 +81,11 @@
                    AnswerListener& listener);
   // Closes the connection of an exchange that is not done.
   void Cancel(ExchangeId exchange);
-  // Keeps a connection to "IP:PORT" for one exchange: an idle one unless
-  // `is_new`, or a new one. Its request then reaches the process to which the
-  // connection was opened, or none. `on_reserved` is not called before this
-  // function returns.
-  ReservationId Reserve(std::string_view address,
-                        bool is_new,
-                        OnReserved on_reserved);
+  // Opens a connection to "IP:PORT" for one exchange. Its request then reaches
+  // the process to which the connection was opened, or none, and no response to
+  // an earlier request can be taken for its own. `on_reserved` is not called
+  // before this function returns.
+  ReservationId Reserve(std::string_view address, OnReserved on_reserved);
   // Sends a request on the reserved connection, as `Start` does. Returns
   // nothing if the reservation is gone or its connection is not open: no byte
   // is sent.
--- a/source/radishrudder/exchange/endpoint_pool.cc
+++ b/source/radishrudder/exchange/endpoint_pool.cc
@@ -74,18 +74,10 @@
     }
   }
 
-  // Opens the connection, if it is not open, for a later `Start`.
+  // Opens the connection for a later `Start`.
   void Reserve(ReservationId reservation) {
     m_reservation = reservation;
-    if (!m_open) {
-      Connect();
-      return;
-    }
-    asio::post(m_pool.m_context, [self = shared_from_this(), reservation] {
-      if (self->m_reservation == reservation && self->m_open) {
-        self->m_pool.OnReservation(reservation, /*open=*/true);
-      }
-    });
+    Connect();
   }
 
   // Ends the exchange without telling the listener.
@@ -379,13 +371,9 @@
 }
 
 EndpointPool::ReservationId EndpointPool::Reserve(std::string_view address,
-                                                  bool is_new,
                                                   OnReserved on_reserved) {
-  const std::string key(address);
-  std::shared_ptr<Connection> connection = is_new ? nullptr : TakeIdle(key);
-  if (!connection) {
-    connection = std::make_shared<Connection>(*this, key);
-  }
+  const auto connection =
+      std::make_shared<Connection>(*this, std::string(address));
   const ReservationId id = ++m_last_reservation;
   m_reserved.emplace(id, Reservation{connection, std::move(on_reserved)});
   connection->Reserve(id);
--- a/tests/exchange/reserved_connection_test.cc
+++ b/tests/exchange/reserved_connection_test.cc
@@ -17,10 +17,10 @@
 class ReservedConnectionTest : public testing::Test {
  protected:
   // Reserves a connection and waits until it is open or has failed.
-  EndpointPool::ReservationId Reserve(const std::string& address, bool is_new) {
+  EndpointPool::ReservationId Reserve(const std::string& address) {
     m_open.reset();
     const auto reservation =
-        m_pool.Reserve(address, is_new, [this](bool open) { m_open = open; });
+        m_pool.Reserve(address, [this](bool open) { m_open = open; });
     EXPECT_FALSE(m_open);
     RunUntil([this] { return m_open.has_value(); });
     return reservation;
@@ -70,7 +70,7 @@
 
 TEST_F(ReservedConnectionTest, CarriesOneRequestAndBecomesIdle) {
   ScriptedPeer peer(m_context, {{kOk}, {kOk}});
-  const auto reservation = Reserve(peer.Address(), /*is_new=*/false);
+  const auto reservation = Reserve(peer.Address());
   EXPECT_EQ(m_open, true);
   EXPECT_TRUE(Send(reservation));
   EXPECT_EQ(m_body, "ok");
@@ -79,18 +79,17 @@
   EXPECT_EQ(peer.Connections(), 1U);
 }
 
-TEST_F(ReservedConnectionTest, TakesIdleConnectionUnlessItHasToBeNew) {
-  ScriptedPeer peer(m_context, {{kOk}, {kOk}, {kOk}});
+TEST_F(ReservedConnectionTest, IsNewAlthoughAnIdleOneIsOpen) {
+  ScriptedPeer peer(m_context, {{kOk}, {kOk}});
   SendOnPooledConnection(peer.Address());
-  EXPECT_TRUE(Send(Reserve(peer.Address(), /*is_new=*/false)));
-  EXPECT_EQ(peer.Connections(), 1U);
-  EXPECT_TRUE(Send(Reserve(peer.Address(), /*is_new=*/true)));
+  EXPECT_TRUE(Send(Reserve(peer.Address())));
+  EXPECT_EQ(m_body, "ok");
   EXPECT_EQ(peer.Connections(), 2U);
 }
 
 TEST_F(ReservedConnectionTest, IsNotUsedByOtherRequests) {
   ScriptedPeer peer(m_context, {{kOk}, {kOk}});
-  const auto reservation = Reserve(peer.Address(), /*is_new=*/false);
+  const auto reservation = Reserve(peer.Address());
   SendOnPooledConnection(peer.Address());
   EXPECT_EQ(peer.Connections(), 2U);
   EXPECT_TRUE(Send(reservation));
@@ -104,14 +103,14 @@
                                     std::vector<ScriptedAnswer>{});
   const std::uint16_t port = first->Port();
   const std::string address = first->Address();
-  const auto reservation = Reserve(address, /*is_new=*/false);
+  const auto reservation = Reserve(address);
   RunUntil([&first] { return first->Connections() == 1; });
   first->End();
   ScriptedPeer next(m_context, {{kOk}}, port);
   RunUntil([this] { return m_open == false; });
   EXPECT_FALSE(Send(reservation));
   EXPECT_EQ(next.Connections(), 0U);
-  EXPECT_TRUE(Send(Reserve(address, /*is_new=*/false)));
+  EXPECT_TRUE(Send(Reserve(address)));
   EXPECT_EQ(m_body, "ok");
 }
 
@@ -120,7 +119,7 @@
   std::optional<ScriptedPeer> first(std::in_place, m_context,
                                     std::vector<ScriptedAnswer>{});
   const std::uint16_t port = first->Port();
-  const auto reservation = Reserve(first->Address(), /*is_new=*/false);
+  const auto reservation = Reserve(first->Address());
   RunUntil([&first] { return first->Connections() == 1; });
   first->End();
   ScriptedPeer next(m_context, {{kOk}}, port);
@@ -133,14 +132,14 @@
   ScriptedPeer peer(m_context, {});
   const std::string address = peer.Address();
   peer.End();
-  const auto reservation = Reserve(address, /*is_new=*/false);
+  const auto reservation = Reserve(address);
   EXPECT_EQ(m_open, false);
   EXPECT_FALSE(Send(reservation));
 }
 
 TEST_F(ReservedConnectionTest, CancelledOneIsClosedAndSilent) {
   ScriptedPeer peer(m_context, {{kOk}});
-  const auto reservation = Reserve(peer.Address(), /*is_new=*/false);
+  const auto reservation = Reserve(peer.Address());
   RunUntil([&peer] { return peer.Connections() == 1; });
   m_pool.CancelReservation(reservation);
   RunUntil([&peer] { return static_cast<bool>(peer.LastEnd()); });
