staging: the staging area is verified and ordered as one process and one version

The agent used what it knew of the staging area after the version, the process or the access that it depended on had changed:

- a declaration changed the target at once, with an order unanswered or a write in progress; its count of accesses started again at 0;
- a restart was noticed only between two answered reports, so pieces read from the last process counted as verified in the next;
- an order reached whichever process listened by then, and the number of orders that it expects is 0 for each new one;
- a write or an order without an answer in time counted as one that had not happened, as did those of an agent process that ran before;
- the age of a verification did not include its reads in progress, and the result of a read of before a reset passed as one of after it.

The staging area now belongs to a manifest. Another version gets it only when the endpoint is known to have taken the pieces of the latest order. Accesses have numbers. A verification counts only reads that were sent after a connection for the order was opened, so they come from the process that receives the order on that connection; the number of orders is reported after it too. Requests that were given up bar other versions' writes and verifications until they are known to be over. A declaration starts the transfer as before.

--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <map>
@@ -165,6 +166,9 @@
   static constexpr std::chrono::milliseconds kMinimumTickInterval{20};
   static constexpr std::chrono::milliseconds kMaximumTickInterval{200};
   static constexpr std::chrono::milliseconds kEndpointTimeout{1000};
+  // With the age of a verification, limits how old the verified pieces are when
+  // the endpoint takes them.
+  static constexpr std::chrono::milliseconds kOrderTimeout{800};
   static constexpr std::chrono::milliseconds kOriginTimeout{2500};
   // Connections to the origin that an instance may use at the same time.
   static constexpr std::size_t kOriginConnections = 2;
@@ -523,24 +527,27 @@
   void Execute(staging::StagePiece& output) {
     m_fetcher.Fetch(m_settings.endpoint_address,
                     Platform::Endpoint::EncodeStage(output), kEndpointTimeout,
-                    [this, version = output.version, index = output.index](
+                    [this, access = output.access](
                         std::optional<exchange::FetchedAnswer> response) {
                       m_stager->OnPieceStaged(
-                          kernel::Now(), version, index,
-                          response && response->status < kFirstFailure);
+                          kernel::Now(), access,
+                          !response ? staging::StageResult::kNoResponse
+                          : response->status < kFirstFailure
+                              ? staging::StageResult::kStored
+                              : staging::StageResult::kRefused);
                       TakeOutputs();
                     });
   }
   void Execute(staging::ReadStagedPiece& output) {
-    const staging::ReadStagedPiece read = output;
-    m_fetcher.Fetch(
-        m_settings.endpoint_address, Platform::Endpoint::EncodeReadStaged(read),
-        kEndpointTimeout,
-        [this, read](std::optional<exchange::FetchedAnswer> response) {
-          m_stager->OnStagedPieceRead(kernel::Now(), read.version, read.index,
-                                      BodyOf(std::move(response)));
-          TakeOutputs();
-        });
+    m_fetcher.Fetch(m_settings.endpoint_address,
+                    Platform::Endpoint::EncodeReadStaged(output),
+                    kEndpointTimeout,
+                    [this, access = output.access](
+                        std::optional<exchange::FetchedAnswer> response) {
+                      m_stager->OnStagedPieceRead(kernel::Now(), access,
+                                                  BodyOf(std::move(response)));
+                      TakeOutputs();
+                    });
   }
   void Execute(staging::RequestReport&) {
     m_fetcher.Fetch(m_settings.endpoint_address,
@@ -557,17 +564,36 @@
                       TakeOutputs();
                     });
   }
+  void Execute(staging::OpenOrderConnection& output) {
+    m_pool.CancelReservation(m_order_connection);
+    m_order_connection = m_pool.Reserve(
+        m_settings.endpoint_address,
+        [this, connection = output.connection](bool open) {
+          m_stager->OnOrderConnection(kernel::Now(), connection, open);
+          TakeOutputs();
+        });
+  }
+  // The stager orders only on the connection that it opened last.
   void Execute(staging::OrderLoad& output) {
-    m_load_reporter.OnOrderSent(kernel::Now());
-    m_fetcher.Fetch(m_settings.endpoint_address,
-                    Platform::Endpoint::EncodeOrder(output), kEndpointTimeout,
-                    [this](std::optional<exchange::FetchedAnswer> response) {
-                      const staging::OrderResult result =
-                          Platform::Endpoint::DecodeOrder(response);
-                      m_load_reporter.OnOrderResult(kernel::Now(), result);
-                      m_stager->OnOrderResult(kernel::Now(), result);
-                      TakeOutputs();
-                    });
+    const bool sent = m_fetcher.FetchReserved(
+        m_order_connection, m_settings.endpoint_address,
+        Platform::Endpoint::EncodeOrder(output), kOrderTimeout,
+        [this](std::optional<exchange::FetchedAnswer> response) {
+          const staging::OrderResult result =
+              Platform::Endpoint::DecodeOrder(response);
+          m_load_reporter.OnOrderResult(kernel::Now(), result);
+          m_stager->OnOrderResult(kernel::Now(), result);
+          TakeOutputs();
+        });
+    if (sent) {
+      m_load_reporter.OnOrderSent(kernel::Now());
+      return;
+    }
+    // The stager must not hear of the result while its outputs are taken.
+    asio::post(m_context, [this] {
+      m_stager->OnOrderResult(kernel::Now(), staging::OrderResult::kNotSent);
+      TakeOutputs();
+    });
   }
   // Independent of the stager's requests for the report, so that it sees the
   // same results as without subscribers.
@@ -725,6 +751,7 @@
   StoreFollower<typename Platform::Store> m_version_follower;
   dissemination::InstanceListRelay m_instance_list;
   LoadReporter m_load_reporter;
+  exchange::EndpointPool::ReservationId m_order_connection = 0;
   bool m_malformed_load = false;  // The latest reading.
   asio::steady_timer m_tick;
   direct::ConfigurationTable m_configuration;
--- a/include/radishrudder/staging/stager.h
+++ b/include/radishrudder/staging/stager.h
@@ -39,8 +39,8 @@
   // after the declaration.
   std::chrono::milliseconds first_turn_delay{2600};
   std::chrono::milliseconds last_turn_delay{6200};
-  // Maximum age of the verification of the staged pieces when the endpoint is
-  // ordered to load them.
+  // Maximum time between the read that verified a staged piece and the order to
+  // load it.
   std::chrono::milliseconds verification_lifetime{2000};
 };
 
@@ -66,9 +66,21 @@
   kAlreadyLoaded,
   kPreconditionFailed,
   kFailed,
-  kNoResponse
+  kNoResponse,  // The endpoint may have accepted the order.
+  kNotSent      // The connection had ended; no byte was sent.
 };
 
+enum class StageResult {
+  kStored,
+  kRefused,
+  kNoResponse  // The endpoint may store the piece, also later.
+};
+
+// Numbers of accesses to the staging area and of connections for orders. Each
+// is used once.
+using AccessId = std::uint64_t;
+using OrderConnectionId = std::uint64_t;
+
 // Requests the list of a version's pieces from the origin.
 struct FetchPieceList {
   VersionId version{};
@@ -83,17 +95,28 @@
   VersionId version{};
   std::uint32_t index = 0;
   std::string bytes{};
+  AccessId access = 0;
 };
 // Reads a piece back from the endpoint's staging area.
 struct ReadStagedPiece {
   VersionId version{};
   std::uint32_t index = 0;
+  AccessId access = 0;
 };
 // Requests a report from the endpoint.
 struct RequestReport {};
-// Orders the endpoint to load the staged pieces.
+// Reserves a connection to the endpoint for the next order, in place of the one
+// before. An order that is sent on it reaches only the process to which it was
+// opened, so that what was read and reported since then is true of the process
+// that executes the order.
+struct OpenOrderConnection {
+  OrderConnectionId connection = 0;
+};
+// Orders the endpoint to load the staged pieces. Sent on `connection` or not at
+// all.
 struct OrderLoad {
   VersionId version{};
+  OrderConnectionId connection = 0;
   // The endpoint refuses the order if the number of orders that it accepted
   // differs.
   std::uint64_t expected_orders = 0;
@@ -111,7 +134,7 @@
   std::uint64_t accepted_orders = 0;
   std::size_t verified_pieces = 0;
   std::size_t unanswered_accesses = 0;  // Writes and reads.
-  // Time since the verification of the staged pieces started.
+  // Time since the earliest of the reads that verified the pieces was sent.
   std::optional<std::chrono::milliseconds> verification_age{};
   // Time since the latest order was sent, if its effect is not known yet.
   std::optional<std::chrono::milliseconds> order_age{};
@@ -145,6 +168,7 @@
                                   StagePiece,
                                   ReadStagedPiece,
                                   RequestReport,
+                                  OpenOrderConnection,
                                   OrderLoad,
                                   NewerVersionSeen,
                                   ProgressReport>;
@@ -178,14 +202,12 @@
                const VersionId& version,
                std::uint32_t index,
                std::string bytes);
-  void OnPieceStaged(kernel::Time now,
-                     const VersionId& version,
-                     std::uint32_t index,
-                     bool stored);
-  void OnStagedPieceRead(kernel::Time now,
-                         const VersionId& version,
-                         std::uint32_t index,
-                         std::string bytes);
+  void OnPieceStaged(kernel::Time now, AccessId access, StageResult result);
+  void OnStagedPieceRead(kernel::Time now, AccessId access, std::string bytes);
+  // The connection for an order is open, or it could not be opened or ended.
+  void OnOrderConnection(kernel::Time now,
+                         OrderConnectionId connection,
+                         bool open);
   void OnReport(kernel::Time now, const EndpointReport& report);
   void OnOrderResult(kernel::Time now, OrderResult result);
   void OnTick(kernel::Time now);
--- a/source/radishrudder/staging/stager.cc
+++ b/source/radishrudder/staging/stager.cc
@@ -22,6 +22,8 @@
 constexpr std::uint32_t kMaximumOriginRejections = 6;
 // Delay before another order after the endpoint refused one.
 constexpr milliseconds kRefusedOrderBackoff{300};
+// Delay before another connection for an order after one failed or ended.
+constexpr milliseconds kOrderConnectionBackoff{100};
 // Minimum share of a superseded version's pieces that must be present for it to
 // be kept as the interim version.
 constexpr double kMinimumInterimShare = 0.5;
@@ -79,11 +81,11 @@
   facts.accepted_orders = report ? report->accepted_orders : 0;
   facts.verified_pieces = staging_area.VerifiedCount();
   facts.unanswered_accesses = staging_area.AccessesInProgress();
-  if (const auto started = staging_area.VerificationStarted()) {
-    facts.verification_age = age(*started);
+  if (const auto since = staging_area.VerifiedSince()) {
+    facts.verification_age = age(*since);
   }
-  if (phase == Phase::kOrdered || phase == Phase::kLoading) {
-    facts.order_age = age(phase_started);
+  if (order && !order->accepted) {
+    facts.order_age = age(order->sent);
   }
   outputs.emplace_back(
       ProgressReport{kind, version.name, std::move(detail), facts});
@@ -106,17 +108,12 @@
                                                                 : nullptr;
 }
 
-void Stager::State::AdoptList(kernel::Time now,
-                              const weights::Manifest& list,
-                              bool from_origin) {
+void Stager::State::AdoptList(const weights::Manifest& list, bool from_origin) {
   DeclaredVersion& version = *newest;
   version.manifest = list;
   version.manifest_text = weights::ToText(list);
   version.manifest_digest = weights::ManifestDigest(list);
   version.origin_rejections = 0;
-  if (!targets_interim) {
-    SetTarget(now, version, /*is_interim=*/false);
-  }
   ReportProgress(ProgressReport::Kind::kListReceived, version,
                  version.manifest_digest);
   list_search.Finish();
@@ -152,7 +149,7 @@
   }
   if (newest && *name == newest->name) {
     if (!newest->manifest) {
-      AdoptList(now, *list, /*from_origin=*/false);
+      AdoptList(*list, /*from_origin=*/false);
     }
     return;
   }
@@ -293,15 +290,12 @@
                            ? std::min(state.newest_seen_at, now)
                            : now;
   newest.newly_declared = newly_declared;
-  if (!state.targets_interim) {
-    state.SetTarget(now, newest, /*is_interim=*/false);
-  }
   state.running_reported = false;
   state.ReportProgress(ProgressReport::Kind::kDeclared, newest);
   state.list_search.Start(now, ManifestFileName(version), newly_declared);
   if (const auto early = std::exchange(state.early_list, std::nullopt);
       early && ParseManifestFileName(early->file) == version) {
-    state.AdoptList(now, *early, /*from_origin=*/false);
+    state.AdoptList(*early, /*from_origin=*/false);
   }
   OnTick(now);
 }
@@ -340,7 +334,7 @@
   if (!list || list->digests.empty() || list->piece_bytes == 0) {
     state.list_search.OnOriginFailed(now);
   } else if (!newest.manifest) {
-    state.AdoptList(now, BuildManifest(version, *list), /*from_origin=*/true);
+    state.AdoptList(BuildManifest(version, *list), /*from_origin=*/true);
   }
   OnTick(now);
 }
@@ -359,70 +353,116 @@
 }
 
 void Stager::OnPieceStaged(kernel::Time now,
-                           const VersionId& version,
-                           std::uint32_t index,
-                           bool stored) {
+                           AccessId access,
+                           StageResult result) {
   State& state = *m_state;
-  if (state.newest && version == state.Target().name &&
-      index < state.staging_area.Size() &&
-      state.staging_area.At(index) == StageArea::PieceState::kWriting) {
-    state.staging_area.Set(index, stored ? StageArea::PieceState::kWritten
-                                         : StageArea::PieceState::kMissing);
+  if (auto ended = state.staging_area.End(access)) {
+    if (ended->is_current) {
+      state.staging_area.Set(ended->index,
+                             result == StageResult::kStored
+                                 ? StageArea::PieceState::kWritten
+                                 : StageArea::PieceState::kMissing);
+    }
+    if (result == StageResult::kNoResponse) {
+      state.pending_writes.OnGivenUp(now, std::move(ended->manifest_digest));
+    }
   }
   OnTick(now);
 }
 
 void Stager::OnStagedPieceRead(kernel::Time now,
-                               const VersionId& version,
-                               std::uint32_t index,
+                               AccessId access,
                                std::string bytes) {
   State& state = *m_state;
-  if (!state.newest || version != state.Target().name ||
-      index >= state.staging_area.Size() ||
-      state.staging_area.At(index) != StageArea::PieceState::kReading) {
+  const auto ended = state.staging_area.End(access);
+  if (!ended || !ended->is_current) {
+    OnTick(now);
     return;
   }
-  DeclaredVersion& target = state.Target();
-  const bool matches = weights::Sha256(bytes) == target.DigestOf(index);
-  if (!target.transfer_started) {
-    // `kWritten` marks a piece that was read and failed its digest. Other
-    // instances supply it once the transfer has started.
-    state.staging_area.Set(index, matches ? StageArea::PieceState::kVerified
-                                          : StageArea::PieceState::kWritten);
-    if (matches) {
-      target.local_pieces.emplace(index, std::move(bytes));
-    }
+  DeclaredVersion* version = state.FindByManifestDigest(ended->manifest_digest);
+  const bool matches =
+      version != nullptr &&
+      weights::Sha256(bytes) == version->DigestOf(ended->index);
+  const bool in_transfer = version != nullptr && version->transfer_started;
+  // Before the transfer, `kWritten` marks a piece that was read and failed its
+  // digest. Other instances supply it once the transfer has started.
+  state.staging_area.Set(ended->index,
+                         matches       ? StageArea::PieceState::kVerified
+                         : in_transfer ? StageArea::PieceState::kMissing
+                                       : StageArea::PieceState::kWritten);
+  if (matches && !in_transfer) {
+    version->local_pieces.emplace(ended->index, std::move(bytes));
+  } else if (!matches && in_transfer) {
+    state.ReportProgress(ProgressReport::Kind::kStagedPieceCorrupted, *version,
+                         "piece " + std::to_string(ended->index));
+  }
+  OnTick(now);
+}
+
+void Stager::OnOrderConnection(kernel::Time now,
+                               OrderConnectionId connection,
+                               bool open) {
+  State& state = *m_state;
+  if (!state.order_connection || state.order_connection->id != connection) {
+    return;
+  }
+  if (open) {
+    state.order_connection->opened = now;
+    state.next_report_request = now;
   } else {
-    if (!matches) {
-      state.ReportProgress(ProgressReport::Kind::kStagedPieceCorrupted, target,
-                           "piece " + std::to_string(index));
-    }
-    state.staging_area.Set(index, matches ? StageArea::PieceState::kVerified
-                                          : StageArea::PieceState::kMissing);
+    state.CloseOrderConnection();
+    state.next_order_connection = now + kOrderConnectionBackoff;
   }
   OnTick(now);
 }
 
+void Stager::State::OnEndpointRestarted(kernel::Time now,
+                                        const EndpointReport& next) {
+  if (newest) {
+    ReportStaging(now, ProgressReport::Kind::kEndpointRestarted, *newest,
+                  "started at " + std::to_string(next.started_at_ms));
+  }
+  running_reported = false;
+  phase = Phase::kStaging;
+  staging_area.DiscardAll();
+  // What was given up had been sent on connections to the process that ended.
+  pending_writes.Clear();
+  pending_orders.Clear();
+  order.reset();
+  CloseOrderConnection();
+}
+
+void Stager::State::UpdatePending(kernel::Time now) {
+  if (!report->reachable) {
+    pending_writes.OnUnreachable();
+    pending_orders.OnUnreachable();
+    return;
+  }
+  pending_writes.OnAnswered(now, report_sent);
+  pending_orders.OnAnswered(now, report_sent);
+  if (order && report->accepted_orders > order->expected_orders) {
+    order->accepted = true;
+  }
+}
+
 void Stager::OnReport(kernel::Time now, const EndpointReport& report) {
   State& state = *m_state;
   state.report_requested = false;
-  const bool restarted = state.report && state.report->reachable &&
-                         report.reachable &&
+  // The report before may not have been answered, so the start time is that of
+  // the latest one that was.
+  const bool restarted = state.report && report.reachable &&
                          report.started_at_ms != state.report->started_at_ms;
-  if (restarted && state.newest) {
-    state.ReportStaging(now, ProgressReport::Kind::kEndpointRestarted,
-                        *state.newest,
-                        "started at " + std::to_string(report.started_at_ms));
+  if (restarted) {
+    state.OnEndpointRestarted(now, report);
   }
-  if (!report.reachable && state.report) {
-    state.report->reachable = false;
-  } else {
+  if (report.reachable) {
     state.report = report;
+    state.report_sent = state.report_request_sent;
+  } else if (state.report) {
+    state.report->reachable = false;
   }
-  if (restarted) {
-    state.running_reported = false;
-    state.phase = State::Phase::kStaging;
-    state.staging_area.Reset(state.staging_area.Size());
+  if (state.report) {
+    state.UpdatePending(now);
   }
   const bool loading = state.phase == State::Phase::kOrdered ||
                        state.phase == State::Phase::kLoading;
@@ -431,21 +471,30 @@
              : !report.reachable        ? kReportIntervalWhileUnreachable
              : !state.IsRunningNewest() ? kReportIntervalWhileStaging
                                         : kReportIntervalWhileIdle);
+  if (state.order_connection && state.order_connection->opened &&
+      state.report_request_sent < *state.order_connection->opened) {
+    state.next_report_request = now;
+  }
   OnTick(now);
 }
 
 void Stager::OnOrderResult(kernel::Time now, OrderResult result) {
   State& state = *m_state;
-  if (state.phase != State::Phase::kOrdered) {
+  if (state.phase != State::Phase::kOrdered || !state.order) {
     return;
   }
+  const DeclaredVersion* version =
+      state.FindByManifestDigest(state.order->manifest_digest);
+  const DeclaredVersion& reported = version ? *version : *state.newest;
   state.next_report_request = now;
   switch (result) {
     case OrderResult::kStarted:
     case OrderResult::kAlreadyLoaded:
+      state.order->accepted = true;
+      [[fallthrough]];
     case OrderResult::kNoResponse:
       state.ReportStaging(
-          now, ProgressReport::Kind::kOrderAnswered, state.Target(),
+          now, ProgressReport::Kind::kOrderAnswered, reported,
           result == OrderResult::kNoResponse ? "no response" : "accepted");
       // The endpoint's next reports show whether the order takes effect.
       state.phase = State::Phase::kLoading;
@@ -453,8 +502,11 @@
       break;
     case OrderResult::kPreconditionFailed:
     case OrderResult::kFailed:
-      state.ReportStaging(now, ProgressReport::Kind::kOrderRefused,
-                          state.Target());
+    case OrderResult::kNotSent:
+      state.ReportStaging(
+          now, ProgressReport::Kind::kOrderRefused, reported,
+          result == OrderResult::kNotSent ? "connection ended" : "");
+      state.order.reset();
       state.phase = State::Phase::kStaging;
       state.next_order_attempt = now + kRefusedOrderBackoff;
       break;
@@ -510,6 +562,11 @@
   if (state.targets_interim) {
     text += "; " + ManifestFileName(state.interim->name) + " is deployed first";
   }
+  const DeclaredVersion& target =
+      state.targets_interim ? *state.interim : *state.newest;
+  if (state.order && state.order->manifest_digest != target.manifest_digest) {
+    text += "; the effect of an order for another version is unknown";
+  }
   switch (state.phase) {
     case State::Phase::kStaging:
       return text + ", staging";
--- a/source/radishrudder/staging/stager_state.h
+++ b/source/radishrudder/staging/stager_state.h
@@ -10,6 +10,7 @@
 
 #include "radishrudder/staging/stager.h"
 #include "source/radishrudder/staging/list_search.h"
+#include "source/radishrudder/staging/pending_effects.h"
 #include "source/radishrudder/staging/stage_area.h"
 
 namespace radishrudder::staging {
@@ -20,6 +21,22 @@
 weights::Manifest BuildManifest(const VersionId& version,
                                 const PieceList& list);
 
+// An order that the endpoint may have accepted or may still accept.
+struct SentOrder {
+  std::string manifest_digest{};
+  std::uint64_t expected_orders = 0;
+  kernel::Time sent{};
+  bool accepted = false;
+};
+
+// A connection that is reserved for an order.
+struct OrderConnection {
+  OrderConnectionId id = 0;
+  // What is read and reported after the connection was opened comes from the
+  // process that receives the order.
+  std::optional<kernel::Time> opened{};
+};
+
 // A declared version and the progress of its transfer on this instance.
 struct DeclaredVersion {
   VersionId name{};
@@ -59,7 +76,11 @@
         transfer(settings.transfer, kernel::Random(random.Next()), now),
         list_search(settings.transfer.self.instance,
                     settings.transfer.region,
-                    kernel::Random(random.Next())) {}
+                    kernel::Random(random.Next())) {
+    // An agent process that ran before this one may have left requests.
+    pending_writes.OnGivenUp(now, std::nullopt);
+    pending_orders.OnGivenUp(now, std::nullopt);
+  }
 
   // Performs all steps that are possible at `now`.
   void Advance(kernel::Time now);
@@ -78,17 +99,29 @@
   bool AdvanceDeployment(kernel::Time now);
   void SelectTarget(kernel::Time now);
   bool IsInterimDue(kernel::Time now) const;
-  void SetTarget(kernel::Time now, DeclaredVersion& version, bool is_interim);
+  // Assigns the staging area to the target.
+  void AssignStagingArea(kernel::Time now);
+  bool HoldsTarget() {
+    return staging_area.ManifestDigest() == Target().manifest_digest;
+  }
   void ExpireOrder(kernel::Time now);
   void StageAndOrder(kernel::Time now);
-  void ReadLocalPieces();
+  void ReadLocalPieces(kernel::Time now);
   void StagePieces();
-  void VerifyPieces();
+  // Verifies the staged pieces on the process to which the order connection is
+  // open. Returns whether all of them are verified.
+  bool VerifyPieces(kernel::Time now);
+  void SendOrder(kernel::Time now);
+  void CloseOrderConnection() { order_connection.reset(); }
+  // Notes what a report says of the latest order, and of requests that were
+  // given up.
+  void UpdatePending(kernel::Time now);
+  // Stops waiting for the effect of the latest order.
+  void GiveUpOrder(kernel::Time now);
+  void OnEndpointRestarted(kernel::Time now, const EndpointReport& next);
 
   void SupersedeNewest();
-  void AdoptList(kernel::Time now,
-                 const weights::Manifest& list,
-                 bool from_origin);
+  void AdoptList(const weights::Manifest& list, bool from_origin);
   void SendList(const std::string& instance, const weights::Manifest& list);
   void TakeTransferOutputs(kernel::Time now);
   void OnChunkRejected(kernel::Time now,
@@ -137,12 +170,23 @@
   bool interim_finished = false;
 
   StageArea staging_area;
+  PendingEffects pending_writes;
+  PendingEffects pending_orders;
+  std::optional<SentOrder> order;
+  std::optional<OrderConnection> order_connection;
+  OrderConnectionId last_order_connection = 0;
+  kernel::Time next_order_connection{};
   Phase phase = Phase::kStaging;
   kernel::Time phase_started{};
   kernel::Time next_order_attempt{};
   kernel::Time last_tick{};
+  // The latest answered report; not reachable if a later one was not answered.
   std::optional<EndpointReport> report;
   bool report_requested = false;
+  // When the latest request for a report was sent, and the one that brought
+  // `report`.
+  kernel::Time report_request_sent{};
+  kernel::Time report_sent{};
   kernel::Time next_report_request{};
   bool running_reported = false;
 };
--- a/source/radishrudder/staging/stager_steps.cc
+++ b/source/radishrudder/staging/stager_steps.cc
@@ -59,6 +59,7 @@
     return;
   }
   report_requested = true;
+  report_request_sent = now;
   outputs.emplace_back(RequestReport{});
 }
 
@@ -80,14 +81,14 @@
 // Reads the pieces in the local staging area. An endpoint that runs the version
 // still has them staged, so they need no download and can be sent to other
 // instances.
-void Stager::State::ReadLocalPieces() {
+void Stager::State::ReadLocalPieces(kernel::Time now) {
   while (staging_area.AccessesInProgress() < kMaximumParallelAccesses) {
     const auto next = staging_area.FindFirst(StageArea::PieceState::kMissing);
     if (!next) {
       return;
     }
-    staging_area.Set(*next, StageArea::PieceState::kReading);
-    outputs.emplace_back(ReadStagedPiece{newest->name, *next});
+    const AccessId access = staging_area.StartRead(now, *next);
+    outputs.emplace_back(ReadStagedPiece{newest->name, *next, access});
   }
 }
 
@@ -97,9 +98,12 @@
   // instances.
   const bool read_local_first =
       (IsRunningNewest() || !version.newly_declared) &&
-      !version.transfer_started;
+      !version.transfer_started && !targets_interim;
   if (read_local_first) {
-    ReadLocalPieces();
+    if (!HoldsTarget()) {
+      return false;
+    }
+    ReadLocalPieces(now);
     if (staging_area.FindFirst(StageArea::PieceState::kMissing) ||
         staging_area.AccessesInProgress() > 0) {
       return false;
@@ -107,7 +111,9 @@
   }
   if (!version.transfer_started) {
     version.transfer_started = true;
-    staging_area.DiscardUnverified();
+    if (HoldsTarget()) {
+      staging_area.DiscardUnverified();
+    }
     std::vector<std::string> digests{version.manifest_digest};
     if (interim) {
       // The interim version goes first because few of its pieces are missing.
@@ -136,46 +142,57 @@
   return now >= TurnStart(*interim, begin, settings.last_turn_delay);
 }
 
-void Stager::State::SetTarget(kernel::Time now,
-                              DeclaredVersion& version,
-                              bool is_interim) {
-  ReportStaging(now, ProgressReport::Kind::kTargetChanged, version);
-  targets_interim = is_interim;
-  staging_area.Reset(version.manifest ? version.manifest->chunks.size() : 0);
+void Stager::State::AssignStagingArea(kernel::Time now) {
+  const DeclaredVersion& target = Target();
+  staging_area.Assign(target.name, target.manifest_digest,
+                      target.manifest->chunks.size());
   phase = Phase::kStaging;
+  order.reset();
+  CloseOrderConnection();
+  ReportStaging(now, ProgressReport::Kind::kTargetChanged, target);
 }
 
-// The staging area holds one version. The target changes only while no access
-// is in progress, because a pending write could otherwise overwrite a piece of
-// the new target.
+// The staging area holds one version. It is assigned to another one only when
+// the endpoint has taken the pieces of the latest order, or cannot take them
+// any more: it would otherwise take pieces of both.
 void Stager::State::SelectTarget(kernel::Time now) {
-  if (staging_area.AccessesInProgress() > 0 || phase == Phase::kOrdered ||
-      phase == Phase::kLoading) {
+  if (order && !order->accepted) {
     return;
   }
   if (!targets_interim && IsInterimDue(now)) {
-    SetTarget(now, *interim, /*is_interim=*/true);
+    targets_interim = true;
   } else if (targets_interim && (newest->complete || IsRunning(*interim))) {
     interim_finished = true;
-    SetTarget(now, *newest, /*is_interim=*/false);
+    targets_interim = false;
+  }
+  if (Target().manifest && !HoldsTarget()) {
+    AssignStagingArea(now);
   }
 }
 
 void Stager::State::ExpireOrder(kernel::Time now) {
-  if (phase == Phase::kOrdered &&
-      now - phase_started >= kOrderResponseTimeout) {
-    phase = Phase::kStaging;
-  }
-  const bool interim_loaded = targets_interim && IsRunning(*interim);
-  if (phase == Phase::kLoading && interim_loaded) {
-    phase = Phase::kStaging;
+  const bool no_response =
+      phase == Phase::kOrdered && now - phase_started >= kOrderResponseTimeout;
+  const bool interim_loaded =
+      phase == Phase::kLoading && targets_interim && IsRunning(*interim);
+  const bool no_effect = phase == Phase::kLoading && !report->busy &&
+                         now - phase_started >= kLoadEffectTimeout;
+  if (!no_response && !interim_loaded && !no_effect) {
+    return;
   }
-  if (phase == Phase::kLoading && !report->busy &&
-      now - phase_started >= kLoadEffectTimeout) {
-    // The load had no effect: verify all pieces and order it again.
-    phase = Phase::kStaging;
+  // Without an effect, all pieces are verified and ordered again.
+  if (no_effect) {
     next_order_attempt = now + kOrderBackoff;
   }
+  phase = Phase::kStaging;
+  GiveUpOrder(now);
+}
+
+void Stager::State::GiveUpOrder(kernel::Time now) {
+  if (order && !order->accepted) {
+    pending_orders.OnGivenUp(now, order->manifest_digest);
+  }
+  order.reset();
 }
 
 void Stager::State::StagePieces() {
@@ -189,25 +206,59 @@
     const std::string_view bytes =
         transfer.ChunkBytes(Target().manifest_digest, i);
     if (!bytes.empty()) {
-      staging_area.Set(i, StageArea::PieceState::kWriting);
-      outputs.emplace_back(StagePiece{Target().name, i, std::string(bytes)});
+      const AccessId access = staging_area.StartWrite(i);
+      outputs.emplace_back(
+          StagePiece{Target().name, i, std::string(bytes), access});
     }
   }
 }
 
-void Stager::State::VerifyPieces() {
+bool Stager::State::VerifyPieces(kernel::Time now) {
+  // A write for another version could change a piece after it was verified.
+  if (staging_area.HasForeignWrites() ||
+      pending_writes.MayAffectOther(now, staging_area.ManifestDigest())) {
+    return false;
+  }
+  if (!order_connection && now >= next_order_connection) {
+    order_connection = OrderConnection{++last_order_connection, std::nullopt};
+    outputs.emplace_back(OpenOrderConnection{last_order_connection});
+  }
+  if (!order_connection || !order_connection->opened) {
+    return false;
+  }
+  const kernel::Time since =
+      std::max(*order_connection->opened, now - settings.verification_lifetime);
+  staging_area.ExpireVerification(since);
   while (staging_area.AccessesInProgress() < kMaximumParallelAccesses) {
     const auto next = staging_area.FindFirst(StageArea::PieceState::kWritten);
     if (!next) {
-      return;
+      break;
     }
-    staging_area.Set(*next, StageArea::PieceState::kReading);
-    outputs.emplace_back(ReadStagedPiece{Target().name, *next});
+    const AccessId access = staging_area.StartRead(now, *next);
+    outputs.emplace_back(ReadStagedPiece{Target().name, *next, access});
   }
+  return staging_area.AllVerifiedSince(since);
+}
+
+void Stager::State::SendOrder(kernel::Time now) {
+  const DeclaredVersion& target = Target();
+  ReportStaging(now, ProgressReport::Kind::kOrdered, target,
+                "replaces " + std::to_string(report->version));
+  phase = Phase::kOrdered;
+  phase_started = now;
+  order = SentOrder{target.manifest_digest, report->accepted_orders, now};
+  outputs.emplace_back(
+      OrderLoad{target.name, order_connection->id, report->accepted_orders});
+  CloseOrderConnection();
 }
 
 void Stager::State::StageAndOrder(kernel::Time now) {
   DeclaredVersion& target = Target();
+  // The endpoint would take what is written now for an order that was given up.
+  if (!HoldsTarget() ||
+      pending_orders.MayAffectOther(now, target.manifest_digest)) {
+    return;
+  }
   if (targets_interim || !IsInterimDue(now)) {
     StagePieces();
   }
@@ -231,19 +282,11 @@
       return;
     }
     phase = Phase::kVerifying;
-    staging_area.StartVerification(now);
   }
-  if (now - *staging_area.VerificationStarted() >
-      settings.verification_lifetime) {
-    staging_area.StartVerification(now);
-  }
-  VerifyPieces();
-  if (staging_area.AllVerified()) {
-    ReportStaging(now, ProgressReport::Kind::kOrdered, target,
-                  "replaces " + std::to_string(report->version));
-    phase = Phase::kOrdered;
-    phase_started = now;
-    outputs.emplace_back(OrderLoad{target.name, report->accepted_orders});
+  const bool verified = VerifyPieces(now);
+  // The number of orders has to be that of the process that was verified.
+  if (verified && report_sent >= *order_connection->opened && !report->busy) {
+    SendOrder(now);
   }
 }
 
@@ -252,6 +295,7 @@
   if (runs && !running_reported) {
     running_reported = true;
     phase = Phase::kStaging;
+    GiveUpOrder(now);
     ReportProgress(ProgressReport::Kind::kRunning, *newest);
   }
   if (!StartTransfer(now) || runs) {
@@ -270,11 +314,11 @@
   if (!report || !report->reachable) {
     return;
   }
+  ExpireOrder(now);
+  SelectTarget(now);
   if (newest->manifest && !AdvanceDeployment(now)) {
     return;
   }
-  ExpireOrder(now);
-  SelectTarget(now);
   if (phase == Phase::kOrdered || phase == Phase::kLoading ||
       !Target().manifest) {
     return;
--- a/tests/staging/async_endpoint.cc
+++ b/tests/staging/async_endpoint.cc
@@ -35,7 +35,7 @@
       m_started_at(agenda.Now()) {}
 
 void AsyncEndpoint::Write(const StagePiece& write,
-                          const std::function<void(bool)>& done) {
+                          const std::function<void(StageResult)>& done) {
   const Access access{Access::Kind::kWrite, write.version.number, write.index};
   Send(
       Connect(), access,
@@ -43,9 +43,9 @@
         m_staged[write.index] =
             StagedPiece{write.version.number, write.bytes, std::nullopt};
         Record(write.index, "written", sent);
-        return [done] { done(true); };
+        return [done] { done(StageResult::kStored); };
       },
-      [done] { done(false); });
+      [done] { done(StageResult::kNoResponse); });
 }
 
 void AsyncEndpoint::Read(const ReadStagedPiece& read,
@@ -82,10 +82,32 @@
       [done] { done({}); });
 }
 
+void AsyncEndpoint::Open(const OpenOrderConnection& open,
+                         const std::function<void(bool)>& done) {
+  m_order_connection = {open.connection, Connect(), /*is_open=*/false, done};
+  Notify(m_running);
+}
+
+void AsyncEndpoint::Notify(bool open) {
+  m_agenda.After(Between(kMinimumDelay, kMaximumDelay),
+                 [this, open, id = m_order_connection.id] {
+                   if (id == m_order_connection.id) {
+                     m_order_connection.is_open = open;
+                     m_order_connection.done(open);
+                   }
+                 });
+}
+
 void AsyncEndpoint::Order(const OrderLoad& order,
                           const std::function<void(OrderResult)>& done) {
+  if (order.connection != m_order_connection.id ||
+      !m_order_connection.is_open) {
+    m_agenda.After({}, [done] { done(OrderResult::kNotSent); });
+    return;
+  }
+  m_order_connection.is_open = false;
   Send(
-      Connect(),
+      m_order_connection.connection,
       {.kind = Access::Kind::kOrder, .version = order.version.number},
       [this, order, sent = m_agenda.Now(), done] {
         return [done, result = Accept(order, sent)] { done(result); };
@@ -210,6 +232,9 @@
 
 void AsyncEndpoint::Stop(kernel::Duration outage) {
   m_running = false;
+  if (m_order_connection.is_open && m_random.Chance(kRefusedShare)) {
+    Notify(/*open=*/false);
+  }
   m_agenda.After(outage, [this, start = ++m_pending_start] {
     if (start == m_pending_start) {
       Start();
--- a/tests/staging/async_endpoint.h
+++ b/tests/staging/async_endpoint.h
@@ -84,10 +84,15 @@
 
   // Requests. Each calls `done` once, with a failure if no answer arrives in
   // time.
-  void Write(const StagePiece& write, const std::function<void(bool)>& done);
+  void Write(const StagePiece& write,
+             const std::function<void(StageResult)>& done);
   void Read(const ReadStagedPiece& read,
             const std::function<void(std::string)>& done);
   void Report(const std::function<void(const EndpointReport&)>& done);
+  // Opens the connection for the next order. `done` hears that it is open, and
+  // that it could not be opened or ended.
+  void Open(const OpenOrderConnection& open,
+            const std::function<void(bool)>& done);
   void Order(const OrderLoad& order,
              const std::function<void(OrderResult)>& done);
 
@@ -114,6 +119,12 @@
   struct Connection {
     std::optional<std::uint64_t> process{};
   };
+  struct OrderConnection {
+    OrderConnectionId id = 0;
+    Connection connection{};
+    bool is_open = false;
+    std::function<void(bool)> done{};
+  };
   struct Request {
     Connection connection{};
     AccessDelays delays{};
@@ -137,6 +148,8 @@
   };
 
   Connection Connect() const;
+  // Tells the requester after a short delay whether its connection is open.
+  void Notify(bool open);
   void Send(const Connection& connection,
             const Access& access,
             std::function<Answer()> execute,
@@ -175,6 +188,7 @@
   std::uint64_t m_version = 0;
   std::uint64_t m_accepted_orders = 0;
   bool m_busy = false;
+  OrderConnection m_order_connection;
   std::vector<EndpointLoad> m_loads;
   // Requests that wait for a process to start.
   std::vector<std::shared_ptr<Request>> m_waiting;
--- a/tests/staging/stager_fleet.cc
+++ b/tests/staging/stager_fleet.cc
@@ -285,29 +285,29 @@
 
 void StagerFleet::HandleOutput(Host& host, StagePiece& output) {
   if (host.async) {
-    host.async->Write(output, ForStager(host, [this, version = output.version,
-                                               index = output.index](
-                                                  Stager& stager, bool stored) {
-                        stager.OnPieceStaged(m_now, version, index, stored);
+    host.async->Write(output,
+                      ForStager(host, [this, access = output.access](
+                                          Stager& stager, StageResult result) {
+                        stager.OnPieceStaged(m_now, access, result);
                       }));
     return;
   }
   host.endpoint.staged[output.index] = std::move(output.bytes);
-  host.stager->OnPieceStaged(m_now, output.version, output.index, true);
+  host.stager->OnPieceStaged(m_now, output.access, StageResult::kStored);
 }
 
 void StagerFleet::HandleOutput(Host& host, ReadStagedPiece& output) {
   if (host.async) {
     host.async->Read(
-        output, ForStager(host, [this, output](Stager& stager,
-                                               const std::string& bytes) {
-          stager.OnStagedPieceRead(m_now, output.version, output.index, bytes);
+        output, ForStager(host, [this, access = output.access](
+                                    Stager& stager, const std::string& bytes) {
+          stager.OnStagedPieceRead(m_now, access, bytes);
         }));
     return;
   }
   const auto found = host.endpoint.staged.find(output.index);
   host.stager->OnStagedPieceRead(
-      m_now, output.version, output.index,
+      m_now, output.access,
       found == host.endpoint.staged.end() ? std::string() : found->second);
 }
 
@@ -332,6 +332,18 @@
                                 .accepted_orders = endpoint.accepted_orders});
 }
 
+void StagerFleet::HandleOutput(Host& host, OpenOrderConnection& output) {
+  if (host.async) {
+    host.async->Open(output, ForStager(host, [this, id = output.connection](
+                                                 Stager& stager, bool open) {
+                       stager.OnOrderConnection(m_now, id, open);
+                     }));
+    return;
+  }
+  host.stager->OnOrderConnection(m_now, output.connection,
+                                 host.endpoint.reachable);
+}
+
 void StagerFleet::HandleOutput(Host& host, NewerVersionSeen&) {
   m_newer_version_count += host.store_available ? 0 : 1;
 }
--- a/tests/staging/stager_fleet.h
+++ b/tests/staging/stager_fleet.h
@@ -132,6 +132,7 @@
   void HandleOutput(Host& host, StagePiece& output);
   void HandleOutput(Host& host, ReadStagedPiece& output);
   void HandleOutput(Host& host, RequestReport& output);
+  void HandleOutput(Host& host, OpenOrderConnection& output);
   void HandleOutput(Host& host, OrderLoad& output);
   void HandleOutput(Host& host, NewerVersionSeen& output);
   void HandleOutput(Host& host, ProgressReport& output);
