--- a/tests/staging/async_endpoint.cc
+++ b/tests/staging/async_endpoint.cc
@@ -18,9 +18,6 @@
 constexpr milliseconds kLoadTime{300};
 // Corruption within this time before an order is not the agent's fault.
 constexpr milliseconds kExcusedCorruption{3000};
-// Share of the requests without a process to receive them that fail at once.
-// The others fail at the time limit.
-constexpr double kRefusedShare = 0.5;
 constexpr std::size_t kRecordedEvents = 8;
 
 }  // namespace
@@ -153,7 +150,7 @@
                          Answer fail) {
   auto request = std::make_shared<Request>(Request{
       connection, DrawDelays(access), std::move(execute), std::move(fail)});
-  if (!connection.process && m_random.Chance(kRefusedShare)) {
+  if (!connection.process && m_random.Chance(m_timing.reset_share)) {
     m_agenda.After(Between(kMinimumDelay, kMaximumDelay),
                    [this, request] { Settle(request, request->fail); });
     return;
@@ -177,7 +174,7 @@
     process = m_process;
   }
   if (!m_running || *process != m_process) {
-    if (m_random.Chance(kRefusedShare)) {
+    if (m_random.Chance(m_timing.reset_share)) {
       Settle(request, request->fail);
     }
     return;
@@ -189,7 +186,7 @@
   m_agenda.After(request->delays.answer, [this, request, answer] {
     const bool process_ended =
         !m_running || *request->connection.process != m_process;
-    const bool reset = process_ended && m_random.Chance(kRefusedShare);
+    const bool reset = process_ended && m_random.Chance(m_timing.reset_share);
     Settle(request, reset ? request->fail : answer);
   });
 }
@@ -232,7 +229,7 @@
 
 void AsyncEndpoint::Stop(kernel::Duration outage) {
   m_running = false;
-  if (m_order_connection.is_open && m_random.Chance(kRefusedShare)) {
+  if (m_order_connection.is_open && m_random.Chance(m_timing.reset_share)) {
     Notify(/*open=*/false);
   }
   m_agenda.After(outage, [this, start = ++m_pending_start] {
--- a/tests/staging/async_endpoint.h
+++ b/tests/staging/async_endpoint.h
@@ -31,6 +31,9 @@
   double lost_answer_share = 0;
   // Share of the accesses that arrive after their requester has given up.
   double late_arrival_share = 0;
+  // Share of the requests without a process to receive them that fail at once.
+  // The others fail at the time limit.
+  double reset_share = 0.5;
 };
 
 struct AccessDelays {
