tests: requests late in a planned stop, with slow bodies and several entries

Operators reported that an entry which stops passes on requests late in the grace and cuts them at its end, among them requests that may not be repeated. The stand-in counts how often its endpoint ran each request, so a 503 for a request that ran, and a second run, fail too.

Found beside it: a request whose body is still arriving when the process ends is cut without an answer.

The stand-in's streams now end at a fixed time.

--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -1,6 +1,7 @@
 #include "tests/platform/platform_standin.h"
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -15,6 +16,7 @@
 
 #include "radishrudder/exchange/message_reader.h"
 #include "radishrudder/http/header.h"
+#include "radishrudder/kernel/boot_time.h"
 
 namespace radishrudder::platform {
 namespace {
@@ -25,6 +27,7 @@
 constexpr milliseconds kWatchTime{300};
 constexpr milliseconds kEventInterval{100};
 constexpr milliseconds kAnswerLimit{8000};
+constexpr std::size_t kPrefixSize = 3;  // Of a route, such as "/t/".
 
 std::string FreeAddress(asio::io_context& context, const std::string& ip) {
   const asio::ip::tcp::acceptor acceptor(
@@ -96,7 +99,13 @@
        R"("target_latency_ms": 1000}, {"name": "t", "host": "h.example",)"
        R"("prefix": "/t/", "kind": "streaming", "service": "plain",)"
        R"("max_attempts": 2, "timeout_ms": 6000, "target_latency_ms": 1000,)"
-       R"("resumable": true}], "services": [{"name": "plain",)"
+       R"("resumable": true}, {"name": "n", "host": "h.example",)"
+       R"("prefix": "/n/", "kind": "non_idempotent", "service": "plain",)"
+       R"("max_attempts": 2, "timeout_ms": 20000,)"
+       R"("target_latency_ms": 1000}, {"name": "u", "host": "h.example",)"
+       R"("prefix": "/u/", "kind": "streaming", "service": "plain",)"
+       R"("max_attempts": 2, "timeout_ms": 20000,)"
+       R"("target_latency_ms": 1000}], "services": [{"name": "plain",)"
        R"("max_connections": 64)" +
            m_endpoint_settings.service_members + R"(}], "limits": {}})"});
   m_entries.push_back(
@@ -199,36 +208,50 @@
   head.headers.push_back(
       {std::string(kAttemptId),
        std::string(http::FindHeader(request.head.headers, kAttemptId))});
+  NoteRun(head.headers.back().value);
   if (!m_endpoint_settings.load_header.empty()) {
     head.headers.push_back(
         {"Radishrudder-Instance-Load", m_endpoint_settings.load_header});
   }
-  constexpr std::string_view kStreams = "/t/";
-  if (request.head.target.starts_with(kStreams)) {
+  const std::string& target = request.head.target;
+  const auto time = [&target] {
+    return milliseconds(std::stol(target.substr(kPrefixSize)));
+  };
+  if (target.starts_with("/t/") || target.starts_with("/u/")) {
     head.headers.push_back({"Content-Type", "text/event-stream"});
     caller->Begin(head);
-    StreamEvents(
-        caller, /*event=*/1,
-        milliseconds(std::stol(request.head.target.substr(kStreams.size()))));
+    StreamEvents(caller, /*event=*/1, kernel::Now() + time());
     return;
   }
-  ReplyLater(kServiceTime, caller, std::move(head), "done");
+  ReplyLater(target.starts_with("/n/") ? time() : kServiceTime, caller,
+             std::move(head), "done");
+}
+
+void PlatformStandin::NoteRun(const std::string& attempt_id) {
+  const std::lock_guard lock(m_runs_mutex);
+  ++m_runs[attempt_id];
+}
+
+int PlatformStandin::Runs(const std::string& attempt_id) const {
+  const std::lock_guard lock(m_runs_mutex);
+  const auto found = m_runs.find(attempt_id);
+  return found == m_runs.end() ? 0 : found->second;
 }
 
 void PlatformStandin::StreamEvents(const Exchange& caller,
                                    int event,
-                                   milliseconds left) {
+                                   kernel::Time end) {
   caller->Write("id: " + std::to_string(event) + "\ndata: x\n\n");
-  if (left <= milliseconds(0)) {
+  const kernel::Time now = kernel::Now();
+  if (now >= end) {
     caller->Finish();
     return;
   }
-  const milliseconds pause = std::min(left, kEventInterval);
-  const auto timer = std::make_shared<asio::steady_timer>(m_context, pause);
-  timer->async_wait(
-      [this, timer, caller, event, left = left - pause](std::error_code) {
-        StreamEvents(caller, event + 1, left);
-      });
+  const auto timer = std::make_shared<asio::steady_timer>(
+      m_context, std::min<kernel::Duration>(end - now, kEventInterval));
+  timer->async_wait([this, timer, caller, event, end](std::error_code) {
+    StreamEvents(caller, event + 1, end);
+  });
 }
 
 void PlatformStandin::ReplyLater(milliseconds delay,
@@ -248,32 +271,62 @@
 }
 
 StandinCaller::Result StandinCaller::Call(std::string_view request) {
+  return CallInParts({&request, 1}, milliseconds(0));
+}
+
+StandinCaller::Result StandinCaller::CallInParts(
+    std::span<const std::string_view> parts,
+    milliseconds pause) {
   if (m_socket < 0) {
     m_socket = Connect(m_address, kAnswerLimit);
   }
   if (m_socket < 0) {
     return Result::kNotConnected;
   }
+  const bool sent = Send(parts, pause);
+  m_sent_at = std::chrono::steady_clock::now();
+  const bool answered = ReadAnswer();
+  m_ended_at = std::chrono::steady_clock::now();
+  if (!answered) {
+    close(std::exchange(m_socket, -1));
+    return sent ? Result::kLost : Result::kNotSent;
+  }
+  return Result::kAnswered;
+}
+
+bool StandinCaller::Send(std::span<const std::string_view> parts,
+                         milliseconds pause) const {
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    pollfd readable{.fd = m_socket, .events = POLLIN, .revents = 0};
+    if (i > 0 && poll(&readable, 1, static_cast<int>(pause.count())) != 0) {
+      return false;  // An early answer, or the end of the connection.
+    }
+    if (send(m_socket, parts[i].data(), parts[i].size(), MSG_NOSIGNAL) < 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool StandinCaller::ReadAnswer() {
   exchange::MessageReader reader(exchange::MessageReader::Kind::kResponse);
-  send(m_socket, request.data(), request.size(), MSG_NOSIGNAL);
   std::array<char, 4096> buffer{};
   auto state = exchange::ReadState::kHead;
   while (state != exchange::ReadState::kComplete) {
     const ssize_t size = recv(m_socket, buffer.data(), buffer.size(), 0);
-    state =
-        size > 0
-            ? reader.Feed({buffer.data(), static_cast<std::size_t>(size)}).state
-            : exchange::ReadState::kMalformed;
+    if (size <= 0) {
+      return false;
+    }
+    state = reader.Feed({buffer.data(), static_cast<std::size_t>(size)}).state;
     if (state == exchange::ReadState::kMalformed) {
-      close(std::exchange(m_socket, -1));
-      return Result::kLost;
+      return false;
     }
   }
   m_status = reader.Response().status;
   if (!reader.Response().keep_alive) {
     close(std::exchange(m_socket, -1));
   }
-  return Result::kAnswered;
+  return true;
 }
 
 std::string SendParts(std::string_view address,
--- a/tests/platform/platform_standin.h
+++ b/tests/platform/platform_standin.h
@@ -5,7 +5,9 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <span>
 #include <string>
 #include <string_view>
@@ -13,6 +15,7 @@
 #include <vector>
 
 #include "radishrudder/exchange/caller_server.h"
+#include "radishrudder/kernel/time.h"
 
 namespace radishrudder::platform {
 
@@ -34,7 +37,8 @@
 
 // The platform's store with one configuration and one endpoint, and this
 // endpoint, on a thread of their own. Calls of /s/ are plain; a call of /t/MS
-// is answered with a stream of events that takes MS milliseconds.
+// is answered with a stream of events that takes MS milliseconds. Calls of
+// /n/MS, answered after this time, and streams of /u/MS may not be repeated.
 class PlatformStandin {
  public:
   // `more_entries`: other entries of the store. `watch_bodies`: bodies of the
@@ -51,6 +55,8 @@
   void Write(StandinEntry entry);
   void Remove(std::string key);
   const std::string& EndpointAddress() const { return m_endpoint_address; }
+  // How often the endpoint has begun to run the call with this id.
+  int Runs(const std::string& attempt_id) const;
 
  private:
   using Exchange = std::shared_ptr<exchange::CallerExchange>;
@@ -69,9 +75,8 @@
                    const Exchange& caller);
   void AnswerCall(const exchange::ReceivedRequest& request,
                   const Exchange& caller);
-  void StreamEvents(const Exchange& caller,
-                    int event,
-                    std::chrono::milliseconds left);
+  void NoteRun(const std::string& attempt_id);
+  void StreamEvents(const Exchange& caller, int event, kernel::Time end);
   void ReplyLater(std::chrono::milliseconds delay,
                   const Exchange& caller,
                   exchange::AnswerHead head,
@@ -87,13 +92,21 @@
   std::size_t m_watches = 0;
   std::uint64_t m_revision = 9;
   std::vector<Change> m_changes;
+  mutable std::mutex m_runs_mutex;
+  std::map<std::string, int> m_runs;  // By attempt id.
   std::thread m_thread;
 };
 
 // Sends one request on a kept connection and waits for its answer.
 class StandinCaller {
  public:
-  enum class Result { kAnswered, kNotConnected, kLost };
+  enum class Result {
+    kAnswered,
+    kNotConnected,
+    kNotSent,  // The connection ended before the request was sent whole.
+    kLost
+  };
+  using Time = std::chrono::steady_clock::time_point;
 
   explicit StandinCaller(std::string_view address) : m_address(address) {}
   ~StandinCaller();
@@ -102,13 +115,28 @@
 
   // Opens a connection if none is kept.
   Result Call(std::string_view request);
+  // Sends the request in parts, with a pause between them.
+  Result CallInParts(std::span<const std::string_view> parts,
+                     std::chrono::milliseconds pause);
   int Status() const { return m_status; }
   bool IsConnected() const { return m_socket >= 0; }
+  // When the last byte of a request was sent, and when its answer or its
+  // connection ended.
+  Time SentAt() const { return m_sent_at; }
+  Time EndedAt() const { return m_ended_at; }
 
  private:
+  // Returns whether all parts were sent.
+  bool Send(std::span<const std::string_view> parts,
+            std::chrono::milliseconds pause) const;
+  // Returns whether a whole answer came.
+  bool ReadAnswer();
+
   std::string m_address;
   int m_status = 0;
   int m_socket = -1;
+  Time m_sent_at{};
+  Time m_ended_at{};
 };
 
 // Sends parts on a connection of their own, with a pause between them. Returns
--- a/tests/platform/stop_under_load_test.cc
+++ b/tests/platform/stop_under_load_test.cc
@@ -103,6 +103,7 @@
           ++m_answered;
           m_refused += caller.Status() == 200 ? 0 : 1;
           break;
+        case StandinCaller::Result::kNotSent:
         case StandinCaller::Result::kLost:
           ++m_lost;
           break;
