serving: refuse requests that are incomplete at the end of a stop

A caller whose request was still arriving at the end of a planned stop saw its connection cut, and could not tell whether the request was taken.

CallerServer::RefuseIncomplete is new.

--- a/include/radishrudder/exchange/caller_server.h
+++ b/include/radishrudder/exchange/caller_server.h
@@ -80,6 +80,10 @@
   // Closes connections without a request in progress that were silent for at
   // least `silent`.
   void CloseIdle(kernel::Time now, std::chrono::milliseconds silent);
+  // Refuses requests of which only a part has arrived. `make_answer` returns
+  // the answer to what has been read of one; its body is left out.
+  void RefuseIncomplete(
+      const std::function<AnswerHead(ReceivedRequest)>& make_answer);
   // Applies the time limits; to be called a few times a second.
   void CheckTimes(kernel::Time now);
   std::size_t Connections() const { return m_connections.size(); }
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -769,6 +769,10 @@
     if (now >= m_stop_ends_at - kResponseMargin) {
       m_core.StopWaiting(now);
       TakeOutputs();
+      m_callers.RefuseIncomplete(
+          [this, now](exchange::ReceivedRequest received) {
+            return RefuseAsStopping(now, std::move(received));
+          });
     }
     const bool idle = elapsed >= kLateArrivalTime &&
                       m_core.CallsInProgress() == 0 &&
@@ -783,6 +787,23 @@
     return true;
   }
 
+  // Refuses a request that the stop ends before its last byte has arrived.
+  exchange::AnswerHead RefuseAsStopping(kernel::Time now,
+                                        exchange::ReceivedRequest received) {
+    const direct::CallerRequest request =
+        Platform::Calls::DecodeRequest(std::move(received));
+    direct::CallRecord record{.call = ++m_last_call,
+                              .status = kUnavailable,
+                              .reason = direct::Reason::kStopping};
+    record.attempt_id = request.attempt_id;
+    record.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - request.received_at);
+    record.detail = request.host + request.path;
+    m_journal.Record(now, record);
+    return Platform::Calls::EncodeGeneratedResponse(
+        kUnavailable, request.attempt_id, std::chrono::milliseconds(0));
+  }
+
   void LogStopEnd(kernel::Time now) {
     using std::chrono::milliseconds;
     const auto elapsed =
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -76,13 +76,21 @@
       if (now - *m_lingering_since >= kLingerTime) {
         Close();
       }
-    } else if (m_begun && !m_exchange && IsRequestTooSlow(now)) {
-      Refuse(kRequestTimeout);
+    } else if (IsIncomplete() && IsRequestTooSlow(now)) {
+      Refuse({kRequestTimeout, {}});
     } else if (IsIdle() && now - m_silent_since >= limits.idle_timeout) {
       Close();
     }
   }
 
+  // Whether a part of a request has been read.
+  bool IsIncomplete() const { return m_begun && !m_exchange; }
+
+  void RefuseIncomplete(
+      const std::function<AnswerHead(ReceivedRequest)>& make_answer) {
+    Refuse(make_answer({m_reader.Request(), {}, *m_begun}));
+  }
+
   void Close() {
     if (!m_socket.is_open()) {
       return;
@@ -210,11 +218,11 @@
     const ReadProgress progress = m_reader.Feed(m_incoming);
     m_incoming.erase(0, progress.consumed);
     if (progress.state == ReadState::kMalformed) {
-      Refuse(kBadRequest);
+      Refuse({kBadRequest, {}});
     } else if (m_reader.HeadBytes() > limits.head_bytes) {
-      Refuse(kHeaderTooLarge);
+      Refuse({kHeaderTooLarge, {}});
     } else if (m_reader.BodyBytesHeld() > limits.body_bytes) {
-      Refuse(kContentTooLarge);
+      Refuse({kContentTooLarge, {}});
     } else if (progress.state == ReadState::kComplete) {
       Dispatch();
     } else if (m_reader.HeadComplete() && !m_continued &&
@@ -239,12 +247,12 @@
   }
 
   // Answers a request that was not taken, and closes the connection.
-  void Refuse(int status) {
+  void Refuse(const AnswerHead& head) {
     m_keep = false;
     m_refusing = true;
     m_begun.reset();
     std::string text;
-    AppendHead({status, {}}, text);
+    AppendHead(head, text);
     AppendHeader("Content-Length", "0", text);
     text += "\r\n";
     m_ending = true;
@@ -478,6 +486,16 @@
   }
 }
 
+void CallerServer::RefuseIncomplete(
+    const std::function<AnswerHead(ReceivedRequest)>& make_answer) {
+  const auto connections = m_connections;
+  for (const auto& connection : connections) {
+    if (connection->IsIncomplete()) {
+      connection->RefuseIncomplete(make_answer);
+    }
+  }
+}
+
 void CallerServer::CheckTimes(kernel::Time now) {
   const auto connections = m_connections;
   for (const auto& connection : connections) {
--- a/tests/exchange/caller_server_test.cc
+++ b/tests/exchange/caller_server_test.cc
@@ -119,6 +119,31 @@
   EXPECT_EQ(m_server.Connections(), 0U);
 }
 
+// Guards against a caller whose request is still arriving when the process
+// ends, and who learns only from the cut connection that it was not taken.
+TEST_F(ServerTest, RefusesRequestsThatAreIncomplete) {
+  asio::ip::tcp::socket other(m_context);
+  other.connect(EndpointOf(m_address));
+  asio::write(other, asio::buffer(std::string_view("GET /1 HTTP/1.1\r\n\r\n")));
+  Write("POST /2 HTTP/1.1\r\nX-A: 1\r\nContent-Length: 4\r\n\r\nbo");
+  RunUntil([this] { return m_requests.size() == 1; });
+  std::vector<std::string> refused;
+  EXPECT_TRUE(PollUntil([&] {
+    m_server.RefuseIncomplete([&refused](const ReceivedRequest& request) {
+      refused.push_back(request.head.target);
+      return AnswerHead{503, request.head.headers};
+    });
+    return !refused.empty();
+  }));
+  Write("dy");
+  ReadUntil("never");
+  EXPECT_EQ(refused, std::vector<std::string>{"/2"});
+  EXPECT_TRUE(m_received.starts_with("HTTP/1.1 503 "));
+  EXPECT_NE(m_received.find("X-A: 1\r\n"), std::string::npos);
+  EXPECT_NE(m_received.find("Connection: close\r\n"), std::string::npos);
+  EXPECT_EQ(m_requests.size(), 1U);
+}
+
 TEST_F(ServerTest, TellsOfACallerThatLeaves) {
   Write("GET / HTTP/1.1\r\n\r\n");
   RunUntil([this] { return m_requests.size() == 1; });
