tests: calls that fail just before an entry ends are not retried

DrainingTest and FailureWhileDrainingTest for an attempt that fails, or is silent, 30 ms before the entry must be done or after that.

--- a/tests/direct/draining_test.cc
+++ b/tests/direct/draining_test.cc
@@ -1,4 +1,5 @@
 // An entry that drains: which calls it still sends to endpoints.
+#include <algorithm>
 #include <ostream>
 
 #include "tests/direct/entry_fixture.h"
@@ -8,6 +9,7 @@
 
 constexpr milliseconds kServingTime{5000};
 constexpr int kUnavailable = 503;
+constexpr int kBadGateway = 502;
 
 class DrainingTest : public EntryFixture {
  protected:
@@ -85,6 +87,77 @@
   EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(), 2U);
 }
 
+struct FailureCase {
+  const char* name;
+  milliseconds time_left;  // Of the time that the entry serves.
+  bool started = false;    // The caller has a part of the response.
+  bool retried = false;
+};
+
+void PrintTo(const FailureCase& failure, std::ostream* out) {
+  *out << failure.name;
+}
+
+class FailureWhileDrainingTest
+    : public DrainingTest,
+      public testing::WithParamInterface<FailureCase> {};
+
+// Guards against a repeatable call that fails just before the process ends and
+// is sent to another endpoint, which runs it for nothing.
+TEST_P(FailureWhileDrainingTest, IsRetriedOnlyIfTimeIsLeft) {
+  const CallId call = Call();
+  m_entry.OnSending(m_now, call);
+  if (GetParam().started) {
+    m_entry.OnResponseHead(m_now, call, SignedResponse(call, 200));
+    m_entry.OnResponseBody(m_now, call, "id: 1\ndata: x\n\n");
+  }
+  Drain();
+  m_now += kServingTime - GetParam().time_left;
+  TakeOutputsOf<SendAttempt>();
+  m_entry.OnAttemptFailed(m_now, call, AttemptFailure::kInterrupted);
+  const std::vector<Output> outputs = m_entry.TakeOutputs();
+  const auto count = [&outputs](auto matches) {
+    return std::ranges::count_if(outputs, matches);
+  };
+  EXPECT_EQ(count([](const Output& output) {
+              return std::holds_alternative<SendAttempt>(output);
+            }),
+            GetParam().retried ? 1 : 0);
+  EXPECT_EQ(count([](const Output& output) {
+              const auto* response = std::get_if<SendResponse>(&output);
+              return std::holds_alternative<AbortResponse>(output) ||
+                     (response != nullptr && response->status == kBadGateway);
+            }),
+            GetParam().retried ? 0 : 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Failures,
+    FailureWhileDrainingTest,
+    testing::Values(
+        FailureCase{"LittleTime", milliseconds(30)},
+        FailureCase{"LittleTimeStarted", milliseconds(30), /*started=*/true},
+        FailureCase{.name = "Enough",
+                    .time_left = milliseconds(50),
+                    .retried = true},
+        FailureCase{"EnoughStarted", milliseconds(50), /*started=*/true,
+                    /*retried=*/true},
+        FailureCase{"AfterTheEnd", milliseconds(-50)}),
+    [](const auto& test) { return std::string(test.param.name); });
+
+// Guards against a silent endpoint whose call goes to another one just before
+// the process ends.
+TEST_F(DrainingTest, KeepsSilentAttemptIfLittleTimeIsLeft) {
+  const CallId call = Call();
+  m_entry.OnSending(m_now, call);
+  Drain();
+  m_now += kServingTime - milliseconds(30);
+  TakeOutputsOf<SendAttempt>();
+  m_entry.OnTick(m_now);
+  EXPECT_TRUE(TakeOutputsOf<SendAttempt>().empty());
+  EXPECT_TRUE(TakeOutputsOf<CancelAttempt>().empty());
+}
+
 // Guards against a first endpoint's refusal, after which the call is sent to
 // another endpoint although it may outlive the process.
 TEST_F(DrainingTest, RefusesCallThatAnEndpointRefused) {
@@ -99,7 +172,6 @@
 // process ends, although none has started, and against one that says that a
 // call was not executed which an endpoint runs.
 TEST_F(DrainingTest, RespondsToUnfinishedCallsAtTheEnd) {
-  constexpr int kBadGateway = 502;
   const CallId unsent = Call();
   const CallId running = Call();
   m_entry.OnSending(m_now, running);
