direct: no retry of calls that a stop leaves no time for

A repeatable call that failed in a planned stop was sent to another endpoint however little time was left: the endpoint ran it for nothing, and its caller got 502, or a cut stream, only when the process ended. The time for another attempt now ends with the entry's own, too: with less than 40 ms left, the call ends at once (502, or the end of a started stream, which its caller may resume elsewhere), and a silent attempt is not withdrawn for another one.

--- a/source/radishrudder/direct/entry_admission.cc
+++ b/source/radishrudder/direct/entry_admission.cc
@@ -114,14 +114,15 @@
 void Entry::State::StartAttempt(kernel::Time now,
                                 Call& call,
                                 bool require_free_capacity) {
-  if (HasTooLittleTime(now, call)) {
-    FailCall(now, call, Reason::kTimeout);
-    return;
-  }
   if (MayOutliveProcess(call)) {
     FailCall(now, call, Reason::kStopping);
     return;
   }
+  if (HasTooLittleTime(now, call)) {
+    const bool stopping = serves_until && *serves_until < call.deadline;
+    FailCall(now, call, stopping ? Reason::kStopping : Reason::kTimeout);
+    return;
+  }
   if (const Reason reason = BlockReason(now, call); reason != Reason::kNone) {
     FailCall(now, call, reason);
     return;
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -20,7 +20,8 @@
 // states that it did not execute the request.
 constexpr int kNotExecutedStatuses[] = {408, 421, 429, 503};
 
-// An attempt with less time than this cannot complete before the deadline.
+// An attempt with less time than this cannot complete before the deadline or,
+// in a planned stop, before the process ends.
 constexpr milliseconds kMinimumAttemptTime{40};
 // A call waits this long beyond its deadline for the endpoint's own response.
 constexpr milliseconds kDeadlineGrace{30};
@@ -205,7 +206,9 @@
 }
 
 bool Entry::State::HasTooLittleTime(kernel::Time now, const Call& call) const {
-  return call.deadline - now < kMinimumAttemptTime;
+  const kernel::Time end =
+      std::min(call.deadline, serves_until.value_or(call.deadline));
+  return end - now < kMinimumAttemptTime;
 }
 
 bool Entry::State::IsStream(const Call& call) const {
--- a/tests/direct/draining_test.cc
+++ b/tests/direct/draining_test.cc
@@ -158,6 +158,21 @@
   EXPECT_TRUE(TakeOutputsOf<CancelAttempt>().empty());
 }
 
+// Guards against a second attempt that cannot be sent, after which the response
+// blames the call's own time limit although the entry ends.
+TEST_F(DrainingTest, SaysThatItEndsIfLittleTimeIsLeftForAnotherConnection) {
+  const CallId call = Call();
+  m_entry.OnSending(m_now, call);
+  Drain();
+  m_now += kServingTime - milliseconds(500);
+  m_entry.OnAttemptFailed(m_now, call, AttemptFailure::kInterrupted);
+  m_now += milliseconds(470);
+  TakeOutputsOf<SendAttempt>();
+  m_entry.OnAttemptFailed(m_now, call, AttemptFailure::kNotSent);
+  EXPECT_TRUE(TakeOutputsOf<SendAttempt>().empty());
+  EXPECT_EQ(ResponseStatus(), kBadGateway);
+}
+
 // Guards against a first endpoint's refusal, after which the call is sent to
 // another endpoint although it may outlive the process.
 TEST_F(DrainingTest, RefusesCallThatAnEndpointRefused) {
