daemon: answer the calls that the end of an entry ends

At the drain limit, or at a second signal, the entry of the project's own interface cut every call without a response, among them calls that waited for a place and had certainly not run. Now each call ends with a failure first (REFUSAL_DRAINING): not run where no attempt was sent, unknown otherwise. The daemon waits up to 0.5 s until the answers have been handed to the HTTP server, which has always waited until they were sent.

New: EntryCore::EndCalls, Shard::AwaitOutputs. No test plays the whole daemon with a call that waits at the limit.

--- a/include/radishrudder/calls/entry_core.h
+++ b/include/radishrudder/calls/entry_core.h
@@ -73,6 +73,9 @@
   void OnPeerDisconnected(kernel::Time now, const wire::ProcessKey& peer);
   // Refuses new calls from now on; calls in progress continue.
   void OnDrain(kernel::Time now);
+  // Fails all calls, those that were not sent to an agent as not run: the
+  // process ends now. Refuses new ones.
+  void EndCalls(kernel::Time now);
   void OnTick(kernel::Time now);
   kernel::Time NextTick() const;
   std::vector<EntryOutput> TakeOutputs();
--- a/source/radishrudder/calls/entry_core.cc
+++ b/source/radishrudder/calls/entry_core.cc
@@ -55,6 +55,10 @@
   m_state->OnDrain();
 }
 
+void EntryCore::EndCalls(kernel::Time now) {
+  m_state->EndCalls(now);
+}
+
 void EntryCore::OnTick(kernel::Time now) {
   m_state->OnTick(now);
 }
--- a/source/radishrudder/calls/entry_state.cc
+++ b/source/radishrudder/calls/entry_state.cc
@@ -140,6 +140,27 @@
   }
 }
 
+void EntryState::EndCalls(kernel::Time now) {
+  m_draining = true;
+  while (!m_calls.empty()) {
+    const auto& [id, call] = *m_calls.begin();
+    EntryService* const service = FindService(call.request.service);
+    if (call.waiting && service != nullptr) {
+      service->queue.Remove(id);
+    }
+    const Failure failure{.reason = wire::REFUSAL_DRAINING,
+                          .retry_after = kRetryAfterDrain,
+                          .detail = "the entry ends"};
+    if (call.key_request_id != 0) {
+      FailWithoutKey(now, id);
+    } else if (call.attempts.empty() && !call.may_have_run) {
+      Refuse(now, id, failure);
+    } else {
+      Fail(now, id, failure);
+    }
+  }
+}
+
 void EntryState::OnTick(kernel::Time now) {
   while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
     ExpireCall(now, m_deadlines.begin()->second);
--- a/source/radishrudder/calls/entry_state.h
+++ b/source/radishrudder/calls/entry_state.h
@@ -98,6 +98,7 @@
   void OnSendFailed(kernel::Time now, const wire::Envelope& message);
   void OnPeerDisconnected(kernel::Time now, const wire::ProcessKey& peer);
   void OnDrain() { m_draining = true; }
+  void EndCalls(kernel::Time now);
   void OnTick(kernel::Time now);
   // Returns when `OnTick` is due next; `Time::max()` for never.
   kernel::Time NextTick() const;
--- a/source/radishrudder/daemon/entry_daemon.cc
+++ b/source/radishrudder/daemon/entry_daemon.cc
@@ -21,6 +21,8 @@
 // One-way delays assumed until measured.
 constexpr double kOtherDataCentreSeconds = 0.005;
 constexpr double kOtherRegionSeconds = 0.006;
+// Time for the answers to calls that the end of the process ends.
+constexpr std::chrono::milliseconds kAnswerLimit{500};
 
 std::vector<http::Header> ToHttpHeaders(std::vector<calls::Header> headers) {
   std::vector<http::Header> converted;
@@ -109,6 +111,14 @@
   }
 
   void Stop() {
+    if (m_server && !m_stopped) {
+      // The server waits for the answers that it has been given.
+      ForEachShard([](auto& core, kernel::Time now) { core.EndCalls(now); });
+      for (const std::unique_ptr<CallShard>& shard : m_shards) {
+        shard->core.AwaitOutputs(kAnswerLimit);
+      }
+      m_stopped = true;
+    }
     if (m_server) {
       m_server->Stop();
     }
@@ -432,6 +442,7 @@
   std::unique_ptr<http::Server> m_server;
   std::atomic<calls::CallId> m_last_call = 0;
   std::atomic<bool> m_draining = false;
+  bool m_stopped = false;
   mutable std::mutex m_revisions_mutex;
   std::map<std::string, std::uint64_t> m_revisions;
 };
--- a/source/radishrudder/daemon/shard.h
+++ b/source/radishrudder/daemon/shard.h
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <concepts>
 #include <functional>
+#include <future>
+#include <memory>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -46,6 +48,15 @@
     Arm();
   }
 
+  // Waits until the outputs so far have been handed to their consumer. Returns
+  // whether that happened within the time.
+  bool AwaitOutputs(std::chrono::milliseconds limit) {
+    const auto reached = std::make_shared<std::promise<void>>();
+    std::future<void> future = reached->get_future();
+    asio::post(m_strand, [reached] { reached->set_value(); });
+    return future.wait_for(limit) == std::future_status::ready;
+  }
+
   // Calls `question(core)` under the lock and returns its answer.
   template <typename Question>
   auto Ask(Question question) const {
--- a/tests/calls/core_path_test.cc
+++ b/tests/calls/core_path_test.cc
@@ -70,6 +70,34 @@
   EXPECT_EQ(service.Entry().CallsInProgress(), 4U);
 }
 
+// Guards against calls that are cut without a response when the drain limit is
+// reached, although those that wait have certainly not run.
+TEST(CorePathTest, EndRefusesWaitingCallsAndReportsUnknownForOthers) {
+  FakeService service(1, PlainDocument());
+  constexpr CallId kCalls = 6;
+  for (CallId id = 1; id <= kCalls; ++id) {
+    service.Call(id, Request("POST", "/deposits"));
+  }
+  const std::size_t waiting = service.Entry().CallsWaiting();
+  ASSERT_GT(waiting, 0U);
+  ASSERT_LT(waiting, kCalls);
+  service.Entry().OnDrain(service.now);
+  service.Entry().EndCalls(service.now);
+  service.Deliver();
+  std::size_t not_run = 0;
+  for (CallId id = 1; id <= kCalls; ++id) {
+    const auto& failure = service.ObservedAnswerOf(id).failure;
+    ASSERT_TRUE(failure) << "call " << id;
+    EXPECT_EQ(failure->reason, wire::REFUSAL_DRAINING);
+    EXPECT_GT(failure->retry_after.count(), 0);
+    not_run += failure->outcome == wire::OUTCOME_NOT_RUN ? 1 : 0;
+  }
+  EXPECT_EQ(not_run, waiting);
+  EXPECT_EQ(service.Entry().CallsInProgress(), 0U);
+  EXPECT_EQ(service.Entry().CallsWaiting(), 0U);
+  EXPECT_GT(service.cancellations, 0);
+}
+
 TEST(CorePathTest, TimeoutReportsUnknownAndIgnoresLateAnswer) {
   FakeService service(3, PlainDocument());
   service.Call(1, Request("POST", "/deposits"));
--- a/tests/daemon/shard_test.cc
+++ b/tests/daemon/shard_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <thread>
 
 namespace radishrudder::daemon {
@@ -62,5 +63,21 @@
   EXPECT_EQ(seen, -1);
 }
 
+// Guards against a process that ends before the outputs of its last input have
+// been handed out.
+TEST(ShardTest, AwaitsOutputsWithinTheLimit) {
+  asio::io_context context;
+  auto work = asio::make_work_guard(context);
+  std::atomic<int> seen = 0;
+  Shard<Counter, int> shard(context, [&](int number) { seen = number; });
+  shard.Run([](Counter& core, kernel::Time) { core.Add(7); });
+  EXPECT_FALSE(shard.AwaitOutputs(std::chrono::milliseconds(1)));
+  std::thread runner([&] { context.run(); });
+  EXPECT_TRUE(shard.AwaitOutputs(std::chrono::seconds(10)));
+  EXPECT_EQ(seen, 7);
+  context.stop();
+  runner.join();
+}
+
 }  // namespace
 }  // namespace radishrudder::daemon
