tests: an attempt that is cancelled as it goes out on an idle connection

CallSessionTest: the core withdraws a call when its attempt is about to be written to an idle connection. It fails: the request is written all the same, so a call that may not be repeated could run at two endpoints:

m_peer.Requests().size() Which is: 3 2U

--- /dev/null
+++ b/tests/serving/call_session_test.cc
@@ -0,0 +1,114 @@
+#include "radishrudder/serving/call_session.h"
+
+#include <gtest/gtest.h>
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/exchange/scripted_peer.h"
+
+namespace radishrudder::serving {
+namespace {
+
+constexpr char kRequest[] = "GET / HTTP/1.1\r\n\r\n";
+constexpr char kOk[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+struct PlainCodec {
+  static direct::CallerRequest DecodeRequest(exchange::ReceivedRequest) {
+    return {};
+  }
+  static std::string EncodeAttempt(const direct::CallerRequest&,
+                                   const direct::SendAttempt&) {
+    return kRequest;
+  }
+  static direct::EndpointResponse DecodeResponse(const exchange::ResponseHead&,
+                                                 std::string_view) {
+    return {};
+  }
+  static exchange::AnswerHead EncodeGeneratedResponse(
+      int status,
+      std::string_view,
+      std::optional<std::chrono::milliseconds>) {
+    return {.status = status};
+  }
+};
+
+// Stands for a process and its core: counts inputs, and carries out as output
+// what the test says.
+class RecordingProcess {
+ public:
+  RecordingProcess& Core() { return *this; }
+  void TakeOutputs() {
+    if (const auto output = std::exchange(next_output, nullptr)) {
+      output();
+    }
+  }
+
+  void OnSending(kernel::Time, direct::CallId) { ++sendings; }
+  direct::ResponseVerdict OnResponseHead(kernel::Time,
+                                         direct::CallId,
+                                         const direct::EndpointResponse&) {
+    return direct::ResponseVerdict::kAccept;
+  }
+  void OnResponseBody(kernel::Time, direct::CallId, const std::string&) {}
+  void OnResponseEnd(kernel::Time, direct::CallId) { ++ended; }
+  void OnAttemptFailed(kernel::Time, direct::CallId, direct::AttemptFailure) {
+    ++ended;
+  }
+
+  std::function<void()> next_output;
+  int sendings = 0;
+  int ended = 0;
+};
+
+class CallSessionTest : public testing::Test {
+ protected:
+  using Session = CallSession<PlainCodec, RecordingProcess>;
+
+  Session& MakeSession() {
+    m_sessions.push_back(std::make_unique<Session>(
+        m_process, ++m_last_call,
+        std::make_shared<const direct::CallerRequest>(), nullptr));
+    return *m_sessions.back();
+  }
+  void Send(Session& session) {
+    m_context.restart();
+    session.Send(m_pool, {.call = m_last_call, .address = m_peer.Address()});
+  }
+  // Leaves an idle connection to the peer.
+  void CompleteCall() {
+    const int ended = m_process.ended;
+    Send(MakeSession());
+    while (m_process.ended == ended) {
+      m_context.run_one();
+    }
+    m_context.poll();
+  }
+
+  asio::io_context m_context{1};
+  exchange::ScriptedPeer m_peer{m_context, {{kOk}, {kOk}, {kOk}}};
+  exchange::EndpointPool m_pool{m_context, {}};
+  RecordingProcess m_process;
+  direct::CallId m_last_call = 0;
+  std::vector<std::unique_ptr<Session>> m_sessions;
+};
+
+// Guards against a request that is written to an idle connection although the
+// call was withdrawn when it was about to be sent: a call that may not be
+// repeated could run at two endpoints.
+TEST_F(CallSessionTest, DoesNotWriteRequestThatIsCancelledAsItIsSent) {
+  CompleteCall();
+  Session& session = MakeSession();
+  m_process.next_output = [&] { session.Cancel(m_pool); };
+  Send(session);
+  EXPECT_EQ(m_process.sendings, 2);
+  CompleteCall();
+  EXPECT_EQ(m_peer.Requests().size(), 2U);
+}
+
+}  // namespace
+}  // namespace radishrudder::serving
