exchange: an attempt on an idle connection can be cancelled as it is sent

On an idle connection, EndpointPool::Start calls OnSending before it returns, so the session did not know the exchange's id yet: a cancellation at that moment did nothing and the request was written; a session that ended then was written to after its end, and one that began another attempt forgot its id. The id is now taken first (EndpointPool::NextExchange) and given to Start.

By reading, the entry does not withdraw a call between choosing an endpoint and sending at once; it was not seen to happen.

--- a/include/radishrudder/exchange/endpoint_pool.h
+++ b/include/radishrudder/exchange/endpoint_pool.h
@@ -67,8 +67,18 @@
   EndpointPool(const EndpointPool&) = delete;
   EndpointPool& operator=(const EndpointPool&) = delete;
 
-  // Sends `bytes`, one whole request, to "IP:PORT". `head_only`: it is a HEAD
-  // request. The listener must live until it is done or `Cancel` was called.
+  // Returns an id that no exchange has.
+  ExchangeId NextExchange() { return ++m_last; }
+  // Sends `bytes`, one whole request, to "IP:PORT". `exchange`: an id of
+  // `NextExchange`; on an idle connection, `OnSending` is called at once, and
+  // may cancel it. `head_only`: it is a HEAD request. The listener must live
+  // until it is done or `Cancel` was called.
+  void Start(ExchangeId exchange,
+             std::string_view address,
+             std::string bytes,
+             bool head_only,
+             AnswerListener& listener);
+  // The same with the next id, which it returns.
   ExchangeId Start(std::string_view address,
                    std::string bytes,
                    bool head_only,
--- a/include/radishrudder/serving/call_session.h
+++ b/include/radishrudder/serving/call_session.h
@@ -50,9 +50,12 @@
 
   void Send(exchange::EndpointPool& pool, const direct::SendAttempt& attempt) {
     m_endpoint = attempt.endpoint_id;
-    m_exchange =
-        pool.Start(attempt.address, Codec::EncodeAttempt(*m_request, attempt),
-                   m_request->method == "HEAD", *this);
+    m_exchange = pool.NextExchange();
+    // `OnSending` may cancel the exchange, start another one or destroy this
+    // session; its members must not be used afterwards.
+    pool.Start(m_exchange, attempt.address,
+               Codec::EncodeAttempt(*m_request, attempt),
+               m_request->method == "HEAD", *this);
   }
   void Cancel(exchange::EndpointPool& pool) { pool.Cancel(m_exchange); }
 
--- a/source/radishrudder/exchange/endpoint_pool.cc
+++ b/source/radishrudder/exchange/endpoint_pool.cc
@@ -314,15 +314,23 @@
                                              std::string bytes,
                                              bool head_only,
                                              AnswerListener& listener) {
+  const ExchangeId exchange = NextExchange();
+  Start(exchange, address, std::move(bytes), head_only, listener);
+  return exchange;
+}
+
+void EndpointPool::Start(ExchangeId exchange,
+                         std::string_view address,
+                         std::string bytes,
+                         bool head_only,
+                         AnswerListener& listener) {
   const std::string key(address);
   std::shared_ptr<Connection> connection = TakeIdle(key);
   if (!connection) {
     connection = std::make_shared<Connection>(*this, key);
   }
-  const ExchangeId exchange = ++m_last;
   m_active.emplace(exchange, connection);
   connection->Start(exchange, std::move(bytes), head_only, listener);
-  return exchange;
 }
 
 void EndpointPool::Cancel(ExchangeId exchange) {
--- a/tests/serving/call_session_test.cc
+++ b/tests/serving/call_session_test.cc
@@ -18,7 +18,7 @@
 constexpr char kOk[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 struct PlainCodec {
-  static direct::CallerRequest DecodeRequest(exchange::ReceivedRequest) {
+  static direct::CallerRequest DecodeRequest(const exchange::ReceivedRequest&) {
     return {};
   }
   static std::string EncodeAttempt(const direct::CallerRequest&,
@@ -110,5 +110,34 @@
   EXPECT_EQ(m_peer.Requests().size(), 2U);
 }
 
+// Guards against the same where the call is refused, which ends its session.
+TEST_F(CallSessionTest, MayEndAsItsRequestIsSent) {
+  CompleteCall();
+  Session& session = MakeSession();
+  m_process.next_output = [&] {
+    session.Cancel(m_pool);
+    m_sessions.pop_back();
+  };
+  Send(session);
+  CompleteCall();
+  EXPECT_EQ(m_peer.Requests().size(), 2U);
+}
+
+// Guards against a second attempt that begins as the first one is withdrawn,
+// and cannot be cancelled later because the session knows only the first.
+TEST_F(CallSessionTest, CancelsAttemptThatBeganAsTheFirstWasSent) {
+  CompleteCall();
+  Session& session = MakeSession();
+  m_process.next_output = [&] {
+    session.Cancel(m_pool);
+    Send(session);
+  };
+  Send(session);
+  session.Cancel(m_pool);
+  CompleteCall();
+  EXPECT_EQ(m_peer.Requests().size(), 2U);
+  EXPECT_EQ(m_process.ended, 2);
+}
+
 }  // namespace
 }  // namespace radishrudder::serving
