rollout: tests of orders whose outcome is unknown

A later order that fails ends the uncertainty of an earlier one that is unanswered: the gate opens on v1 while the endpoint may still load v2 ("gate_open Actual: true, Expected: false"). After a rollback to the running version no order replaces the unanswered one: the gate stays closed and the last order is for v2.

--- a/tests/rollout/rollout_orders_test.cc
+++ b/tests/rollout/rollout_orders_test.cc
@@ -82,6 +82,12 @@
     }
   }
 
+  // Ends the order that was held.
+  void EndOrder(kernel::Time now, OrderResult result) {
+    rollout.OnOrderResult(now, last_order->fence, result);
+    ExecuteOutputs(now);
+  }
+
   void ExecuteOutputs(kernel::Time now) {
     for (bool any = true; any;) {
       any = false;
@@ -236,6 +242,79 @@
   EXPECT_FALSE(agent.gate_open);
 }
 
+// Guards against a gate that opens on the former version because a later order
+// failed, while an earlier one is unanswered and may still be executed.
+TEST_P(EngineKindTest, FailedOrderIsNoAnswerToAnEarlierOne) {
+  AgentRun agent(m_engine, 10);
+  agent.SetTarget(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  agent.hold_orders = true;
+  agent.SetTarget(m_now, 2, "v2");
+  agent.EndOrder(m_now, OrderResult::kUnanswered);
+  agent.Run(m_now, 10);
+  agent.EndOrder(m_now, OrderResult::kFailed);
+  agent.Run(m_now, 1);
+  EXPECT_EQ(m_engine.running, "v1");
+  EXPECT_FALSE(agent.gate_open);
+}
+
+// Guards against a gate that opens because the endpoint runs the version of the
+// last order, although it did so before that order and an earlier order for
+// another version is unanswered.
+TEST_P(EngineKindTest, UnansweredOrderForTheRunningVersionProvesNothing) {
+  AgentRun agent(m_engine, 10);
+  agent.SetTarget(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  agent.hold_orders = true;
+  agent.SetTarget(m_now, 2, "v2");
+  agent.EndOrder(m_now, OrderResult::kUnanswered);
+  agent.SetTarget(m_now, 3, "v1");
+  agent.Run(m_now, 10);
+  EXPECT_EQ(agent.last_order->manifest_digest, "v1");
+  agent.EndOrder(m_now, OrderResult::kUnanswered);
+  agent.Run(m_now, 1);
+  EXPECT_FALSE(agent.gate_open);
+}
+
+// Guards against an instance that stays out of service after a rollback to the
+// version that its endpoint runs, because nothing replaces the unanswered
+// order.
+TEST_P(EngineKindTest, RollbackReplacesAnUnansweredOrder) {
+  AgentRun agent(m_engine, 10);
+  agent.SetTarget(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  agent.hold_orders = true;
+  agent.SetTarget(m_now, 2, "v2");
+  const OrderLoad unanswered = *agent.last_order;
+  agent.EndOrder(m_now, OrderResult::kUnanswered);
+  agent.hold_orders = false;
+  agent.SetTarget(m_now, 3, "v1");
+  agent.Run(m_now, 10);
+  EXPECT_TRUE(agent.gate_open);
+  EXPECT_EQ(m_engine.running, "v1");
+  ASSERT_TRUE(agent.last_order.has_value());
+  EXPECT_EQ(agent.last_order->manifest_digest, "v1");
+  EXPECT_GT(agent.last_order->fence, unanswered.fence);
+}
+
+// Guards against an instance that stays out of service because no order is ever
+// answered, although the endpoint has executed the last one.
+TEST_P(EngineKindTest, VisibleEffectAnswersTheOrdersBefore) {
+  AgentRun agent(m_engine, 10);
+  agent.SetTarget(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  agent.hold_orders = true;
+  agent.SetTarget(m_now, 2, "v2");
+  agent.EndOrder(m_now, OrderResult::kUnanswered);
+  agent.SetTarget(m_now, 3, "v3");
+  agent.Run(m_now, 10);
+  m_engine.Load(*agent.last_order);
+  agent.EndOrder(m_now, OrderResult::kUnanswered);
+  agent.Run(m_now, 1);
+  EXPECT_EQ(m_engine.running, "v3");
+  EXPECT_TRUE(agent.gate_open);
+}
+
 TEST_P(EngineKindTest, ServesAgainWithoutAnOrderAfterTheEngineWasUnreachable) {
   AgentRun agent(m_engine, 10);
   agent.SetTarget(m_now, 1, "v1");
