rollout: keep unanswered orders until one is executed

An order without an answer was forgotten as soon as any later order ended, also one that was never sent or was refused for missing weights, and it counted for the version of the last order only. The gate then opened on a version that the endpoint could replace at any moment, so callers could be answered by another version than the one named. After a rollback to the running version nothing replaced the unanswered order and the instance stayed out of service.

The versions of unanswered orders are now kept until a later order is executed, by its answer or by its visible effect, or the endpoint restarts. A running target is ordered again while another unanswered order may replace it.

--- a/source/radishrudder/rollout/orders.cc
+++ b/source/radishrudder/rollout/orders.cc
@@ -21,10 +21,13 @@
 
 OrderLoad Orders::Issue(kernel::Time now,
                         std::uint64_t revision,
-                        std::string_view manifest_digest) {
+                        std::string_view manifest_digest,
+                        std::string_view running) {
   ++m_order_number;
   m_order_in_progress = Fence{revision, m_incarnation, m_order_number};
   m_ordered_digest = manifest_digest;
+  m_is_effect_visible = manifest_digest != running &&
+                        !m_unanswered_digests.contains(manifest_digest);
   m_deadline = now + m_timeout;
   return {m_ordered_digest, *m_order_in_progress, now + kSendTimeout};
 }
@@ -35,10 +38,18 @@
   }
   m_order_in_progress.reset();
   m_deadline = kernel::Time::max();
-  if (result == OrderResult::kRefusedOldFence) {
-    m_is_refused = true;
-  } else {
-    m_is_uncertain = result == OrderResult::kUnanswered;
+  switch (result) {
+    case OrderResult::kDone:
+      m_unanswered_digests.clear();
+      break;
+    case OrderResult::kRefusedOldFence:
+      m_is_refused = true;
+      break;
+    case OrderResult::kFailed:
+      break;
+    case OrderResult::kUnanswered:
+      m_unanswered_digests.insert(m_ordered_digest);
+      break;
   }
   return true;
 }
@@ -49,13 +60,25 @@
   }
   m_order_in_progress.reset();
   m_deadline = kernel::Time::max();
-  m_is_uncertain = true;
+  m_unanswered_digests.insert(m_ordered_digest);
   return true;
 }
 
+void Orders::ObserveRunning(std::string_view running) {
+  if (m_is_effect_visible && running == m_ordered_digest) {
+    m_unanswered_digests.clear();
+  }
+}
+
+bool Orders::IsUncertain(std::string_view running) const {
+  return std::any_of(
+      m_unanswered_digests.begin(), m_unanswered_digests.end(),
+      [&](const std::string& digest) { return digest != running; });
+}
+
 void Orders::OnEndpointRestart() {
   m_is_refused = false;
-  m_is_uncertain = false;
+  m_unanswered_digests.clear();
 }
 
 void Orders::RecordFailure(kernel::Time now) {
--- a/source/radishrudder/rollout/orders.h
+++ b/source/radishrudder/rollout/orders.h
@@ -2,7 +2,9 @@
 #define RADISHRUDDER_SOURCE_ROLLOUT_ORDERS_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -23,14 +25,19 @@
 
   // Returns whether an order may be issued now.
   bool CanIssue(kernel::Time now) const;
+  // `running` is the version that the endpoint runs as last reported.
   OrderLoad Issue(kernel::Time now,
                   std::uint64_t revision,
-                  std::string_view manifest_digest);
+                  std::string_view manifest_digest,
+                  std::string_view running);
   // Ends the order in progress if it has this fence. Returns whether it did.
   bool Finish(kernel::Time now, const Fence& fence, OrderResult result);
   // Ends the order in progress if its deadline has passed. Returns whether it
   // did.
   bool ExpireOverdue(kernel::Time now);
+  // The endpoint reported the version that it runs. An order whose effect is
+  // visible counts as answered.
+  void ObserveRunning(std::string_view running);
   // The endpoint does not run the ordered version. Orders are suspended for a
   // backoff that grows exponentially with jitter.
   void RecordFailure(kernel::Time now);
@@ -46,9 +53,7 @@
 
   // True while an unanswered order may still make the endpoint replace
   // `running` by another version.
-  bool IsUncertain(std::string_view running) const {
-    return m_is_uncertain && running != m_ordered_digest;
-  }
+  bool IsUncertain(std::string_view running) const;
   bool IsRefused() const { return m_is_refused; }
   bool IsStopped() const { return m_is_stopped; }
   const std::string& OrderedDigest() const { return m_ordered_digest; }
@@ -66,7 +71,13 @@
   std::uint32_t m_consecutive_failures = 0;
   kernel::Time m_not_before{};
   kernel::Time m_deadline = kernel::Time::max();
-  bool m_is_uncertain = false;
+  // Versions of unanswered orders that the endpoint may still execute. Only a
+  // later order that was executed rules that out: one that failed may not have
+  // reached the endpoint, or have been refused for another reason.
+  std::set<std::string, std::less<>> m_unanswered_digests;
+  // Nothing but the last order makes the endpoint run the version of that
+  // order.
+  bool m_is_effect_visible = false;
   bool m_is_refused = false;
   bool m_is_stopped = false;
 };
--- a/source/radishrudder/rollout/rollout.cc
+++ b/source/radishrudder/rollout/rollout.cc
@@ -63,6 +63,11 @@
   bool RunsTarget() const {
     return HasTarget() && endpoint.RunningDigest() == target.digest;
   }
+  // Returns whether the target has to be ordered. If an unanswered order may
+  // replace the running target, an order for it replaces that order.
+  bool MustLoadTarget() const {
+    return HasTarget() && (!RunsTarget() || orders.IsUncertain(target.digest));
+  }
   bool IsTargetComplete() const {
     return complete_versions.contains(target.digest);
   }
@@ -146,6 +151,7 @@
   if (endpoint.HasRestarted()) {
     orders.OnEndpointRestart();
   }
+  orders.ObserveRunning(endpoint.RunningDigest());
   switch (phase) {
     case Phase::kServing:
       if (!endpoint.IsReachable() ||
@@ -190,7 +196,7 @@
   const bool needs_no_turn =
       turn_taken || endpoint.RunningDigest().empty() || !IsServable();
   const bool can_load = CanIssueOrder(now) && gate_empty &&
-                        IsTargetComplete() && !RunsTarget() && needs_no_turn;
+                        IsTargetComplete() && MustLoadTarget() && needs_no_turn;
   if (can_load) {
     IssueOrder(now);
   } else if (IsServable() && !draining) {
@@ -217,7 +223,8 @@
 
 void Rollout::State::IssueOrder(kernel::Time now) {
   phase = Phase::kOrdering;
-  outputs.emplace_back(orders.Issue(now, target.revision, target.digest));
+  outputs.emplace_back(orders.Issue(now, target.revision, target.digest,
+                                    endpoint.RunningDigest()));
 }
 
 void Rollout::State::RequestReadBack(kernel::Time now) {
