rollout: tests of restarts beside unanswered orders

An order ends without an answer before the first status of the endpoint's next process. RestartBeforeAnUnansweredOrderDoesNotAbortIt fails: the restart ends the uncertainty, and the gate opens ("gate_open Actual: true, Expected: false") on the version that the new process started with, although it may execute the order. The other direction passes.

--- a/tests/rollout/rollout_orders_test.cc
+++ b/tests/rollout/rollout_orders_test.cc
@@ -294,7 +294,7 @@
   EXPECT_EQ(m_engine.running, "v1");
   ASSERT_TRUE(agent.last_order.has_value());
   EXPECT_EQ(agent.last_order->manifest_digest, "v1");
-  EXPECT_GT(agent.last_order->fence, unanswered.fence);
+  EXPECT_GT(agent.last_order->fence.order, unanswered.fence.order);
 }
 
 // Guards against an instance that stays out of service because no order is ever
@@ -315,6 +315,36 @@
   EXPECT_TRUE(agent.gate_open);
 }
 
+// Guards against a gate that opens after a restart of the endpoint although the
+// order without an answer reached the process that has just started.
+TEST_P(EngineKindTest, RestartBeforeAnUnansweredOrderDoesNotAbortIt) {
+  AgentRun agent(m_engine, 10);
+  agent.SetTarget(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  agent.hold_orders = true;
+  agent.SetTarget(m_now, 2, "v2");
+  m_engine.Restart();
+  m_engine.running = "v1";
+  agent.EndOrder(m_now, OrderResult::kUnanswered);
+  agent.Run(m_now, 1);
+  EXPECT_FALSE(agent.gate_open);
+}
+
+// Guards against an instance that stays out of service although the process to
+// which the unanswered order was given has ended.
+TEST_P(EngineKindTest, RestartAfterAnUnansweredOrderAbortsIt) {
+  AgentRun agent(m_engine, 10);
+  agent.SetTarget(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  agent.hold_orders = true;
+  agent.SetTarget(m_now, 2, "v2");
+  agent.EndOrder(m_now, OrderResult::kUnanswered);
+  m_engine.Restart();
+  m_engine.running = "v1";
+  agent.Run(m_now, 1);
+  EXPECT_TRUE(agent.gate_open);
+}
+
 TEST_P(EngineKindTest, ServesAgainWithoutAnOrderAfterTheEngineWasUnreachable) {
   AgentRun agent(m_engine, 10);
   agent.SetTarget(m_now, 1, "v1");
