rollout: keep an unanswered order that the endpoint's next process may have

A restart of the endpoint ended the uncertainty of every unanswered order, also of one that ended after the last status of the former process: that order may have reached the next one. A process that starts with a version was then served although it may execute the order, and callers could be answered by another version than the one named.

A restart now ends only orders after whose end the former process has reported. A read-back that failed is no report: a trial of the fix without that condition failed MissedStatusBeforeTheRestartProvesNothing, which is new here.

--- a/source/radishrudder/rollout/endpoint_view.h
+++ b/source/radishrudder/rollout/endpoint_view.h
@@ -30,6 +30,8 @@
   bool IsReachable() const {
     return m_is_known && m_missed_responses < kUnreachableAfterMissed;
   }
+  // True if the endpoint responded to the last read-back.
+  bool HasResponded() const { return m_is_known && m_missed_responses == 0; }
   // True if the last status came from another run of the endpoint than the
   // status before.
   bool HasRestarted() const { return m_has_restarted; }
--- a/source/radishrudder/rollout/orders.cc
+++ b/source/radishrudder/rollout/orders.cc
@@ -28,6 +28,7 @@
   m_ordered_digest = manifest_digest;
   m_is_effect_visible = manifest_digest != running &&
                         !m_unanswered_digests.contains(manifest_digest);
+  m_is_reported_since = false;
   m_deadline = now + m_timeout;
   return {m_ordered_digest, *m_order_in_progress, now + kSendTimeout};
 }
@@ -65,6 +66,7 @@
 }
 
 void Orders::ObserveRunning(std::string_view running) {
+  m_is_reported_since = !m_order_in_progress.has_value();
   if (m_is_effect_visible && running == m_ordered_digest) {
     m_unanswered_digests.clear();
   }
@@ -78,7 +80,9 @@
 
 void Orders::OnEndpointRestart() {
   m_is_refused = false;
-  m_unanswered_digests.clear();
+  std::erase_if(m_unanswered_digests, [this](const std::string& digest) {
+    return m_is_reported_since || digest != m_ordered_digest;
+  });
 }
 
 void Orders::RecordFailure(kernel::Time now) {
--- a/source/radishrudder/rollout/orders.h
+++ b/source/radishrudder/rollout/orders.h
@@ -46,7 +46,8 @@
   // A new document revision allows orders again after a refusal.
   void ClearRefusal() { m_is_refused = false; }
   // A restart of the endpoint allows orders again after a refusal and aborts
-  // any order that it was executing.
+  // any order that it was executing, but not one that may have reached its new
+  // process.
   void OnEndpointRestart();
   // A later run of the agent issues the orders from now on.
   void Stop() { m_is_stopped = true; }
@@ -78,6 +79,9 @@
   // Nothing but the last order makes the endpoint run the version of that
   // order.
   bool m_is_effect_visible = false;
+  // The endpoint has reported since the last order ended, so that this order
+  // reached no later process.
+  bool m_is_reported_since = false;
   bool m_is_refused = false;
   bool m_is_stopped = false;
 };
--- a/source/radishrudder/rollout/rollout.cc
+++ b/source/radishrudder/rollout/rollout.cc
@@ -151,7 +151,9 @@
   if (endpoint.HasRestarted()) {
     orders.OnEndpointRestart();
   }
-  orders.ObserveRunning(endpoint.RunningDigest());
+  if (endpoint.HasResponded()) {
+    orders.ObserveRunning(endpoint.RunningDigest());
+  }
   switch (phase) {
     case Phase::kServing:
       if (!endpoint.IsReachable() ||
--- a/tests/rollout/rollout_orders_test.cc
+++ b/tests/rollout/rollout_orders_test.cc
@@ -330,6 +330,23 @@
   EXPECT_FALSE(agent.gate_open);
 }
 
+// Guards against a read-back that failed and passes for a status of the process
+// before.
+TEST_P(EngineKindTest, MissedStatusBeforeTheRestartProvesNothing) {
+  AgentRun agent(m_engine, 10);
+  agent.SetTarget(m_now, 1, "v1");
+  agent.Run(m_now, 3);
+  agent.hold_orders = true;
+  agent.SetTarget(m_now, 2, "v2");
+  m_engine.reachable = false;
+  agent.EndOrder(m_now, OrderResult::kUnanswered);
+  m_engine.Restart();
+  m_engine.running = "v1";
+  m_engine.reachable = true;
+  agent.Run(m_now, 1);
+  EXPECT_FALSE(agent.gate_open);
+}
+
 // Guards against an instance that stays out of service although the process to
 // which the unanswered order was given has ended.
 TEST_P(EngineKindTest, RestartAfterAnUnansweredOrderAbortsIt) {
