daemon: let the endpoint decide whether it has the weights

The order giver remembered the version that it had handed over last and gave orders on that memory. It was wrong after a restart of the endpoint, after a load of another version, which may drop the rest, and after the late effect of an unanswered order. The endpoint checks what it loads and refused, so no wrong weights were served, but the order failed and the instance was out of service for a backoff of 1 s to 2 s or more, after each restart of the endpoint. An order that was not given, as it was too old, made the next one hand over everything again: where that lasts over 2 s, the endpoint was never loaded again.

An order that relied on an earlier hand-over and is refused is now followed by the hand-over and the order, once. An order that was not given changes nothing.

--- a/source/radishrudder/daemon/endpoint_client.cc
+++ b/source/radishrudder/daemon/endpoint_client.cc
@@ -175,16 +175,17 @@
   return true;
 }
 
-void EndpointClient::Load(rollout::OrderLoad order,
-                          std::function<bool()> still_wanted,
-                          std::function<void(rollout::OrderResult)> done) {
+void EndpointClient::Load(
+    rollout::OrderLoad order,
+    std::function<bool()> still_wanted,
+    std::function<void(std::optional<rollout::OrderResult>)> done) {
   asio::post(
       m_orders,
       [this, order = std::move(order), still_wanted = std::move(still_wanted),
        done = std::move(done)] { done(LoadNow(order, still_wanted)); });
 }
 
-rollout::OrderResult EndpointClient::LoadNow(
+std::optional<rollout::OrderResult> EndpointClient::LoadNow(
     const rollout::OrderLoad& order,
     const std::function<bool()>& still_wanted) {
   http::ClientRequest request;
@@ -194,7 +195,7 @@
   request.body = OrderText(order);
   request.timeout = kOrderTimeout;
   if (!still_wanted()) {
-    return rollout::OrderResult::kFailed;
+    return std::nullopt;
   }
   return ResultOf(m_client.FetchNow(std::move(request)));
 }
--- a/source/radishrudder/daemon/endpoint_client.h
+++ b/source/radishrudder/daemon/endpoint_client.h
@@ -56,10 +56,10 @@
   // carried out at once; `done` is called once with whether all were taken.
   void Stage(VersionAtHand version, std::function<void(bool)> done);
   // Gives an order unless `still_wanted` says no right before; `done` is called
-  // once.
+  // once, with nothing if the order was not given.
   void Load(rollout::OrderLoad order,
             std::function<bool()> still_wanted,
-            std::function<void(rollout::OrderResult)> done);
+            std::function<void(std::optional<rollout::OrderResult>)> done);
   // Asks what the endpoint runs; `done` is called once.
   void ReadStatus(std::function<void(EndpointReport)> done);
   // Waits for orders in progress and gives no more.
@@ -73,8 +73,9 @@
   };
 
   bool StageNow(const VersionAtHand& version);
-  rollout::OrderResult LoadNow(const rollout::OrderLoad& order,
-                               const std::function<bool()>& still_wanted);
+  std::optional<rollout::OrderResult> LoadNow(
+      const rollout::OrderLoad& order,
+      const std::function<bool()>& still_wanted);
   bool Put(const std::string& path, std::string body);
   void HandleEnd(calls::EndpointCallId call, const http::ClientResult& result);
 
--- a/source/radishrudder/daemon/order_giver.cc
+++ b/source/radishrudder/daemon/order_giver.cc
@@ -10,9 +10,14 @@
     : m_endpoint(endpoint), m_weights(std::move(weights)) {}
 
 void OrderGiver::Stage(const std::string& digest, std::function<void()> done) {
+  HandOver(digest, [done = std::move(done)](bool) { done(); });
+}
+
+void OrderGiver::HandOver(const std::string& digest,
+                          std::function<void(bool)> done) {
   const std::optional<weights::Manifest> manifest = m_weights.manifest(digest);
   if (!manifest) {
-    done();
+    done(false);
     return;
   }
   VersionAtHand version;
@@ -25,26 +30,43 @@
                      if (staged) {
                        SetStaged(digest);
                      }
-                     done();
+                     done(staged);
                    });
 }
 
 void OrderGiver::Give(const rollout::OrderLoad& order, Report report) {
   m_latest = order.fence.order;
-  if (IsStaged(order.manifest_digest)) {
-    Order(order, std::move(report));
+  if (!IsStaged(order.manifest_digest)) {
+    HandOverAndOrder(order, std::move(report));
     return;
   }
-  Stage(order.manifest_digest, [this, order, report = std::move(report)] {
-    if (IsStaged(order.manifest_digest)) {
-      Order(order, report);
+  Order(order, [this, order, report = std::move(report)](auto result) {
+    if (result == rollout::OrderResult::kFailed) {
+      SetStaged("");
+      HandOverAndOrder(order, report);
     } else {
+      report(order.fence, result.value_or(rollout::OrderResult::kFailed));
+    }
+  });
+}
+
+void OrderGiver::HandOverAndOrder(const rollout::OrderLoad& order,
+                                  Report report) {
+  HandOver(order.manifest_digest, [this, order,
+                                   report = std::move(report)](bool staged) {
+    if (!staged) {
       report(order.fence, rollout::OrderResult::kFailed);
+      return;
     }
+    Order(order, [order, report](auto result) {
+      report(order.fence, result.value_or(rollout::OrderResult::kFailed));
+    });
   });
 }
 
-void OrderGiver::Order(const rollout::OrderLoad& order, Report report) {
+void OrderGiver::Order(
+    const rollout::OrderLoad& order,
+    std::function<void(std::optional<rollout::OrderResult>)> done) {
   logging::Log(logging::kOrderSent,
                {{"version", order.manifest_digest},
                 {"revision", std::to_string(order.fence.revision)},
@@ -54,15 +76,7 @@
     return m_latest == number && !m_stopped &&
            std::chrono::steady_clock::now() <= not_after;
   };
-  m_endpoint.Load(order, still_wanted,
-                  [this, report = std::move(report),
-                   fence = order.fence](rollout::OrderResult result) {
-                    if (result != rollout::OrderResult::kDone) {
-                      // The endpoint may have lost what it was handed.
-                      SetStaged("");
-                    }
-                    report(fence, result);
-                  });
+  m_endpoint.Load(order, still_wanted, std::move(done));
 }
 
 bool OrderGiver::IsStaged(const std::string& digest) const {
--- a/source/radishrudder/daemon/order_giver.h
+++ b/source/radishrudder/daemon/order_giver.h
@@ -24,8 +24,11 @@
 };
 
 // Gives the endpoint the rollout's orders. The weights are handed over before,
-// so that an order takes effect at once. An order that a later one has
-// replaced, that is too old, or that the drain has overtaken is not given.
+// so that an order takes effect at once. Only the endpoint knows whether it
+// still has them, as it may have restarted or loaded another version since: an
+// order that it refuses is given once more, after the weights. An order that a
+// later one has replaced, that is too old, or that the drain has overtaken is
+// not given.
 class OrderGiver {
  public:
   using Report =
@@ -44,14 +47,20 @@
  private:
   bool IsStaged(const std::string& digest) const;
   void SetStaged(const std::string& digest);
-  void Order(const rollout::OrderLoad& order, Report report);
+  void HandOver(const std::string& digest, std::function<void(bool)> done);
+  void HandOverAndOrder(const rollout::OrderLoad& order, Report report);
+  // `done` is called once, with nothing if the order was not given.
+  void Order(const rollout::OrderLoad& order,
+             std::function<void(std::optional<rollout::OrderResult>)> done);
 
   EndpointClient& m_endpoint;
   const VerifiedWeights m_weights;
   std::atomic<std::uint64_t> m_latest = 0;
   std::atomic<bool> m_stopped = false;
   mutable std::mutex m_mutex;
-  std::string m_staged;  // The version that the endpoint has; empty: none.
+  // The version that was handed over last and that no order showed to be gone;
+  // empty: none.
+  std::string m_staged;
 };
 
 }  // namespace radishrudder::daemon
--- a/tests/daemon/order_giver_test.cc
+++ b/tests/daemon/order_giver_test.cc
@@ -37,7 +37,7 @@
                  [this](const std::string& digest, std::uint32_t index) {
                    m_may_read.wait();
                    return std::optional(m_bytes.at(digest).substr(
-                       index * kChunkBytes, kChunkBytes));
+                       std::size_t{index} * kChunkBytes, kChunkBytes));
                  }}) {
     ContinueStaging();
   }
@@ -118,6 +118,11 @@
   fixture.endpoint.Restart();
 }
 
+void RestartEndpointDuringStaging(OrderGiverFixture& fixture) {
+  fixture.endpoint.RestartAfterNextChunk();
+  fixture.Stage(fixture.second);
+}
+
 void ReloadRestartedEndpoint(OrderGiverFixture& fixture) {
   EXPECT_EQ(fixture.Order(fixture.second), OrderResult::kDone);
   fixture.endpoint.Restart();
@@ -147,6 +152,8 @@
     testing::Values(
         LossCase{"NotLost", StageOnly},
         LossCase{"EndpointRestarted", RestartEndpoint},
+        LossCase{"EndpointRestartedDuringTheHandOver",
+                 RestartEndpointDuringStaging},
         LossCase{"EndpointRestartedAfterTheLoad", ReloadRestartedEndpoint},
         LossCase{"OtherVersionLoadedMeanwhile", LoadFirstAfterStaging},
         LossCase{"UnansweredOrderExecuted",
--- a/tests/daemon/weights_endpoint.h
+++ b/tests/daemon/weights_endpoint.h
@@ -38,8 +38,12 @@
   // Loses what it was handed, as a new process does.
   void Restart() {
     const std::lock_guard lock(m_mutex);
-    m_weights = {};
-    m_running.clear();
+    LoseAll();
+  }
+  // Does so once it has taken the next chunk.
+  void RestartAfterNextChunk() {
+    const std::lock_guard lock(m_mutex);
+    m_restart_after_chunk = true;
   }
   // Breaks the connection of the next order and keeps the order.
   void HoldNextOrder() {
@@ -88,6 +92,9 @@
                     : m_weights.PutChunk(
                           digest, std::stoul(path.substr(path.rfind('/') + 1)),
                           request.body);
+    if (!is_manifest && std::exchange(m_restart_after_chunk, false)) {
+      LoseAll();
+    }
     responder.Reply(problem ? 422 : 204, {}, problem.value_or(""));
   }
 
@@ -106,6 +113,11 @@
     }
   }
 
+  void LoseAll() {
+    m_weights = {};
+    m_running.clear();
+  }
+
   void Load(const std::string& digest) {
     m_running = digest;
     m_weights.KeepOnly(digest);
@@ -116,6 +128,7 @@
   std::string m_running;
   std::string m_held_order;
   bool m_hold_next_order = false;
+  bool m_restart_after_chunk = false;
   int m_order_status = 0;
   int m_chunk_count = 0;
   int m_order_count = 0;
