daemon: count orders with an unknown status as unanswered

202 says that a load has begun, and 502 and 504 are an intermediary's words that it has no answer of the endpoint. All three counted as orders that were not and will not be executed, so the gate could open on a version that the endpoint was about to replace. They now count as unanswered.

OrderStatusTest failed for the three before; daemon_test passes, 49 of 49.

--- a/source/radishrudder/daemon/endpoint_client.cc
+++ b/source/radishrudder/daemon/endpoint_client.cc
@@ -13,7 +13,10 @@
 constexpr std::chrono::milliseconds kStatusTimeout{1'000};
 constexpr std::chrono::milliseconds kOrderTimeout{60'000};
 constexpr int kStatusOk = 200;
+constexpr int kStatusAccepted = 202;
 constexpr int kStatusConflict = 409;
+constexpr int kStatusBadGateway = 502;
+constexpr int kStatusGatewayTimeout = 504;
 constexpr int kFirstError = 300;
 constexpr std::string_view kDigestHeader = "x-weights-digest";
 
@@ -31,11 +34,18 @@
     return answer.result.may_have_been_sent ? rollout::OrderResult::kUnanswered
                                             : rollout::OrderResult::kFailed;
   }
-  if (answer.result.status == kStatusConflict) {
-    return rollout::OrderResult::kRefusedOldFence;
+  switch (answer.result.status) {
+    case kStatusOk:
+      return rollout::OrderResult::kDone;
+    case kStatusConflict:
+      return rollout::OrderResult::kRefusedOldFence;
+    case kStatusAccepted:
+    case kStatusBadGateway:
+    case kStatusGatewayTimeout:
+      return rollout::OrderResult::kUnanswered;
+    default:
+      return rollout::OrderResult::kFailed;
   }
-  return answer.result.status == kStatusOk ? rollout::OrderResult::kDone
-                                           : rollout::OrderResult::kFailed;
 }
 
 std::vector<calls::Header> ToCallHeaders(std::vector<http::Header> headers) {
