rollout: pass each status together with its read-back

A status said nothing of the read-back that it answers, so that an answer to an earlier one could not be told from the answer to the last. ReadBack has a number and the time of the request, and OnEndpointStatus takes both back.

--- a/include/radishrudder/rollout/rollout.h
+++ b/include/radishrudder/rollout/rollout.h
@@ -53,8 +53,11 @@
   kernel::Time not_after{};
 };
 // Request the status of the endpoint. The result must be passed to
-// `OnEndpointStatus`.
-struct ReadBack {};
+// `OnEndpointStatus` together with this request.
+struct ReadBack {
+  std::uint64_t number = 0;
+  kernel::Time requested_at{};
+};
 // The state of this instance that must be published to its peers.
 struct Readiness {
   // Digest of the version that it serves; empty while it accepts no calls.
@@ -111,7 +114,9 @@
   // The last call in progress ended after `CloseGate`.
   void OnGateEmpty(kernel::Time now);
   void OnOrderResult(kernel::Time now, const Fence& fence, OrderResult result);
-  void OnEndpointStatus(kernel::Time now, const EndpointStatus& status);
+  void OnEndpointStatus(kernel::Time now,
+                        const ReadBack& request,
+                        const EndpointStatus& status);
   // This instance is leaving and must issue no more orders.
   void OnDrain(kernel::Time now);
   // A later run of the agent of this instance exists, so this one must issue no
--- a/source/radishrudder/daemon/agent_daemon.cc
+++ b/source/radishrudder/daemon/agent_daemon.cc
@@ -325,7 +325,7 @@
             },
             [this](const rollout::OpenGate&) { m_gate.Open(); },
             [this](const rollout::OrderLoad& order) { GiveOrder(order); },
-            [this](const rollout::ReadBack&) { ReadBack(); },
+            [this](const rollout::ReadBack& request) { ReadBack(request); },
             [this](const rollout::Readiness& ready) { HandleReady(ready); }},
         output);
   }
@@ -365,13 +365,13 @@
     });
   }
 
-  void ReadBack() {
-    m_gate.Endpoint().ReadStatus([this](const EndpointReport& report) {
+  void ReadBack(const rollout::ReadBack& request) {
+    m_gate.Endpoint().ReadStatus([this, request](const EndpointReport& report) {
       if (report.status.reachable) {
         m_gate.SetRunning(report);
       }
       WithRollout([&](auto& core, kernel::Time now) {
-        core.OnEndpointStatus(now, report.status);
+        core.OnEndpointStatus(now, request, report.status);
       });
     });
   }
--- a/source/radishrudder/rollout/endpoint_view.cc
+++ b/source/radishrudder/rollout/endpoint_view.cc
@@ -11,12 +11,15 @@
 
 }  // namespace
 
-void EndpointView::OnReadBackRequested(kernel::Time now) {
+ReadBack EndpointView::RequestReadBack(kernel::Time now) {
   m_requested_at = now;
   m_next_read_back = now + m_read_back_interval;
+  return {++m_last_number, now};
 }
 
-bool EndpointView::ApplyStatus(kernel::Time now, const EndpointStatus& status) {
+bool EndpointView::ApplyStatus(kernel::Time now,
+                               const ReadBack& request,
+                               const EndpointStatus& status) {
   if (now - m_requested_at >
       std::max(kMaximumResponseDelay, m_read_back_interval)) {
     return false;
--- a/source/radishrudder/rollout/endpoint_view.h
+++ b/source/radishrudder/rollout/endpoint_view.h
@@ -15,12 +15,14 @@
   explicit EndpointView(kernel::Duration read_back_interval)
       : m_read_back_interval(read_back_interval) {}
 
-  // A read-back was requested.
-  void OnReadBackRequested(kernel::Time now);
+  // Returns the next read-back.
+  ReadBack RequestReadBack(kernel::Time now);
   // Applies a status. Returns false and ignores it if it arrived so long after
   // the request that this process may have been paused in between; the caller
   // must then request it again.
-  bool ApplyStatus(kernel::Time now, const EndpointStatus& status);
+  bool ApplyStatus(kernel::Time now,
+                   const ReadBack& request,
+                   const EndpointStatus& status);
   bool IsReadBackDue(kernel::Time now) const { return now >= m_next_read_back; }
   kernel::Time NextReadBack() const { return m_next_read_back; }
 
@@ -41,6 +43,7 @@
   static constexpr std::uint32_t kUnreachableAfterMissed = 3;
 
   kernel::Duration m_read_back_interval;
+  std::uint64_t m_last_number = 0;
   kernel::Time m_requested_at{};
   kernel::Time m_next_read_back{};
   std::string m_running_digest;
--- a/source/radishrudder/rollout/rollout.cc
+++ b/source/radishrudder/rollout/rollout.cc
@@ -233,8 +233,7 @@
   if (settings.plain) {
     return;
   }
-  endpoint.OnReadBackRequested(now);
-  outputs.emplace_back(ReadBack{});
+  outputs.emplace_back(endpoint.RequestReadBack(now));
 }
 
 void Rollout::State::PublishReadiness() {
@@ -321,10 +320,12 @@
   }
 }
 
-void Rollout::OnEndpointStatus(kernel::Time now, const EndpointStatus& status) {
+void Rollout::OnEndpointStatus(kernel::Time now,
+                               const ReadBack& request,
+                               const EndpointStatus& status) {
   State& state = *m_state;
   state.DetectPause(now);
-  if (!state.endpoint.ApplyStatus(now, status)) {
+  if (!state.endpoint.ApplyStatus(now, request, status)) {
     state.RequestReadBack(now);
     return;
   }
--- a/tests/rollout/fleet.cc
+++ b/tests/rollout/fleet.cc
@@ -271,7 +271,7 @@
   agent.out_of_service = false;
 }
 
-void Fleet::Handle(std::size_t index, const ReadBack& /*read*/) {
+void Fleet::Handle(std::size_t index, const ReadBack& read) {
   Agent& agent = m_agents[index];
   const int delay =
       static_cast<int>(m_random.Below(kMaximumReadBackDelaySteps));
@@ -280,8 +280,8 @@
   status.running_digest = agent.endpoint.running;
   status.start_id = std::to_string(agent.endpoint.start_id);
   agent.inputs.push_back(
-      {m_step + delay, [status](Rollout& rollout, kernel::Time now) {
-         rollout.OnEndpointStatus(now, status);
+      {m_step + delay, [read, status](Rollout& rollout, kernel::Time now) {
+         rollout.OnEndpointStatus(now, read, status);
        }});
 }
 
--- a/tests/rollout/rollout_orders_test.cc
+++ b/tests/rollout/rollout_orders_test.cc
@@ -106,8 +106,9 @@
     } else if (std::holds_alternative<OpenGate>(output)) {
       gate_open = true;
       ++gate_openings;
-    } else if (std::holds_alternative<ReadBack>(output) && !unresponsive) {
-      rollout.OnEndpointStatus(now, m_engine.Status());
+    } else if (const auto* read = std::get_if<ReadBack>(&output);
+               read != nullptr && !unresponsive) {
+      rollout.OnEndpointStatus(now, *read, m_engine.Status());
     } else if (const auto* order = std::get_if<OrderLoad>(&output)) {
       ++order_count;
       last_order = *order;
--- a/tests/rollout/rollout_test.cc
+++ b/tests/rollout/rollout_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
+#include <vector>
+
 namespace radishrudder::rollout {
 namespace {
 
@@ -27,7 +30,7 @@
   template <typename T>
   std::optional<T> TakeLast() {
     std::optional<T> found;
-    for (RolloutOutput& output : m_rollout.TakeOutputs()) {
+    for (RolloutOutput& output : TakeOutputs()) {
       if (auto* wanted = std::get_if<T>(&output)) {
         found = *wanted;
       }
@@ -35,12 +38,33 @@
     return found;
   }
 
+  std::vector<RolloutOutput> TakeOutputs() {
+    CollectOutputs();
+    return std::exchange(m_outputs, {});
+  }
+
+  void CollectOutputs() {
+    for (RolloutOutput& output : m_rollout.TakeOutputs()) {
+      if (const auto* read = std::get_if<ReadBack>(&output)) {
+        m_last_read_back = *read;
+      }
+      m_outputs.push_back(std::move(output));
+    }
+  }
+
+  // Answers the last read-back.
+  void AnswerReadBack(const std::string& digest,
+                      const std::string& start = "s1") {
+    CollectOutputs();
+    m_rollout.OnEndpointStatus(m_now, m_last_read_back, {true, digest, start});
+  }
+
   // Advances the time until a read-back is due and reports a status.
   void ReportStatus(const std::string& digest,
                     const std::string& start = "s1") {
     m_now += seconds(1);
     m_rollout.OnTick(m_now);
-    m_rollout.OnEndpointStatus(m_now, {true, digest, start});
+    AnswerReadBack(digest, start);
   }
 
   // Makes the rollout serve "v1" of revision 1, as the only instance.
@@ -49,11 +73,13 @@
     m_rollout.OnDocument(m_now, 1, DocumentOf("v1"));
     m_rollout.OnWeightsComplete(m_now, "v1");
     ReportStatus("v1");
-    m_rollout.TakeOutputs();
+    TakeOutputs();
   }
 
   kernel::Time m_now{std::chrono::hours(1)};
   Rollout m_rollout;
+  std::vector<RolloutOutput> m_outputs;
+  ReadBack m_last_read_back;
 };
 
 TEST_F(RolloutTest, FirstLoadDoesNotWaitForATurn) {
@@ -71,8 +97,8 @@
   EXPECT_EQ(order->fence, (Fence{4, 9, 1}));
   m_rollout.OnOrderResult(m_now, order->fence, OrderResult::kDone);
   EXPECT_TRUE(TakeLast<ReadBack>().has_value());
-  m_rollout.OnEndpointStatus(m_now, {true, "v1", "s1"});
-  const auto outputs = m_rollout.TakeOutputs();
+  AnswerReadBack("v1");
+  const auto outputs = TakeOutputs();
   ASSERT_EQ(outputs.size(), 2U);
   EXPECT_EQ(std::get<Readiness>(outputs[0]).revision, 4U);
   EXPECT_TRUE(std::holds_alternative<OpenGate>(outputs[1]));
@@ -87,12 +113,12 @@
   EXPECT_FALSE(TakeLast<OrderLoad>().has_value());
   m_rollout.OnGateEmpty(m_now);
   EXPECT_FALSE(TakeLast<OrderLoad>().has_value());
-  m_rollout.OnEndpointStatus(m_now, {true, "v1", "s1"});
+  AnswerReadBack("v1");
   const auto order = TakeLast<OrderLoad>();
   ASSERT_TRUE(order.has_value());
   m_rollout.OnOrderResult(m_now, order->fence, OrderResult::kDone);
   EXPECT_FALSE(TakeLast<OpenGate>().has_value());
-  m_rollout.OnEndpointStatus(m_now, {true, "v2", "s1"});
+  AnswerReadBack("v2");
   EXPECT_TRUE(TakeLast<OpenGate>().has_value());
 }
 
@@ -107,7 +133,7 @@
 TEST_F(RolloutTest, NewRevisionWithTheSameDigestNeedsNoOrder) {
   ServeFirstVersion();
   m_rollout.OnDocument(m_now, 2, DocumentOf("v1"));
-  const auto outputs = m_rollout.TakeOutputs();
+  const auto outputs = TakeOutputs();
   ASSERT_EQ(outputs.size(), 1U);
   EXPECT_EQ(std::get<Readiness>(outputs[0]).revision, 2U);
 }
@@ -116,7 +142,7 @@
   ServeFirstVersion();
   m_rollout.OnDocument(m_now, 1, DocumentOf("v0"));
   m_rollout.OnWeightsComplete(m_now, "v0");
-  EXPECT_TRUE(m_rollout.TakeOutputs().empty());
+  EXPECT_TRUE(TakeOutputs().empty());
 }
 
 TEST_F(RolloutTest, RollbackWhileDrainingReopensTheGate) {
