rollout: use a status only for what its read-back asked

Answers to read-backs were taken as they came, and their age was counted from the last request. With an endpoint that answers slowly, as one that loads, an answer of before the end of the order confirmed the former version: the gate opened on v1 while the endpoint ran v2, and peers and entries were told v1, until the next answer. After a pause, an old answer counted as recent once another read-back had been requested.

Each answer now counts from its own request. One that was requested before the last call or the order ended decides nothing, and an earlier answer does not replace a later one. An answer that is too old is requested again only if no later read-back is outstanding.

--- a/source/radishrudder/rollout/endpoint_view.h
+++ b/source/radishrudder/rollout/endpoint_view.h
@@ -9,6 +9,12 @@
 
 namespace radishrudder::rollout {
 
+enum class StatusUse {
+  kApplied,
+  kIgnored,    // A later read-back is outstanding or was answered.
+  kMustRepeat  // It is too old, and no later read-back is outstanding.
+};
+
 // The last status that the endpoint reported, and the schedule of read-backs.
 class EndpointView {
  public:
@@ -17,12 +23,14 @@
 
   // Returns the next read-back.
   ReadBack RequestReadBack(kernel::Time now);
-  // Applies a status. Returns false and ignores it if it arrived so long after
-  // the request that this process may have been paused in between; the caller
-  // must then request it again.
-  bool ApplyStatus(kernel::Time now,
-                   const ReadBack& request,
-                   const EndpointStatus& status);
+  // Ignores the answers to all read-backs requested so far.
+  void DiscardOutstanding() { m_first_valid_number = m_last_number + 1; }
+  // Applies a status unless it is outdated or so old that this process may have
+  // been paused since the request. Statuses are applied in the order of their
+  // requests.
+  StatusUse ApplyStatus(kernel::Time now,
+                        const ReadBack& request,
+                        const EndpointStatus& status);
   bool IsReadBackDue(kernel::Time now) const { return now >= m_next_read_back; }
   kernel::Time NextReadBack() const { return m_next_read_back; }
 
@@ -44,7 +52,7 @@
 
   kernel::Duration m_read_back_interval;
   std::uint64_t m_last_number = 0;
-  kernel::Time m_requested_at{};
+  std::uint64_t m_first_valid_number = 1;
   kernel::Time m_next_read_back{};
   std::string m_running_digest;
   std::string m_start_id;
--- a/source/radishrudder/rollout/rollout.cc
+++ b/source/radishrudder/rollout/rollout.cc
@@ -57,6 +57,7 @@
   void StopServing(Phase next);
   void IssueOrder(kernel::Time now);
   void RequestReadBack(kernel::Time now);
+  void RequestLaterStatus(kernel::Time now);
   void PublishReadiness();
   bool CanIssueOrder(kernel::Time now) const;
   bool HasTarget() const { return target.revision != 0; }
@@ -130,7 +131,7 @@
     StartServing();
   } else if (phase == Phase::kOrdering && orders.ExpireOverdue(now)) {
     phase = Phase::kConfirming;
-    RequestReadBack(now);
+    RequestLaterStatus(now);
   }
 }
 
@@ -236,6 +237,12 @@
   outputs.emplace_back(endpoint.RequestReadBack(now));
 }
 
+// Requests a status and ignores those of before.
+void Rollout::State::RequestLaterStatus(kernel::Time now) {
+  endpoint.DiscardOutstanding();
+  RequestReadBack(now);
+}
+
 void Rollout::State::PublishReadiness() {
   Readiness ready;
   ready.accepted_revision = published.accepted_revision;
@@ -305,7 +312,7 @@
   state.gate_empty = true;
   if (state.phase == Phase::kDraining) {
     state.phase = Phase::kVerifying;
-    state.RequestReadBack(now);
+    state.RequestLaterStatus(now);
   }
 }
 
@@ -316,7 +323,7 @@
   state.DetectPause(now);
   if (state.orders.Finish(now, fence, result)) {
     state.phase = Phase::kConfirming;
-    state.RequestReadBack(now);
+    state.RequestLaterStatus(now);
   }
 }
 
@@ -325,12 +332,17 @@
                                const EndpointStatus& status) {
   State& state = *m_state;
   state.DetectPause(now);
-  if (!state.endpoint.ApplyStatus(now, request, status)) {
-    state.RequestReadBack(now);
-    return;
+  switch (state.endpoint.ApplyStatus(now, request, status)) {
+    case StatusUse::kApplied:
+      state.HandleStatus(now);
+      state.Evaluate(now);
+      break;
+    case StatusUse::kIgnored:
+      break;
+    case StatusUse::kMustRepeat:
+      state.RequestReadBack(now);
+      break;
   }
-  state.HandleStatus(now);
-  state.Evaluate(now);
 }
 
 void Rollout::OnDrain(kernel::Time now) {
