daemon: give the gate only the statuses that the rollout uses

The gate took each answer to a read-back as it came. An earlier answer that arrived after a later one made it end the calls in progress as those of another version, refuse calls for the running version and name the former one for those that it started, until the next answer. It now takes what the rollout takes; OnEndpointStatus returns whether it used the status.

ReadBackTest checks what is returned.

--- a/include/radishrudder/rollout/rollout.h
+++ b/include/radishrudder/rollout/rollout.h
@@ -114,7 +114,9 @@
   // The last call in progress ended after `CloseGate`.
   void OnGateEmpty(kernel::Time now);
   void OnOrderResult(kernel::Time now, const Fence& fence, OrderResult result);
-  void OnEndpointStatus(kernel::Time now,
+  // Returns false if the status was ignored because a later one is known or
+  // requested, or because it is too old.
+  bool OnEndpointStatus(kernel::Time now,
                         const ReadBack& request,
                         const EndpointStatus& status);
   // This instance is leaving and must issue no more orders.
--- a/source/radishrudder/daemon/agent_daemon.cc
+++ b/source/radishrudder/daemon/agent_daemon.cc
@@ -367,11 +367,13 @@
 
   void ReadBack(const rollout::ReadBack& request) {
     m_gate.Endpoint().ReadStatus([this, request](const EndpointReport& report) {
-      if (report.status.reachable) {
-        m_gate.SetRunning(report);
-      }
       WithRollout([&](auto& core, kernel::Time now) {
-        core.OnEndpointStatus(now, request, report.status);
+        // Before the rollout's outputs, so that the gate opens on what the
+        // endpoint runs.
+        if (core.OnEndpointStatus(now, request, report.status) &&
+            report.status.reachable) {
+          m_gate.SetRunning(report);
+        }
       });
     });
   }
--- a/source/radishrudder/rollout/rollout.cc
+++ b/source/radishrudder/rollout/rollout.cc
@@ -327,22 +327,19 @@
   }
 }
 
-void Rollout::OnEndpointStatus(kernel::Time now,
+bool Rollout::OnEndpointStatus(kernel::Time now,
                                const ReadBack& request,
                                const EndpointStatus& status) {
   State& state = *m_state;
   state.DetectPause(now);
-  switch (state.endpoint.ApplyStatus(now, request, status)) {
-    case StatusUse::kApplied:
-      state.HandleStatus(now);
-      state.Evaluate(now);
-      break;
-    case StatusUse::kIgnored:
-      break;
-    case StatusUse::kMustRepeat:
-      state.RequestReadBack(now);
-      break;
+  const StatusUse use = state.endpoint.ApplyStatus(now, request, status);
+  if (use == StatusUse::kApplied) {
+    state.HandleStatus(now);
+    state.Evaluate(now);
+  } else if (use == StatusUse::kMustRepeat) {
+    state.RequestReadBack(now);
   }
+  return use == StatusUse::kApplied;
 }
 
 void Rollout::OnDrain(kernel::Time now) {
--- a/tests/rollout/read_back_test.cc
+++ b/tests/rollout/read_back_test.cc
@@ -42,9 +42,12 @@
     HandleOutputs();
     return m_read_back;
   }
-  void Answer(const ReadBack& request, const std::string& digest) {
-    m_rollout.OnEndpointStatus(m_now, request, {true, digest, "s1"});
+  // Returns whether the answer was used.
+  bool Answer(const ReadBack& request, const std::string& digest) {
+    const bool is_used =
+        m_rollout.OnEndpointStatus(m_now, request, {true, digest, "s1"});
     HandleOutputs();
+    return is_used;
   }
   ReadBack EmptyGate() {
     m_rollout.OnGateEmpty(m_now);
@@ -97,7 +100,7 @@
   ASSERT_EQ(m_orders.size(), 1U);
   const ReadBack during = Wait(seconds(1));
   const ReadBack after = EndOrder(OrderResult::kDone);
-  Answer(during, "v1");
+  EXPECT_FALSE(Answer(during, "v1"));
   EXPECT_FALSE(m_gate_open) << m_published.running_digest;
   Answer(after, "v2");
   EXPECT_TRUE(m_gate_open);
@@ -124,8 +127,8 @@
   const ReadBack confirming = EndOrder(OrderResult::kDone);
   Answer(confirming, "v2");
   const ReadBack earlier = Wait(seconds(1));
-  Answer(Wait(seconds(1)), "v2");
-  Answer(earlier, "v1");
+  EXPECT_TRUE(Answer(Wait(seconds(1)), "v2"));
+  EXPECT_FALSE(Answer(earlier, "v1"));
   EXPECT_TRUE(m_gate_open);
   EXPECT_EQ(m_published.running_digest, "v2");
 }
@@ -145,7 +148,7 @@
 TEST_F(ReadBackTest, LateStatusIsRequestedAgain) {
   const ReadBack late = Wait(seconds(1));
   m_now += seconds(10);
-  Answer(late, "v1");
+  EXPECT_FALSE(Answer(late, "v1"));
   EXPECT_FALSE(m_gate_open);
   EXPECT_GT(m_read_back.number, late.number);
 }
