rollout: tests of rollbacks to a version that was replaced

RollbackWaitsForTheWeightsAgain fails ("TakeLast<CloseGate>().has_value() Actual: true, Expected: false"): the instance leaves service for a version whose weights the transfer dropped when another one replaced it.

--- a/tests/rollout/rollout_test.cc
+++ b/tests/rollout/rollout_test.cc
@@ -154,6 +154,43 @@
   EXPECT_TRUE(TakeLast<OpenGate>().has_value());
 }
 
+// Guards against an instance that leaves service for a version whose weights
+// were dropped when another one replaced it, and fails to load it.
+TEST_F(RolloutTest, RollbackWaitsForTheWeightsAgain) {
+  ServeFirstVersion();
+  m_rollout.OnDocument(m_now, 2, DocumentOf("v2"));
+  ReportStatus("v1");
+  m_rollout.OnWeightsComplete(m_now, "v2");
+  m_rollout.OnGateEmpty(m_now);
+  AnswerReadBack("v1");
+  const auto order = TakeLast<OrderLoad>();
+  ASSERT_TRUE(order.has_value());
+  m_rollout.OnOrderResult(m_now, order->fence, OrderResult::kDone);
+  AnswerReadBack("v2");
+  EXPECT_TRUE(TakeLast<OpenGate>().has_value());
+  m_rollout.OnDocument(m_now, 3, DocumentOf("v1"));
+  ReportStatus("v2");
+  EXPECT_FALSE(TakeLast<CloseGate>().has_value());
+  m_rollout.OnWeightsComplete(m_now, "v1");
+  EXPECT_TRUE(TakeLast<CloseGate>().has_value());
+}
+
+// Guards against an instance that waits for weights that it has, because a
+// document without a version stood between.
+TEST_F(RolloutTest, DocumentWithoutAVersionKeepsTheWeights) {
+  ServeFirstVersion();
+  document::ServiceDocument without_version = DocumentOf("");
+  without_version.model.reset();
+  m_rollout.OnDocument(m_now, 2, without_version);
+  m_rollout.OnDocument(m_now, 3, DocumentOf("v1"));
+  ReportStatus("", "s2");
+  m_rollout.OnGateEmpty(m_now);
+  ReportStatus("", "s2");
+  const auto order = TakeLast<OrderLoad>();
+  ASSERT_TRUE(order.has_value());
+  EXPECT_EQ(order->manifest_digest, "v1");
+}
+
 TEST(PlainRolloutTest, AcceptsCallsWithoutAnyOrder) {
   Rollout rollout({.self = {"self", 9}, .service = "shop", .plain = true},
                   kernel::Random(1));
