rollout: forget the weights of a version that is replaced

The rollout remembered each version that had ever been complete, although the transfer drops the weights of a version that is replaced. After a rollback the instance left service in its turn, failed to load and served again, each time for a drain and an order, until the weights had arrived anew.

A document with another version now ends the memory, and the daemon tells the rollout of a finished hand-over only while the transfer says that the weights are complete, so that one of a former version that ends late counts for nothing.

The daemon's part is shown by reading only.

--- a/include/radishrudder/rollout/rollout.h
+++ b/include/radishrudder/rollout/rollout.h
@@ -109,7 +109,8 @@
   // the platform's list of instances is known: before the first call, a running
   // version is not replaced.
   void OnPeers(kernel::Time now, std::vector<RolloutPeer> peers);
-  // All weights of a version are stored on this instance and verified.
+  // All weights of a version are stored on this instance and verified. They
+  // count as dropped once a document specifies another version.
   void OnWeightsComplete(kernel::Time now, std::string_view manifest_digest);
   // The last call in progress ended after `CloseGate`.
   void OnGateEmpty(kernel::Time now);
--- a/source/radishrudder/daemon/agent_daemon.cc
+++ b/source/radishrudder/daemon/agent_daemon.cc
@@ -164,12 +164,14 @@
       logging::Log(logging::kTransferStarted,
                    {{"version", document.model->manifest_digest}});
     }
-    WithRollout([&](auto& core, kernel::Time now) {
-      core.OnDocument(now, revision, document);
-    });
+    // Before the rollout's input: once that has forgotten the weights of the
+    // former version, the transfer no longer says that they are complete.
     if (m_peers_known) {
       WantVersion();
     }
+    WithRollout([&](auto& core, kernel::Time now) {
+      core.OnDocument(now, revision, document);
+    });
     HandleMembers();
   }
 
@@ -307,15 +309,23 @@
   }
 
   // Hands a whole version to the endpoint while it still runs the old one, and
-  // tells the rollout afterwards.
+  // tells the rollout afterwards, unless the weights were dropped meanwhile.
   void HandOver(const std::string& digest) {
     m_orders.Stage(digest, [this, digest] {
       WithRollout([&](auto& core, kernel::Time now) {
-        core.OnWeightsComplete(now, digest);
+        if (IsComplete(digest)) {
+          core.OnWeightsComplete(now, digest);
+        }
       });
     });
   }
 
+  bool IsComplete(const std::string& digest) const {
+    return m_transfer.Ask([&](const weights::Transfer& core) {
+      return core.Progress(digest).complete;
+    });
+  }
+
   void HandleRollout(rollout::RolloutOutput output) {
     std::visit(
         Overloaded{
--- a/source/radishrudder/rollout/rollout.cc
+++ b/source/radishrudder/rollout/rollout.cc
@@ -288,6 +288,12 @@
   state.target.settings = document.rollout;
   state.target.digest =
       document.model.has_value() ? document.model->manifest_digest : "";
+  if (document.model.has_value()) {
+    // The transfer drops the weights of the version that is replaced.
+    std::erase_if(state.complete_versions, [&](const std::string& digest) {
+      return digest != state.target.digest;
+    });
+  }
   state.orders.ClearRefusal();
   state.Evaluate(now);
 }
