--- a/include/radishrudder/rollout/rollout.h
+++ b/include/radishrudder/rollout/rollout.h
@@ -53,8 +53,11 @@
   kernel::Time not_after{};
 };
 // Request the status of the endpoint. The result must be passed to
-// `OnEndpointStatus`.
-struct ReadBack {};
+// `OnEndpointStatus` together with this request.
+struct ReadBack {
+  std::uint64_t number = 0;
+  kernel::Time requested_at{};
+};
 // The state of this instance that must be published to its peers.
 struct Readiness {
   // Digest of the version that it serves; empty while it accepts no calls.
@@ -106,12 +109,17 @@
   // the platform's list of instances is known: before the first call, a running
   // version is not replaced.
   void OnPeers(kernel::Time now, std::vector<RolloutPeer> peers);
-  // All weights of a version are stored on this instance and verified.
+  // All weights of a version are stored on this instance and verified. They
+  // count as dropped once a document specifies another version.
   void OnWeightsComplete(kernel::Time now, std::string_view manifest_digest);
   // The last call in progress ended after `CloseGate`.
   void OnGateEmpty(kernel::Time now);
   void OnOrderResult(kernel::Time now, const Fence& fence, OrderResult result);
-  void OnEndpointStatus(kernel::Time now, const EndpointStatus& status);
+  // Returns false if the status was ignored because a later one is known or
+  // requested, or because it is too old.
+  bool OnEndpointStatus(kernel::Time now,
+                        const ReadBack& request,
+                        const EndpointStatus& status);
   // This instance is leaving and must issue no more orders.
   void OnDrain(kernel::Time now);
   // A later run of the agent of this instance exists, so this one must issue no
--- a/source/radishrudder/rollout/rollout.cc
+++ b/source/radishrudder/rollout/rollout.cc
@@ -57,12 +57,18 @@
   void StopServing(Phase next);
   void IssueOrder(kernel::Time now);
   void RequestReadBack(kernel::Time now);
+  void RequestLaterStatus(kernel::Time now);
   void PublishReadiness();
   bool CanIssueOrder(kernel::Time now) const;
   bool HasTarget() const { return target.revision != 0; }
   bool RunsTarget() const {
     return HasTarget() && endpoint.RunningDigest() == target.digest;
   }
+  // Returns whether the target has to be ordered. If an unanswered order may
+  // replace the running target, an order for it replaces that order.
+  bool MustLoadTarget() const {
+    return HasTarget() && (!RunsTarget() || orders.IsUncertain(target.digest));
+  }
   bool IsTargetComplete() const {
     return complete_versions.contains(target.digest);
   }
@@ -125,7 +131,7 @@
     StartServing();
   } else if (phase == Phase::kOrdering && orders.ExpireOverdue(now)) {
     phase = Phase::kConfirming;
-    RequestReadBack(now);
+    RequestLaterStatus(now);
   }
 }
 
@@ -146,6 +152,9 @@
   if (endpoint.HasRestarted()) {
     orders.OnEndpointRestart();
   }
+  if (endpoint.HasResponded()) {
+    orders.ObserveRunning(endpoint.RunningDigest());
+  }
   switch (phase) {
     case Phase::kServing:
       if (!endpoint.IsReachable() ||
@@ -190,7 +199,7 @@
   const bool needs_no_turn =
       turn_taken || endpoint.RunningDigest().empty() || !IsServable();
   const bool can_load = CanIssueOrder(now) && gate_empty &&
-                        IsTargetComplete() && !RunsTarget() && needs_no_turn;
+                        IsTargetComplete() && MustLoadTarget() && needs_no_turn;
   if (can_load) {
     IssueOrder(now);
   } else if (IsServable() && !draining) {
@@ -217,15 +226,21 @@
 
 void Rollout::State::IssueOrder(kernel::Time now) {
   phase = Phase::kOrdering;
-  outputs.emplace_back(orders.Issue(now, target.revision, target.digest));
+  outputs.emplace_back(orders.Issue(now, target.revision, target.digest,
+                                    endpoint.RunningDigest()));
 }
 
 void Rollout::State::RequestReadBack(kernel::Time now) {
   if (settings.plain) {
     return;
   }
-  endpoint.OnReadBackRequested(now);
-  outputs.emplace_back(ReadBack{});
+  outputs.emplace_back(endpoint.RequestReadBack(now));
+}
+
+// Requests a status and ignores those of before.
+void Rollout::State::RequestLaterStatus(kernel::Time now) {
+  endpoint.DiscardOutstanding();
+  RequestReadBack(now);
 }
 
 void Rollout::State::PublishReadiness() {
@@ -273,6 +288,12 @@
   state.target.settings = document.rollout;
   state.target.digest =
       document.model.has_value() ? document.model->manifest_digest : "";
+  if (document.model.has_value()) {
+    // The transfer drops the weights of the version that is replaced.
+    std::erase_if(state.complete_versions, [&](const std::string& digest) {
+      return digest != state.target.digest;
+    });
+  }
   state.orders.ClearRefusal();
   state.Evaluate(now);
 }
@@ -297,7 +318,7 @@
   state.gate_empty = true;
   if (state.phase == Phase::kDraining) {
     state.phase = Phase::kVerifying;
-    state.RequestReadBack(now);
+    state.RequestLaterStatus(now);
   }
 }
 
@@ -308,19 +329,23 @@
   state.DetectPause(now);
   if (state.orders.Finish(now, fence, result)) {
     state.phase = Phase::kConfirming;
-    state.RequestReadBack(now);
+    state.RequestLaterStatus(now);
   }
 }
 
-void Rollout::OnEndpointStatus(kernel::Time now, const EndpointStatus& status) {
+bool Rollout::OnEndpointStatus(kernel::Time now,
+                               const ReadBack& request,
+                               const EndpointStatus& status) {
   State& state = *m_state;
   state.DetectPause(now);
-  if (!state.endpoint.ApplyStatus(now, status)) {
+  const StatusUse use = state.endpoint.ApplyStatus(now, request, status);
+  if (use == StatusUse::kApplied) {
+    state.HandleStatus(now);
+    state.Evaluate(now);
+  } else if (use == StatusUse::kMustRepeat) {
     state.RequestReadBack(now);
-    return;
   }
-  state.HandleStatus(now);
-  state.Evaluate(now);
+  return use == StatusUse::kApplied;
 }
 
 void Rollout::OnDrain(kernel::Time now) {
