tests: entries of another writer in the list of endpoints

One entry among those of the endpoints that another writer left: nested deeply, with numbers or ports out of range, members of another type, or nearly as large as the store takes (1 MiB). By the platform's protocol it names no endpoint, and the others hold.

--- /dev/null
+++ b/tests/platform/odd_entries.h
@@ -0,0 +1,30 @@
+#ifndef TESTS_PLATFORM_ODD_ENTRIES_H_
+#define TESTS_PLATFORM_ODD_ENTRIES_H_
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace radishrudder::platform {
+
+// The store takes values of at most this size.
+inline constexpr std::size_t kMaximumValueBytes = std::size_t{1} << 20U;
+
+// A value of another writer among the entries of the endpoints.
+struct OddValue {
+  std::string name{};
+  std::string value{};
+};
+
+// Values of a few bytes: numbers out of range, members of another type or
+// missing, addresses without a usable port, and texts that are no JSON. The
+// other members are those of a usable endpoint.
+std::vector<OddValue> SmallOddValues();
+
+// Values of nearly the maximum size: deeply nested, with many elements or
+// members, or with a long text.
+std::vector<OddValue> LargeOddValues();
+
+}  // namespace radishrudder::platform
+
+#endif  // TESTS_PLATFORM_ODD_ENTRIES_H_
--- a/tests/platform/running_program.cc
+++ b/tests/platform/running_program.cc
@@ -147,22 +147,37 @@
   return resident_pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::size_t RunningProgram::PeakResidentBytes() const {
+  constexpr std::string_view kPeak = "VmHWM:";
+  std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with(kPeak)) {
+      return std::stoull(line.substr(kPeak.size())) << 10U;
+    }
+  }
+  return 0;
+}
+
 std::string RunningProgram::ReadLog() const {
   std::ifstream file(m_directory + "/log");
   return {std::istreambuf_iterator<char>(file), {}};
 }
 
+std::size_t RunningProgram::CountRecords(std::string_view text) const {
+  std::istringstream log(ReadLog());
+  std::size_t found = 0;
+  for (std::string line; std::getline(log, line);) {
+    found += line.find(text) != std::string::npos ? 1 : 0;
+  }
+  return found;
+}
+
 bool RunningProgram::AwaitLog(std::string_view text,
                               std::size_t count,
                               milliseconds limit) const {
   const auto end = std::chrono::steady_clock::now() + limit;
   for (;;) {
-    std::istringstream log(ReadLog());
-    std::size_t found = 0;
-    for (std::string line; std::getline(log, line);) {
-      found += line.find(text) != std::string::npos ? 1 : 0;
-    }
-    if (found >= count) {
+    if (CountRecords(text) >= count) {
       return true;
     }
     if (std::chrono::steady_clock::now() >= end) {
--- a/tests/platform/running_program.h
+++ b/tests/platform/running_program.h
@@ -52,6 +52,11 @@
   bool IsRunning();
   // Memory of the process that is in use; 0 if it has ended.
   std::size_t ResidentBytes() const;
+  // The most memory that the process has used so far; 0 if it has ended.
+  std::size_t PeakResidentBytes() const;
+  // Returns how many records of the log contain `text`.
+  std::size_t CountRecords(std::string_view text) const;
+  std::size_t LogBytes() const { return ReadLog().size(); }
 
  private:
   // Offsets from the first port.
