platform: bounds the findings of one document of unknown origin

One entry of another writer with a list of half a million numbers as models gave 1,048,066 findings: an agent took 144 MB where its machine has 128 MB, so that it was ended at each read of the list, and an entry wrote records for over 2 s before it learned which endpoint leaves.

--- a/include/radishrudder/kernel/findings.h
+++ b/include/radishrudder/kernel/findings.h
@@ -2,6 +2,7 @@
 #define RADISHRUDDER_KERNEL_FINDINGS_H_
 
 #include <cstddef>
+#include <limits>
 #include <span>
 #include <string>
 #include <string_view>
@@ -30,15 +31,27 @@
 // Collects findings, so that one report shows all of them.
 class Findings {
  public:
+  Findings() = default;
+  // Keeps the first `maximum` findings. Bounds what a document of unknown
+  // origin takes of the memory and the log.
+  explicit Findings(std::size_t maximum) : m_maximum(maximum) {}
+
   void Error(Place place, std::string text, std::string valid);
   void Warning(Place place, std::string text, std::string valid);
+  // Adds the findings that `other` has kept.
+  void Append(const Findings& other);
 
-  bool HasErrors() const;
+  // Also of findings that were not kept.
+  bool HasErrors() const { return m_has_errors; }
   bool Empty() const { return m_items.empty(); }
   std::span<const Finding> Items() const { return m_items; }
 
  private:
+  void Add(Finding finding);
+
+  std::size_t m_maximum = std::numeric_limits<std::size_t>::max();
   std::vector<Finding> m_items;
+  bool m_has_errors = false;
 };
 
 // Formats a finding as one line without a line break:
--- a/source/radishrudder/kernel/findings.cc
+++ b/source/radishrudder/kernel/findings.cc
@@ -1,24 +1,30 @@
 #include "radishrudder/kernel/findings.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace radishrudder::kernel {
 
+void Findings::Add(Finding finding) {
+  m_has_errors = m_has_errors || finding.severity == Severity::kError;
+  if (m_items.size() < m_maximum) {
+    m_items.push_back(std::move(finding));
+  }
+}
+
 void Findings::Error(Place place, std::string text, std::string valid) {
-  m_items.push_back(
-      {Severity::kError, std::move(place), std::move(text), std::move(valid)});
+  Add({Severity::kError, std::move(place), std::move(text), std::move(valid)});
 }
 
 void Findings::Warning(Place place, std::string text, std::string valid) {
-  m_items.push_back({Severity::kWarning, std::move(place), std::move(text),
-                     std::move(valid)});
+  Add({Severity::kWarning, std::move(place), std::move(text),
+       std::move(valid)});
 }
 
-bool Findings::HasErrors() const {
-  return std::any_of(m_items.begin(), m_items.end(), [](const Finding& item) {
-    return item.severity == Severity::kError;
-  });
+void Findings::Append(const Findings& other) {
+  for (const Finding& finding : other.m_items) {
+    Add(finding);
+  }
+  m_has_errors = m_has_errors || other.m_has_errors;
 }
 
 std::string Format(const Finding& finding) {
--- a/tests/kernel/findings_test.cc
+++ b/tests/kernel/findings_test.cc
@@ -36,6 +36,22 @@
                    "f:1:1: warning: unused"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against a document of unknown origin that fills the memory, and
+// against one whose errors go unnoticed because they come late.
+TEST(FindingsTest, KeepsTheFirstFindingsAndKnowsOfErrors) {
+  Findings findings(2);
+  findings.Warning({}, "first", "");
+  findings.Warning({}, "second", "");
+  EXPECT_FALSE(findings.HasErrors());
+  findings.Error({}, "third", "");
+  EXPECT_TRUE(findings.HasErrors());
+  Findings all;
+  all.Append(findings);
+  EXPECT_TRUE(all.HasErrors());
+  ASSERT_EQ(all.Items().size(), 2U);
+  EXPECT_EQ(all.Items()[1].text, "second");
+}
+
 TEST(FindingsTest, HasErrorsIgnoresWarnings) {
   Findings findings;
   findings.Warning({}, "w", "");
--- a/tests/platform/odd_entries.cc
+++ b/tests/platform/odd_entries.cc
@@ -27,7 +27,10 @@
   for (const auto& [name, value] : members) {
     if (!value.empty()) {
       entry += entry.empty() ? "{" : ", ";
-      entry += '"' + name + "\": " + value;
+      entry += '"';
+      entry += name;
+      entry += "\": ";
+      entry += value;
     }
   }
   return entry + "}";
