agent: logs a malformed entry of the list only once it has changed

Agents that read the list logged every finding in it at each read, every few seconds: two readers of each region with up to 8 records an entry. They now log an entry again only with another revision.

OddEntriesAgentTest: NumbersAsModels, EmptyModels and NumbersAsLayers failed with 16 findings where 8 are allowed for one entry that does not change; they pass.

--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -385,6 +385,7 @@
                      output)) {
         m_list_requested_at = kernel::Now();
         m_listed.clear();
+        m_listed_malformed.clear();
         ReadListPage({});
       } else {
         ApplyList();
@@ -425,17 +426,30 @@
                             .data_centre = endpoint->data_centre,
                             .leaving = endpoint->leaving});
       }
-      LogFindings(findings);
+      if (!findings.Empty()) {
+        OnMalformedEntry(item, findings);
+      }
     }
     if (decoded->has_more && !decoded->items.empty()) {
       ReadListPage({decoded->items.back().key});
       return;
     }
+    m_malformed_entries = std::exchange(m_listed_malformed, {});
     m_instance_list.OnListRead(kernel::Now(), m_list_requested_at,
                                std::exchange(m_listed, {}));
     TakeListOutputs();
   }
 
+  // The list is read every few seconds: logs an entry only once it has changed.
+  void OnMalformedEntry(const dissemination::StoreItem& item,
+                        const kernel::Findings& findings) {
+    const auto known = m_malformed_entries.find(item.key);
+    if (known == m_malformed_entries.end() || known->second != item.revision) {
+      LogFindings(findings);
+    }
+    m_listed_malformed[item.key] = item.revision;
+  }
+
   void ApplyList() {
     if (!m_stager || !m_instance_list.ReadAt()) {
       return;
@@ -711,6 +725,10 @@
   std::map<std::string, std::uint64_t> m_declared;
   std::unique_ptr<staging::Stager> m_stager;
   std::vector<dissemination::RelayedInstance> m_listed;  // Pages read so far.
+  // Revisions of the entries that do not have the platform's format: of the
+  // list before, and of the pages read so far.
+  std::map<std::string, std::uint64_t, std::less<>> m_malformed_entries;
+  std::map<std::string, std::uint64_t, std::less<>> m_listed_malformed;
   kernel::Time m_list_requested_at{};
   bool m_versions_read = false;  // All declarations were read once.
   kernel::Time m_next_configuration{};
