platform: an entry with invalid members names no endpoint

An entry whose members have another type, an address without a usable port or a number out of range was used as far as it could be read. With all small kinds of such entries listed, 20 of 20 calls to a good endpoint beside them were answered 503: a count of slots of 2^64 - 1 is the default for the whole service, and calls went to addresses where nothing listens. An agent took "", "[", "nowhere" and 127.0.0.999 for other instances, and a text of 1 MiB, which it passed on to all of them. The platform's protocol says that such an entry names no endpoint to use.

--- a/source/radishrudder/exchange/socket_options.cc
+++ b/source/radishrudder/exchange/socket_options.cc
@@ -6,6 +6,8 @@
 
 #include <charconv>
 
+#include "radishrudder/exchange/address.h"
+
 namespace radishrudder::exchange {
 namespace {
 
@@ -40,6 +42,14 @@
   return asio::ip::tcp::endpoint(ip, port);
 }
 
+bool IsAddress(std::string_view text) {
+  // A null character would end the text for the parser.
+  constexpr std::string_view kCharacters = "0123456789.:";
+  const auto endpoint = ParseAddress(text);
+  return endpoint && endpoint->port() != 0 &&
+         text.find_first_not_of(kCharacters) == std::string_view::npos;
+}
+
 std::error_code OpenAcceptor(asio::ip::tcp::acceptor& acceptor,
                              const asio::ip::tcp::endpoint& endpoint,
                              int backlog) {
