platform: limits depth and values of the JSON documents it parses

A document was read completely, however deeply it is nested and however many values it has, of which each takes up to a hundred times its size in memory. An entry of the endpoints with half a million arrays in a member that nothing reads was used, as was one with 350,000 empty models.

Memory of an agent whose endpoint reports 8 MiB was not measured.

--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -8,6 +8,9 @@
 
 #include "platform/documents.h"
 #include "platform/duplicate_members.h"
+#include "platform/endpoint_list_file.h"
+#include "platform/json_fields.h"
+#include "platform/store_codec.h"
 #include "radishrudder/kernel/findings.h"
 #include "tests/platform/odd_entries.h"
 
@@ -64,6 +67,25 @@
   ExpectBounded(list_findings);
 }
 
+// Guards against an answer of the store, or a list in a file, that fills the
+// memory and the log with what is wrong in it.
+TEST_P(OddEntryTest, AsStoreAnswerIsAShortProblem) {
+  const std::string as_items = R"({"at": 9, "items": )" + GetParam().value +
+                               R"(, "events": )" + GetParam().value + "}";
+  for (const std::string& body : {GetParam().value, as_items}) {
+    std::string problem;
+    exchange::FetchedAnswer answer;
+    answer.status = 200;
+    answer.body = body;
+    EXPECT_FALSE(StoreCodec::Decode(answer, problem) && body != as_items);
+    ASSERT_LE(problem.size(), kMaximumFindings * kMaximumFindingBytes);
+    kernel::Findings findings;
+    DecodeEndpointList(body, findings);
+    ASSERT_LE(kernel::Format(findings).size(),
+              2 * kMaximumFindings * kMaximumFindingBytes);
+  }
+}
+
 // Guards against a check of a document that takes quadratic time, or ends the
 // program.
 TEST_P(OddEntryTest, AsConfigurationIsCheckedInTime) {
@@ -75,6 +97,47 @@
   EXPECT_LE(std::chrono::steady_clock::now() - begin, kLimit);
 }
 
+struct SizeCase {
+  const char* name;
+  std::size_t depth;
+  std::size_t values;  // Of the innermost array.
+  bool allowed;
+};
+
+class DocumentSizeTest : public testing::TestWithParam<SizeCase> {};
+
+// Guards against a document that is rejected although it is within the limits,
+// and one that takes many times its size in memory.
+TEST_P(DocumentSizeTest, IsLimited) {
+  constexpr std::size_t kMaximum = 100;
+  std::string text = R"({"a": 1, "a": )";
+  // One level is the object.
+  text += std::string(GetParam().depth - 1, '[');
+  for (std::size_t i = 0; i < GetParam().values; ++i) {
+    text += i == 0 ? "7" : ",7";
+  }
+  text += std::string(GetParam().depth - 1, ']') + "}";
+  kernel::Findings findings;
+  const Json document = ParseObject("d", text, findings, kMaximum);
+  EXPECT_EQ(findings.HasErrors(), !GetParam().allowed);
+  EXPECT_EQ(document.contains("a"), GetParam().allowed);
+  if (GetParam().allowed) {
+    // As of other parsers: the last one counts.
+    EXPECT_TRUE(document["a"].is_array());
+  }
+}
+
+// The object, its first member and the outer arrays are values as well.
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    DocumentSizeTest,
+    testing::Values(SizeCase{"Small", 2, 3, true},
+                    SizeCase{"Deepest", kMaximumDepth, 1, true},
+                    SizeCase{"TooDeep", kMaximumDepth + 1, 1, false},
+                    SizeCase{"MostValues", 2, 97, true},
+                    SizeCase{"TooManyValues", 2, 98, false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 INSTANTIATE_TEST_SUITE_P(All,
                          OddEntryTest,
                          testing::ValuesIn(OddValues()),
