--- a/tests/platform/odd_entries.cc
+++ b/tests/platform/odd_entries.cc
@@ -136,6 +136,7 @@
 
 std::vector<OddValue> LargeOddValues() {
   return {
+      {"Numbers", ArrayOf("0")},
       {"NestedArrays", NestedArrays()},
       {"OpenArrays", Repeated("[", kLargeBytes)},
       {"NestedObjects", NestedObjects()},
