tests: odd instances and documents in the platform's answers to the daemons

One instance or document with a member missing or of another type, or a revision that does not fit, among good ones.

--- a/tests/daemon/platform_answers_test.cc
+++ b/tests/daemon/platform_answers_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <string>
+
 #include "radishrudder/daemon/endpoint_client.h"
 #include "radishrudder/daemon/platform_reader.h"
 
@@ -61,6 +63,92 @@
                     R"({"revision":1,"documents":[{}],"instances":[{}]})",
                     R"({"revision":1,"documents":3,"instances":3})"));
 
+class OddItemTest : public testing::TestWithParam<const char*> {};
+
+// Guards against one odd instance or document of the platform after which none
+// of the others are followed, and against numbers that are converted although
+// they do not fit.
+TEST_P(OddItemTest, IsAProblemAndTheOthersHold) {
+  const std::string odd = GetParam();
+  std::string problem;
+  const auto documents = ParseDocuments(
+      R"({"revision":9,"documents":[{"service":"a","revision":3},)" + odd +
+          R"(,{"service":"b","revision":4}]})",
+      problem);
+  EXPECT_FALSE(problem.empty());
+  ASSERT_TRUE(documents);
+  EXPECT_TRUE(documents->succeeded);
+  EXPECT_EQ(documents->revision, 9U);
+  ASSERT_EQ(documents->documents.size(), 2U);
+  EXPECT_EQ(documents->documents[1].service, "b");
+  problem.clear();
+  constexpr char kGood[] =
+      R"({"instance":"a","role":"entry","address":"127.0.0.1:1",)"
+      R"("data_centre":"x"})";
+  const auto instances =
+      ParseInstances(R"({"revision":9,"instances":[)" + odd + "," + kGood +
+                         "," + odd + "," + kGood + "]}",
+                     problem);
+  EXPECT_FALSE(problem.empty());
+  EXPECT_LE(problem.size(), 1024U);
+  ASSERT_TRUE(instances);
+  EXPECT_EQ(instances->revision, 9U);
+  EXPECT_EQ(instances->instances.size(), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    OddItemTest,
+    testing::Values(
+        "7",
+        "null",
+        "[]",
+        "{}",
+        R"("text")",
+        R"({"service":"s","instance":7,"role":"agent","address":"1.2.3.4:5",
+            "data_centre":"x","revision":"3"})",
+        R"({"service":7,"instance":"i","role":"agent","address":"1.2.3.4:5",
+            "data_centre":"x","revision":3})",
+        R"({"service":"s","instance":"i","role":"agent","address":5,
+            "data_centre":"x","revision":-1})",
+        R"({"service":"s","instance":"i","role":[],"address":"1.2.3.4:5",
+            "data_centre":"x","revision":1e300})",
+        R"({"service":"s","instance":"i","role":"agent",
+            "address":"1.2.3.4:5","data_centre":{},
+            "revision":99999999999999999999999999})",
+        R"({"service":"s","instance":"i","role":"agent",
+            "address":"1.2.3.4:5","data_centre":"x","leaving":1,
+            "revision":3,"deleted":1})",
+        R"({"service":"s","instance":"i","role":"agent",
+            "address":"1.2.3.4:5","data_centre":"x","region":7,
+            "revision":3,"content":[]})"));
+
+class OddRevisionTest : public testing::TestWithParam<const char*> {};
+
+// Guards against a revision beyond all others, after which no change would be
+// read, and one that is converted although it does not fit.
+TEST_P(OddRevisionTest, OfTheAnswerIsAProblem) {
+  const std::string revision = GetParam();
+  std::string problem;
+  EXPECT_FALSE(ParseDocuments(
+      R"({"revision":)" + revision + R"(,"documents":[]})", problem));
+  EXPECT_FALSE(problem.empty());
+  problem.clear();
+  EXPECT_FALSE(ParseInstances(
+      R"({"revision":)" + revision + R"(,"instances":[]})", problem));
+  EXPECT_FALSE(problem.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         OddRevisionTest,
+                         testing::Values("-1",
+                                         "1.5",
+                                         "1e300",
+                                         "1e999",
+                                         "99999999999999999999999999",
+                                         "null",
+                                         R"("9")"));
+
 TEST(ParseEndpointReportTest, ReadsWhatRuns) {
   const auto report = ParseEndpointReport(
       R"({"running_digest":"sha256:aa","start_id":"7","capacity":8})");
