daemon: one malformed instance or document leaves the others in the list

The daemons took an answer of the platform as unreadable if one instance or document in it had a member missing or of another type. It is read again in the same form, so that they followed neither list from then on. A malformed item is now left out, and the log names how many and the first one. A revision that is not a non-negative integer is malformed: before, -1 became 2^64 - 1, after which no change would be read.

--- a/include/radishrudder/daemon/platform_reader.h
+++ b/include/radishrudder/daemon/platform_reader.h
@@ -13,7 +13,8 @@
 namespace radishrudder::daemon {
 
 // Parses the configuration service's answer. Returns nothing, and says why in
-// `problem`, if it is not of the published form.
+// `problem`, if it is not of the published form. A document that is not is left
+// out and named in `problem`; the others hold.
 std::optional<dissemination::DocumentReadResult> ParseDocuments(
     std::string_view text,
     std::string& problem);
--- a/source/radishrudder/daemon/platform_reader.cc
+++ b/source/radishrudder/daemon/platform_reader.cc
@@ -1,6 +1,11 @@
 #include "radishrudder/daemon/platform_reader.h"
 
+#include <cstdint>
+#include <exception>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+#include <vector>
 
 #include "radishrudder/logging/events.h"
 
@@ -12,6 +17,7 @@
 // Added to the time a watch waits, for the answer to arrive.
 constexpr std::chrono::milliseconds kAnswerTime{2'000};
 constexpr int kStatusOk = 200;
+constexpr std::size_t kMaximumProblemBytes = 200;
 constexpr std::size_t kMaximumAnswerBytes = std::size_t{64} << 20U;
 
 std::string Query(std::uint64_t after, std::chrono::milliseconds wait) {
@@ -27,10 +33,21 @@
   return request;
 }
 
+// Returns a member that must be a non-negative integer. The library converts
+// any number, also one that does not fit.
+std::uint64_t Unsigned(const json& object, const char* name) {
+  const json& member = object.at(name);
+  if (!member.is_number_unsigned()) {
+    throw std::invalid_argument(std::string(name) +
+                                " is not a non-negative integer");
+  }
+  return member.get<std::uint64_t>();
+}
+
 dissemination::PublishedDocument ParseDocument(const json& item) {
   dissemination::PublishedDocument document;
   document.service = item.at("service").get<std::string>();
-  document.revision = item.at("revision").get<std::uint64_t>();
+  document.revision = Unsigned(item, "revision");
   document.deleted = item.value("deleted", false);
   document.content = item.value("content", "");
   return document;
@@ -50,18 +67,40 @@
   return instance;
 }
 
-// Calls `parse` on the JSON of `text`; a malformed text is a problem, not an
-// exception.
-template <typename Result, typename Parse>
-std::optional<Result> ParseWith(std::string_view text,
-                                std::string& problem,
-                                Parse parse) {
+// Calls `parse`; a malformed text or member is a problem, not an exception.
+template <typename Parse>
+bool Try(std::string& problem, Parse parse) {
   try {
-    return parse(json::parse(text));
-  } catch (const json::exception& error) {
-    problem = error.what();
-    return std::nullopt;
+    parse();
+    return true;
+  } catch (const std::exception& error) {
+    problem = std::string(error.what()).substr(0, kMaximumProblemBytes);
+    return false;
+  }
+}
+
+// Parses the items of an array. A malformed one is left out: the others hold.
+template <typename Item, typename Parse>
+std::vector<Item> ParseItems(const json& array,
+                             std::string& problem,
+                             Parse parse) {
+  if (!array.is_array()) {
+    throw std::invalid_argument("the items are not an array");
+  }
+  std::vector<Item> items;
+  std::size_t malformed = 0;
+  std::string first;
+  for (const json& item : array) {
+    std::string ignored;
+    const bool valid = Try(malformed == 0 ? first : ignored,
+                           [&] { items.push_back(parse(item)); });
+    malformed += valid ? 0 : 1;
+  }
+  if (malformed > 0) {
+    problem =
+        std::to_string(malformed) + " malformed items, the first: " + first;
   }
+  return items;
 }
 
 // Returns the parsed answer, or an unsuccessful result after logging why.
@@ -70,16 +109,22 @@
                  std::string_view url,
                  Parse parse) {
   std::string problem;
+  std::optional<Result> result;
   if (answer.result.error) {
     problem = answer.result.error.message();
   } else if (answer.result.status != kStatusOk) {
     problem = "status " + std::to_string(answer.result.status);
-  } else if (std::optional<Result> result = parse(answer.body, problem)) {
-    return *std::move(result);
+  } else {
+    result = parse(answer.body, problem);
   }
-  logging::Log(logging::kConfigurationUnavailable,
-               {{"url", std::string(url)}, {"problem", problem}});
-  return Result{};
+  if (result && !problem.empty()) {
+    logging::Log(logging::kDocumentRejected,
+                 {{"finding", std::string(url) + ": error: " + problem}});
+  } else if (!result) {
+    logging::Log(logging::kConfigurationUnavailable,
+                 {{"url", std::string(url)}, {"problem", problem}});
+  }
+  return std::move(result).value_or(Result{});
 }
 
 }  // namespace
@@ -87,31 +132,29 @@
 std::optional<dissemination::DocumentReadResult> ParseDocuments(
     std::string_view text,
     std::string& problem) {
-  return ParseWith<dissemination::DocumentReadResult>(
-      text, problem, [](const json& root) {
-        dissemination::DocumentReadResult result;
-        result.succeeded = true;
-        result.revision = root.at("revision").get<std::uint64_t>();
-        for (const json& item : root.at("documents")) {
-          result.documents.push_back(ParseDocument(item));
-        }
-        return result;
-      });
+  dissemination::DocumentReadResult result;
+  result.succeeded = true;
+  const bool valid = Try(problem, [&] {
+    const json root = json::parse(text);
+    result.revision = Unsigned(root, "revision");
+    result.documents = ParseItems<dissemination::PublishedDocument>(
+        root.at("documents"), problem, ParseDocument);
+  });
+  return valid ? std::optional(std::move(result)) : std::nullopt;
 }
 
 std::optional<membership::InstanceListResult> ParseInstances(
     std::string_view text,
     std::string& problem) {
-  return ParseWith<membership::InstanceListResult>(
-      text, problem, [](const json& root) {
-        membership::InstanceListResult result;
-        result.succeeded = true;
-        result.revision = root.at("revision").get<std::uint64_t>();
-        for (const json& item : root.at("instances")) {
-          result.instances.push_back(ParseInstance(item));
-        }
-        return result;
-      });
+  membership::InstanceListResult result;
+  result.succeeded = true;
+  const bool valid = Try(problem, [&] {
+    const json root = json::parse(text);
+    result.revision = Unsigned(root, "revision");
+    result.instances = ParseItems<membership::ListedInstance>(
+        root.at("instances"), problem, ParseInstance);
+  });
+  return valid ? std::optional(std::move(result)) : std::nullopt;
 }
 
 PlatformReader::PlatformReader(http::Client& client,
