tests: a list of several pages with many large odd entries

700 good entries and 64 odd ones of nearly 1 MiB, which the stand-in of the store now gives out in pages of 500 items or 1 MB, as the platform does.

--- a/tests/platform/odd_entries_program_test.cc
+++ b/tests/platform/odd_entries_program_test.cc
@@ -81,6 +81,26 @@
   }
 }
 
+// As many good entries as fill more than one page of the store, of another
+// service, and odd ones of nearly the maximum size between them.
+std::vector<StandinEntry> ManyEntries() {
+  constexpr int kGood = 700;
+  constexpr std::size_t kOdd = 64;
+  std::vector<StandinEntry> entries;
+  for (int i = 0; i < kGood; ++i) {
+    entries.push_back(
+        GoodEntry("g-" + std::to_string(i), "127.0.0.8:9", 1, "ready"));
+    std::string& value = entries.back().value;
+    value.replace(value.find("plain"), 5, "other");
+  }
+  const std::vector<OddValue> odd = LargeOddValues();
+  for (std::size_t i = 0; i < kOdd; ++i) {
+    entries.push_back({"servers/g-" + std::to_string(i * 11) + "-odd",
+                       odd[i % odd.size()].value});
+  }
+  return entries;
+}
+
 // One of the large values alone, or all small ones together.
 struct ProgramCase {
   std::string name{};
@@ -95,7 +115,7 @@
   return cases;
 }
 
-class OddEntriesEntryTest : public testing::TestWithParam<ProgramCase> {
+class OddEntriesEntryTest : public testing::Test {
  protected:
   bool AwaitServed() {
     const auto end = std::chrono::steady_clock::now() + kLimit;
@@ -121,10 +141,13 @@
   StandinCaller m_caller{m_program.CallersAddress()};
 };
 
+class EachOddEntryTest : public OddEntriesEntryTest,
+                         public testing::WithParamInterface<ProgramCase> {};
+
 // Guards against an odd entry that ends the entry or fills its memory or log,
 // when it is listed at the start and when it is written later, and against
 // one after which the entry no longer learns which endpoints leave.
-TEST_P(OddEntriesEntryTest, EntryFollowsTheList) {
+TEST_P(EachOddEntryTest, EntryFollowsTheList) {
   const std::vector<StandinEntry> odd = Listed(GetParam().values);
   PlatformStandin standin(m_program.StoreAddress(), odd);
   m_program.WriteSettings(m_program.SettingsText(kBounds));
@@ -149,8 +172,21 @@
   ExpectBoundedLog(m_program, 2 * odd.size());
 }
 
+// Guards against many large odd entries that fill the memory of the entry
+// while it reads the pages of a long list.
+TEST_F(OddEntriesEntryTest, EntryReadsLongListWithManyOddEntries) {
+  PlatformStandin standin(m_program.StoreAddress(), ManyEntries());
+  m_program.WriteSettings(m_program.SettingsText(kBounds));
+  m_program.Start();
+  EXPECT_TRUE(AwaitServed());
+  standin.Write(GoodEntry("i-1", standin.EndpointAddress(), 1, "draining"));
+  EXPECT_TRUE(
+      m_program.AwaitLog(" instance-leaving instance=i-1 ", 1, kFollowLimit));
+  ExpectMemory(m_program, kEntryMemory);
+}
+
 INSTANTIATE_TEST_SUITE_P(All,
-                         OddEntriesEntryTest,
+                         EachOddEntryTest,
                          testing::ValuesIn(Cases()),
                          [](const auto& info) { return info.param.name; });
 
@@ -199,7 +235,7 @@
   std::set<std::string> m_instances;
 };
 
-class OddEntriesAgentTest : public testing::TestWithParam<ProgramCase> {
+class OddEntriesAgentTest : public testing::Test {
  protected:
   std::string AgentSettings() const {
     auto settings = nlohmann::json::parse(m_program.SettingsText(kBounds));
@@ -210,10 +246,14 @@
   RunningProgram m_program{"agent"};
 };
 
+class EachOddEntryAgentTest : public OddEntriesAgentTest,
+                              public testing::WithParamInterface<ProgramCase> {
+};
+
 // Guards against an odd entry that ends an agent, fills its memory or log or
 // counts as a peer, and against one after which it no longer learns of other
 // instances.
-TEST_P(OddEntriesAgentTest, AgentFollowsTheList) {
+TEST_P(EachOddEntryAgentTest, AgentFollowsTheList) {
   const std::vector<StandinEntry> odd = Listed(GetParam().values);
   PlatformStandin standin(m_program.StoreAddress(), odd);
   m_program.WriteSettings(AgentSettings());
@@ -230,8 +270,22 @@
   ExpectBoundedLog(m_program, odd.size());
 }
 
+// Guards against many large odd entries that fill the memory of an agent while
+// it reads the pages of a long list.
+TEST_F(OddEntriesAgentTest, AgentReadsLongListWithManyOddEntries) {
+  PlatformStandin standin(m_program.StoreAddress(), ManyEntries());
+  m_program.WriteSettings(AgentSettings());
+  m_program.Start();
+  ASSERT_TRUE(m_program.AwaitLog(" process-started ", 1, kLimit));
+  ListPeer peer(m_program.PeersAddress());
+  EXPECT_EQ(peer.AwaitInstance(kAgentIp, kLimit),
+            std::set<std::string>({kAgentIp}));
+  EXPECT_TRUE(m_program.IsRunning());
+  ExpectMemory(m_program, kAgentMemory);
+}
+
 INSTANTIATE_TEST_SUITE_P(All,
-                         OddEntriesAgentTest,
+                         EachOddEntryAgentTest,
                          testing::ValuesIn(Cases()),
                          [](const auto& info) { return info.param.name; });
 
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -10,6 +10,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <utility>
 
@@ -126,6 +127,9 @@
 
 void PlatformStandin::ApplyWrite(const StandinEntry& entry) {
   ++m_revision;
+  std::erase_if(m_entries, [&entry](const StandinEntry& known) {
+    return known.key == entry.key;
+  });
   m_entries.push_back(entry);
   m_changes.push_back({m_revision, entry.key,
                        R"({"key": ")" + entry.key + R"(", "revision": )" +
@@ -174,17 +178,43 @@
                caller, {200, {}}, std::move(body));
     return;
   }
-  std::string items;
+  caller->Reply({200, {}}, PageBody(prefix, target));
+}
+
+std::string PlatformStandin::PageBody(std::string_view prefix,
+                                      std::string_view target) const {
+  constexpr std::size_t kMaximumItems = 500;
+  constexpr std::size_t kMaximumBytes = 1'000'000;
+  constexpr std::string_view kAfter = "&after=";
+  std::string_view after;
+  if (const auto position = target.find(kAfter);
+      position != std::string_view::npos) {
+    after = target.substr(position + kAfter.size());
+    after = after.substr(0, after.find('&'));
+  }
+  std::map<std::string_view, const StandinEntry*> following;
   for (const StandinEntry& entry : m_entries) {
-    if (entry.key.starts_with(prefix)) {
-      items += items.empty() ? "" : ", ";
-      items += R"({"key": ")" + entry.key + R"(", "revision": 7, "value": ")" +
-               EncodeBase64(entry.value) + "\"}";
+    if (entry.key.starts_with(prefix) && entry.key > after) {
+      following.emplace(entry.key, &entry);
+    }
+  }
+  std::string items;
+  std::size_t count = 0;
+  std::size_t bytes = 0;
+  for (const auto& [key, entry] : following) {
+    if (count == kMaximumItems ||
+        (count > 0 && bytes + entry->value.size() > kMaximumBytes)) {
+      break;
     }
+    items += count == 0 ? "" : ", ";
+    items += R"({"key": ")" + entry->key + R"(", "revision": 7, "value": ")" +
+             EncodeBase64(entry->value) + "\"}";
+    ++count;
+    bytes += entry->value.size();
   }
-  caller->Reply({200, {}}, R"({"at": )" + std::to_string(m_revision) +
-                               R"(, "has_more": false, "items": [)" + items +
-                               "]}");
+  return R"({"at": )" + std::to_string(m_revision) + R"(, "has_more": )" +
+         (count < following.size() ? "true" : "false") + R"(, "items": [)" +
+         items + "]}";
 }
 
 void PlatformStandin::AnswerCall(const exchange::ReceivedRequest& request,
--- a/tests/platform/platform_standin.h
+++ b/tests/platform/platform_standin.h
@@ -63,6 +63,9 @@
 
   void ApplyWrite(const StandinEntry& entry);
   void ApplyRemoval(const std::string& key);
+  // Body of an answer to a request for a page of the prefix, of at most 500
+  // items and 1 MB of values, or one item.
+  std::string PageBody(std::string_view prefix, std::string_view target) const;
   // Body of an answer to a watch of the prefix.
   std::string WatchBody(std::string_view prefix, std::uint64_t after) const;
   void AnswerStore(const exchange::ReceivedRequest& request,
