serving: record responses that callers have not taken at the end of a stop

It now counts connections_with_unsent_bytes as well.

RecordsThatResponseWasNotTaken (a response of 32 MB, ready 2.5 s after SIGTERM, of which nothing is read for 8.5 s) failed before with

stop-ended elapsed_ms=7765 received=0 cut=0 connections=1 connections_with_dropped_bytes=0

The response is still dropped: nothing but its caller can take it. CallerServer::ConnectionsWithUnsentBytes is new.

--- a/include/radishrudder/exchange/caller_server.h
+++ b/include/radishrudder/exchange/caller_server.h
@@ -90,6 +90,8 @@
   // Connections on which bytes arrived after the last response was sent; the
   // bytes were dropped.
   std::size_t ConnectionsWithDroppedBytes() const { return m_dropping; }
+  // Connections with bytes of a response that their callers have not taken yet.
+  std::size_t ConnectionsWithUnsentBytes() const;
 
  private:
   class Connection;
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -825,7 +825,9 @@
                   {"cut", std::to_string(cut.size())},
                   {"connections", std::to_string(m_callers.Connections())},
                   {"connections_with_dropped_bytes",
-                   std::to_string(m_callers.ConnectionsWithDroppedBytes())}});
+                   std::to_string(m_callers.ConnectionsWithDroppedBytes())},
+                  {"connections_with_unsent_bytes",
+                   std::to_string(m_callers.ConnectionsWithUnsentBytes())}});
   }
 
   asio::io_context& m_context;
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -1,5 +1,6 @@
 #include "radishrudder/exchange/caller_server.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
@@ -65,9 +66,10 @@
 
   // Bytes that have arrived and are not read yet may be a request.
   bool IsIdle() const {
-    return !m_exchange && !m_begun && m_outgoing.empty() && !m_writing &&
-           !m_lingering_since && !HasUnread();
+    return !m_exchange && !m_begun && !HasUnsent() && !m_lingering_since &&
+           !HasUnread();
   }
+  bool HasUnsent() const { return m_writing || !m_outgoing.empty(); }
   kernel::Time SilentSince() const { return m_silent_since; }
 
   void CheckTimes(kernel::Time now) {
@@ -503,6 +505,12 @@
   }
 }
 
+std::size_t CallerServer::ConnectionsWithUnsentBytes() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      m_connections,
+      [](const auto& connection) { return connection->HasUnsent(); }));
+}
+
 void CallerServer::Accept() {
   m_acceptor.async_accept(
       [this](std::error_code error, asio::ip::tcp::socket socket) {
--- a/tests/exchange/caller_server_test.cc
+++ b/tests/exchange/caller_server_test.cc
@@ -144,6 +144,21 @@
   EXPECT_EQ(m_requests.size(), 1U);
 }
 
+// Guards against a response that is whole in memory, is dropped when the
+// process ends because its caller reads slowly, and leaves no trace.
+TEST_F(ServerTest, CountsConnectionsWhoseCallersHaveNotTakenAllBytes) {
+  constexpr std::size_t kLength = 32U << 20U;
+  Write("GET / HTTP/1.1\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  EXPECT_EQ(m_server.ConnectionsWithUnsentBytes(), 0U);
+  m_exchanges[0]->Reply({200, {}}, std::string(kLength, 'x') + "end");
+  m_context.poll();
+  EXPECT_EQ(m_server.ConnectionsWithUnsentBytes(), 1U);
+  ReadUntil("end");
+  EXPECT_TRUE(
+      PollUntil([this] { return m_server.ConnectionsWithUnsentBytes() == 0; }));
+}
+
 TEST_F(ServerTest, TellsOfACallerThatLeaves) {
   Write("GET / HTTP/1.1\r\n\r\n");
   RunUntil([this] { return m_requests.size() == 1; });
--- a/tests/platform/late_requests_test.cc
+++ b/tests/platform/late_requests_test.cc
@@ -282,6 +282,30 @@
         LateCase{"SlowChunksOfStream", "/u/", 3000, Framing::kSlowChunks}),
     [](const auto& test) { return std::string(test.param.name); });
 
+// Guards against a response that its caller has not read when the process ends,
+// and that is dropped without a trace.
+TEST_F(LateRequestsTest, RecordsThatResponseWasNotTaken) {
+  constexpr milliseconds kBeforeStop{500};
+  static constexpr milliseconds kReadAfter = kGraceTime + kBeforeStop;
+  StartEntry();
+  std::string received;
+  std::thread caller([this, &received] {
+    const std::vector<std::string> parts = PartsOf(
+        {.path = "/n/3000?large", .attempt_id = "slow", .deadline_ms = 20000});
+    const std::string_view request = parts.front();
+    received = SendParts(m_entries.front()->CallersAddress(), {&request, 1},
+                         /*pause=*/kReadAfter, kLimit);
+  });
+  std::this_thread::sleep_for(kBeforeStop);
+  StopNext();
+  EXPECT_EQ(m_entries.front()->AwaitExit(kLimit), 0);
+  caller.join();
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 200"));
+  const std::string record = m_entries.front()->LastRecord(" stop-ended ");
+  EXPECT_NE(record.find("connections_with_unsent_bytes=1"), std::string::npos)
+      << record;
+}
+
 // Guards against requests lost where entries are stopped one after another and
 // callers go from one to the next.
 TEST_F(LateRequestsTest, AnswersOrRefusesWhereEntriesStopInTurn) {
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -27,6 +27,8 @@
 constexpr milliseconds kWatchTime{300};
 constexpr milliseconds kEventInterval{100};
 constexpr milliseconds kAnswerLimit{8000};
+// More than the buffers of two sockets hold.
+constexpr std::size_t kLargeBytes = 32U << 20U;
 constexpr std::size_t kPrefixSize = 3;  // Of a route, such as "/t/".
 
 std::string FreeAddress(asio::io_context& context, const std::string& ip) {
@@ -224,7 +226,9 @@
     return;
   }
   ReplyLater(target.starts_with("/n/") ? time() : kServiceTime, caller,
-             std::move(head), "done");
+             std::move(head),
+             target.ends_with("?large") ? std::string(kLargeBytes, 'x')
+                                        : std::string("done"));
 }
 
 void PlatformStandin::NoteRun(const std::string& attempt_id) {
--- a/tests/platform/platform_standin.h
+++ b/tests/platform/platform_standin.h
@@ -39,6 +39,7 @@
 // endpoint, on a thread of their own. Calls of /s/ are plain; a call of /t/MS
 // is answered with a stream of events that takes MS milliseconds. Calls of
 // /n/MS, answered after this time, and streams of /u/MS may not be repeated.
+// The answer to /n/MS?large is of 32 MB.
 class PlatformStandin {
  public:
   // `more_entries`: other entries of the store. `watch_bodies`: bodies of the
