tests: odd values are printed by their names

The lists of tests held values of 65,536 bytes, with which the discovery of the tests by CTest exceeded its 5 s.

--- a/tests/document/odd_document_test.cc
+++ b/tests/document/odd_document_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <ostream>
 #include <string>
 #include <string_view>
 
@@ -35,6 +36,10 @@
   std::string text;
 };
 
+void PrintTo(const OddDocument& odd, std::ostream* stream) {
+  *stream << odd.name;
+}
+
 class OddDocumentTest : public testing::TestWithParam<OddDocument> {};
 
 // Guards against a document that holds up the daemons or the command line, or
--- a/tests/platform/odd_entries.cc
+++ b/tests/platform/odd_entries.cc
@@ -1,6 +1,7 @@
 #include "tests/platform/odd_entries.h"
 
 #include <map>
+#include <ostream>
 #include <string_view>
 
 namespace radishrudder::platform {
@@ -79,6 +80,10 @@
 
 }  // namespace
 
+void PrintTo(const OddValue& odd, std::ostream* stream) {
+  *stream << odd.name;
+}
+
 std::vector<OddValue> SmallOddValues() {
   std::vector<OddValue> values = {
       {"Empty", ""},
--- a/tests/platform/odd_entries.h
+++ b/tests/platform/odd_entries.h
@@ -2,6 +2,7 @@
 #define TESTS_PLATFORM_ODD_ENTRIES_H_
 
 #include <cstddef>
+#include <iosfwd>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,9 @@
   std::string value{};
 };
 
+// Prints the name: a value may be large, and no text.
+void PrintTo(const OddValue& odd, std::ostream* stream);
+
 // Values of a few bytes: numbers out of range, members of another type or
 // missing, addresses without a usable port, and texts that are no JSON. The
 // other members are those of a usable endpoint.
--- a/tests/platform/odd_entries_program_test.cc
+++ b/tests/platform/odd_entries_program_test.cc
@@ -5,7 +5,7 @@
 
 #include <asio/io_context.hpp>
 #include <nlohmann/json.hpp>
-#include <optional>
+#include <ostream>
 #include <set>
 #include <string>
 #include <string_view>
@@ -107,6 +107,10 @@
   std::vector<OddValue> values{};
 };
 
+void PrintTo(const ProgramCase& program_case, std::ostream* stream) {
+  *stream << program_case.name;
+}
+
 std::vector<ProgramCase> Cases() {
   std::vector<ProgramCase> cases = {{"AllSmall", SmallOddValues()}};
   for (const OddValue& odd : LargeOddValues()) {
