tests: start programs without the test's own descriptors

A program that a test started inherited its sockets. A listener that the test closed stayed open in the program, and the address could not be used again.

--- a/tests/platform/running_program.cc
+++ b/tests/platform/running_program.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -125,14 +126,17 @@
   arguments.push_back(nullptr);
   const std::string log = m_directory + "/log";
   m_status.reset();
-  m_pid = fork();
-  if (m_pid == 0) {
-    const int file = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
-    dup2(file, STDOUT_FILENO);
-    dup2(file, STDERR_FILENO);
-    execv(program.c_str(), arguments.data());
-    _exit(127);
-  }
+  m_pid = -1;
+  posix_spawn_file_actions_t actions{};
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                   O_CREAT | O_WRONLY | O_APPEND, 0600);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A listener that the program inherited would outlive the test's own.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments.data(),
+              environ);
+  posix_spawn_file_actions_destroy(&actions);
 }
 
 void RunningProgram::Signal(int number) const {
