--- a/tests/platform/running_program.cc
+++ b/tests/platform/running_program.cc
@@ -176,6 +176,10 @@
   }
 }
 
+void RunningProgram::CopyLog(const std::string& path) const {
+  std::ofstream(path) << ReadLog();
+}
+
 std::string RunningProgram::LastRecord(std::string_view text) const {
   std::istringstream log(ReadLog());
   std::string last;
--- a/tests/platform/running_program.h
+++ b/tests/platform/running_program.h
@@ -46,6 +46,8 @@
                 std::chrono::milliseconds limit) const;
   // Returns the last record of the log that contains `text`, or nothing.
   std::string LastRecord(std::string_view text) const;
+  // Writes what was logged so far to another file.
+  void CopyLog(const std::string& path) const;
   // Waits for the end of the process. Returns its exit code, or nothing if a
   // signal ended it or the time is over.
   std::optional<int> AwaitExit(std::chrono::milliseconds limit);
