staging: let the late order of a test arrive later

NewVersionAfterOrderWithoutResponse let the order arrive 1.8 s after it was sent. A stager that looks for the effect of an unanswered order for a second and then stages the next version would pass it by chance; AsyncStagerTest has arrivals up to 2.5 s. The order now arrives after 2.3 s.

--- a/tests/staging/async_order_test.cc
+++ b/tests/staging/async_order_test.cc
@@ -160,7 +160,7 @@
 // The order arrives after the stager was told that there is no response.
 void DeclareAfterOrderWithoutResponse(SlowInstance& instance) {
   const Access order{.kind = kOrder, .version = 2};
-  instance.Delay(order, {.arrival = milliseconds(1800), .answer = kUsualDelay});
+  instance.Delay(order, {.arrival = milliseconds(2300), .answer = kUsualDelay});
   instance.Declare(2);
   instance.RunUntilSent(order);
   instance.Run(milliseconds(1100));
