staging: tests of an endpoint that is suspended during an order or a write

AsyncOrderTest had no endpoint that receives and does not execute for seconds, so nothing showed what a late order or write does when it resumes. AsyncEndpoint:: Suspend executes at its end what arrived in the meantime. Three sequences: a new version during a suspension of 4 s in which an order, a write or the order of a former stager arrived.

The model executes on resuming in the order of arrival; other orders were not run.

--- a/tests/staging/async_endpoint.cc
+++ b/tests/staging/async_endpoint.cc
@@ -131,6 +131,10 @@
   Stop(outage);
 }
 
+void AsyncEndpoint::Suspend(kernel::Duration time) {
+  m_suspended_until = m_agenda.Now() + time;
+}
+
 void AsyncEndpoint::Corrupt(std::uint32_t index) {
   std::optional<StagedPiece>& piece = m_staged[index];
   if (piece && !piece->corrupted_at) {
@@ -179,6 +183,11 @@
     }
     return;
   }
+  if (m_agenda.Now() < m_suspended_until) {
+    m_agenda.After(m_suspended_until - m_agenda.Now(),
+                   [this, request] { Arrive(request); });
+    return;
+  }
   const Answer answer = request->execute();
   if (request->delays.answer_lost) {
     return;
--- a/tests/staging/async_endpoint.h
+++ b/tests/staging/async_endpoint.h
@@ -108,6 +108,9 @@
   void Crash(kernel::Duration outage);
   // As `Crash`, but the staged pieces are lost.
   void LosePower(kernel::Duration outage);
+  // Executes what arrives within `time` at the end of it. Connections open in
+  // the meantime.
+  void Suspend(kernel::Duration time);
   // Corrupts a piece if it is staged.
   void Corrupt(std::uint32_t index);
 
@@ -188,6 +191,7 @@
   std::uint64_t m_process = 1;  // Number of the current or the last process.
   kernel::Time m_started_at{};
   std::uint64_t m_pending_start = 0;
+  kernel::Time m_suspended_until{};
   std::uint64_t m_version = 0;
   std::uint64_t m_accepted_orders = 0;
   bool m_busy = false;
--- a/tests/staging/async_order_test.cc
+++ b/tests/staging/async_order_test.cc
@@ -219,6 +219,39 @@
   instance.RestartStager(3);
 }
 
+// The endpoint executes the order when it resumes, after its time limit.
+void SuspendDuringOrder(SlowInstance& instance) {
+  const Access order{.kind = kOrder, .version = 2};
+  instance.Delay(order, {.arrival = milliseconds(20), .answer = kUsualDelay});
+  instance.Declare(2);
+  instance.RunUntilSent(order);
+  instance.Endpoint().Suspend(milliseconds(4000));
+  instance.Run(milliseconds(500));
+  instance.Declare(3);
+}
+
+// The write of a piece takes effect when the endpoint resumes.
+void SuspendDuringWrite(SlowInstance& instance) {
+  const Access write{.kind = kWrite, .version = 2, .index = 0};
+  instance.Delay(write, {.arrival = milliseconds(20), .answer = kUsualDelay});
+  instance.EmptyEndpoint();
+  instance.Declare(2);
+  instance.RunUntilSent(write);
+  instance.Endpoint().Suspend(milliseconds(4000));
+  instance.Run(milliseconds(3500));
+  instance.Declare(3);
+}
+
+// The order of the former stager takes effect when the endpoint resumes.
+void SuspendDuringOrderOfFormerStager(SlowInstance& instance) {
+  const Access order{.kind = kOrder, .version = 2};
+  instance.Delay(order, {.arrival = milliseconds(20), .answer = kUsualDelay});
+  instance.Declare(2);
+  instance.RunUntilSent(order);
+  instance.Endpoint().Suspend(milliseconds(4000));
+  instance.RestartStager(3);
+}
+
 class AsyncOrderTest : public testing::TestWithParam<Sequence> {};
 
 // Guards against an endpoint that answers with weights of two versions or with
@@ -247,6 +280,10 @@
         {"CrashBeforeWriteThenNewVersion", CrashBeforeWrite},
         {"StagerRestartsDuringOrder", RestartStagerDuringOrder},
         {"StagerRestartsDuringWrite", RestartStagerDuringWrite},
+        {"SuspendedDuringOrder", SuspendDuringOrder},
+        {"SuspendedDuringWrite", SuspendDuringWrite},
+        {"SuspendedDuringOrderOfFormerStager",
+         SuspendDuringOrderOfFormerStager},
     }),
     [](const auto& sequence) { return sequence.param.name; });
 
