staging: failing test of a write that the next process received unknown

A process starts, receives a write and does not answer it in time. Its start is known only after that, from a later report. OnEndpointRestarted then clears all writes that were given up, as if they had been sent to the process that ended. A write of version 2 replaces a verified piece of version 3 before the order for version 3 arrives.

Fails: "3.2879 s: process 3, started at 1.14 s, takes piece 0 of version 2 for version 3, ordered at 2.3879 s"; the piece was "written, sent at 1.177 s" at 3.077 s, after its verification at 2.3669 s.

--- a/tests/staging/async_order_test.cc
+++ b/tests/staging/async_order_test.cc
@@ -219,6 +219,30 @@
   instance.RestartStager(3);
 }
 
+// A write that reached the next process before its start was known may still
+// arrive. It does not belong to the process that ended.
+void WriteToNextProcessBeforeItIsKnown(SlowInstance& instance) {
+  const Access report{.kind = kReport};
+  const Access write{.kind = kWrite, .version = 2, .index = 0};
+  const AccessDelays usual{.arrival = kUsualDelay, .answer = kUsualDelay};
+  instance.EmptyEndpoint();
+  instance.Delay(report, usual);
+  instance.RunUntilSent(report);
+  instance.Run(milliseconds(20));
+  instance.Endpoint().LosePower(milliseconds(5));
+  instance.Run(milliseconds(20));
+  instance.Delay(report, {.arrival = kUsualDelay, .answer_lost = true});
+  instance.Delay(write, {.arrival = milliseconds(1900), .answer = kUsualDelay});
+  instance.Delay({.kind = kOrder, .version = 3},
+                 {.arrival = milliseconds(900), .answer = kUsualDelay});
+  instance.Declare(2);
+  instance.RunUntilSent(report);
+  instance.Delay(report, usual);
+  instance.RunUntilSent(report);
+  instance.Run(milliseconds(10));
+  instance.Declare(3);
+}
+
 // The endpoint executes the order when it resumes, after its time limit.
 void SuspendDuringOrder(SlowInstance& instance) {
   const Access order{.kind = kOrder, .version = 2};
@@ -280,6 +304,8 @@
         {"CrashBeforeWriteThenNewVersion", CrashBeforeWrite},
         {"StagerRestartsDuringOrder", RestartStagerDuringOrder},
         {"StagerRestartsDuringWrite", RestartStagerDuringWrite},
+        {"WriteToNextProcessBeforeItIsKnown",
+         WriteToNextProcessBeforeItIsKnown},
         {"SuspendedDuringOrder", SuspendDuringOrder},
         {"SuspendedDuringWrite", SuspendDuringWrite},
         {"SuspendedDuringOrderOfFormerStager",
