staging: failing test of an answer that belongs to an earlier order

OnOrderResult has no number, so the answer to the order of a process that ended passes as that to the order sent to the next one. That order counts as accepted, the staging area is assigned to another version, and the endpoint takes its pieces when the order arrives. The model delivers answers after the end of their process; over loopback they would have to be in the agent's socket all the while.

Fails: "2.49605 s: process 3, started at 1.23 s, takes piece 0 of version 3 for version 2, ordered at 1.59605 s".

--- a/tests/staging/async_order_test.cc
+++ b/tests/staging/async_order_test.cc
@@ -243,6 +243,24 @@
   instance.Declare(3);
 }
 
+// The answer to the order of the process that ended says nothing of the order
+// that the next one is to execute.
+void AnswerOfEarlierOrder(SlowInstance& instance) {
+  const Access order{.kind = kOrder, .version = 2};
+  instance.EmptyEndpoint();
+  instance.Delay(order, {.arrival = kUsualDelay, .answer = milliseconds(900)});
+  instance.Declare(2);
+  instance.RunUntilSent(order);
+  instance.Run(milliseconds(20));
+  instance.Delay(order, {.arrival = milliseconds(900), .answer = kUsualDelay});
+  instance.Delay({.kind = kOrder, .version = 3},
+                 {.arrival = milliseconds(600), .answer = kUsualDelay});
+  instance.Endpoint().LosePower(kShortOutage);
+  instance.RunUntilSent(order);
+  instance.Run(milliseconds(650));
+  instance.Declare(3);
+}
+
 // The endpoint executes the order when it resumes, after its time limit.
 void SuspendDuringOrder(SlowInstance& instance) {
   const Access order{.kind = kOrder, .version = 2};
@@ -306,6 +324,7 @@
         {"StagerRestartsDuringWrite", RestartStagerDuringWrite},
         {"WriteToNextProcessBeforeItIsKnown",
          WriteToNextProcessBeforeItIsKnown},
+        {"AnswerOfEarlierOrder", AnswerOfEarlierOrder},
         {"SuspendedDuringOrder", SuspendDuringOrder},
         {"SuspendedDuringWrite", SuspendDuringWrite},
         {"SuspendedDuringOrderOfFormerStager",
