staging: failing test of a report without a start time during an order

A start time of 0 means that it is unknown, and documents decode to it when the field is missing or of another type. OnReport takes the change to 0 and back for restarts and forgets the order that is on its way, so the next version is staged before the endpoint takes the pieces.

Fails: "4.32944 s: process 1, started at 0 s, takes piece 0 of version 3 for version 2, ordered at 3.62944 s". A loss of power that no report tells of (PowerLostWithoutStartTimes) passes.

--- a/tests/staging/async_endpoint.cc
+++ b/tests/staging/async_endpoint.cc
@@ -67,9 +67,12 @@
       [this, done] {
         const EndpointReport report{
             .reachable = true,
-            .started_at_ms = static_cast<std::uint64_t>(
-                duration_cast<milliseconds>(m_started_at.time_since_epoch())
-                    .count()),
+            .started_at_ms = m_start_reported
+                                 ? static_cast<std::uint64_t>(
+                                       duration_cast<milliseconds>(
+                                           m_started_at.time_since_epoch())
+                                           .count())
+                                 : 0,
             .model = m_version == 0 ? "" : kSimulatedModel,
             .version = m_version,
             .busy = m_busy,
--- a/tests/staging/async_endpoint.h
+++ b/tests/staging/async_endpoint.h
@@ -111,6 +111,8 @@
   // Executes what arrives within `time` at the end of it. Connections open in
   // the meantime.
   void Suspend(kernel::Duration time);
+  // Whether reports have the start time of the process.
+  void SetStartTimeReported(bool reported) { m_start_reported = reported; }
   // Corrupts a piece if it is staged.
   void Corrupt(std::uint32_t index);
 
@@ -192,6 +194,7 @@
   kernel::Time m_started_at{};
   std::uint64_t m_pending_start = 0;
   kernel::Time m_suspended_until{};
+  bool m_start_reported = true;
   std::uint64_t m_version = 0;
   std::uint64_t m_accepted_orders = 0;
   bool m_busy = false;
--- a/tests/staging/async_order_test.cc
+++ b/tests/staging/async_order_test.cc
@@ -261,6 +261,24 @@
   instance.Declare(3);
 }
 
+// A report without the start time is no restart: the order is still on its way.
+void ReportsLackStartTimeDuringOrder(SlowInstance& instance) {
+  const Access order{.kind = kOrder, .version = 2};
+  instance.Delay(order, {.arrival = milliseconds(700), .answer = kUsualDelay});
+  instance.Declare(2);
+  instance.RunUntilSent(order);
+  instance.Endpoint().SetStartTimeReported(false);
+  instance.Run(milliseconds(300));
+  instance.Declare(3);
+}
+
+// No report tells of the restart.
+void PowerLostWithoutStartTimes(SlowInstance& instance) {
+  instance.Endpoint().SetStartTimeReported(false);
+  instance.Run(milliseconds(1500));
+  LosePowerBeforeOrder(instance);
+}
+
 // The endpoint executes the order when it resumes, after its time limit.
 void SuspendDuringOrder(SlowInstance& instance) {
   const Access order{.kind = kOrder, .version = 2};
@@ -325,6 +343,8 @@
         {"WriteToNextProcessBeforeItIsKnown",
          WriteToNextProcessBeforeItIsKnown},
         {"AnswerOfEarlierOrder", AnswerOfEarlierOrder},
+        {"ReportsLackStartTimeDuringOrder", ReportsLackStartTimeDuringOrder},
+        {"PowerLostWithoutStartTimes", PowerLostWithoutStartTimes},
         {"SuspendedDuringOrder", SuspendDuringOrder},
         {"SuspendedDuringWrite", SuspendDuringWrite},
         {"SuspendedDuringOrderOfFormerStager",
