staging: what is given up, reported and answered belongs to one process and one order

- a restart ended the wait for all writes that were given up, also for one that the new process had received before a report told of its start.
It now ends only those sent before the last report that the former process answered;
- a report without a start time counted as a restart, and the next one with it again, so that an order on its way was forgotten.
An unknown start time now tells nothing, and the last known one is kept;
- the answer to the order of a process that had ended passed as that to the next order.
Results of orders now name the order's connection.

--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -592,11 +592,12 @@
     const bool sent = m_fetcher.FetchReserved(
         m_order_connection, m_settings.endpoint_address,
         Platform::Endpoint::EncodeOrder(output), kOrderTimeout,
-        [this](std::optional<exchange::FetchedAnswer> response) {
+        [this, connection = output.connection](
+            std::optional<exchange::FetchedAnswer> response) {
           const staging::OrderResult result =
               Platform::Endpoint::DecodeOrder(response);
           m_load_reporter.OnOrderResult(kernel::Now(), result);
-          m_stager->OnOrderResult(kernel::Now(), result);
+          m_stager->OnOrderResult(kernel::Now(), connection, result);
           TakeOutputs();
         });
     if (sent) {
@@ -604,8 +605,9 @@
       return;
     }
     // The stager must not hear of the result while its outputs are taken.
-    asio::post(m_context, [this] {
-      m_stager->OnOrderResult(kernel::Now(), staging::OrderResult::kNotSent);
+    asio::post(m_context, [this, connection = output.connection] {
+      m_stager->OnOrderResult(kernel::Now(), connection,
+                              staging::OrderResult::kNotSent);
       TakeOutputs();
     });
   }
--- a/include/radishrudder/staging/stager.h
+++ b/include/radishrudder/staging/stager.h
@@ -209,7 +209,10 @@
                          OrderConnectionId connection,
                          bool open);
   void OnReport(kernel::Time now, const EndpointReport& report);
-  void OnOrderResult(kernel::Time now, OrderResult result);
+  // `connection`: that of the order.
+  void OnOrderResult(kernel::Time now,
+                     OrderConnectionId connection,
+                     OrderResult result);
   void OnTick(kernel::Time now);
   kernel::Time NextTick() const;
   std::vector<StagerOutput> TakeOutputs();
--- a/source/radishrudder/staging/pending_effects.cc
+++ b/source/radishrudder/staging/pending_effects.cc
@@ -16,11 +16,19 @@
 }  // namespace
 
 void PendingEffects::OnGivenUp(kernel::Time now,
+                               kernel::Time sent,
                                std::optional<std::string> manifest_digest) {
   std::erase_if(m_requests, [&](const Request& request) {
-    return IsDone(now, request) || request.manifest_digest == manifest_digest;
+    return IsDone(now, request) ||
+           (request.manifest_digest == manifest_digest && request.sent <= sent);
+  });
+  m_requests.push_back({std::move(manifest_digest), sent, now, std::nullopt});
+}
+
+void PendingEffects::OnProcessEnded(kernel::Time answered) {
+  std::erase_if(m_requests, [answered](const Request& request) {
+    return request.sent <= answered;
   });
-  m_requests.push_back({std::move(manifest_digest), now, std::nullopt});
 }
 
 void PendingEffects::OnAnswered(kernel::Time now, kernel::Time sent) {
--- a/source/radishrudder/staging/pending_effects.h
+++ b/source/radishrudder/staging/pending_effects.h
@@ -18,14 +18,17 @@
 // answers other requests: one that is suspended may execute it on resuming.
 class PendingEffects {
  public:
-  // A request for the version with this manifest was given up; nothing: for
-  // whichever version.
-  void OnGivenUp(kernel::Time now, std::optional<std::string> manifest_digest);
+  // A request for the version with this manifest that was sent at `sent` was
+  // given up; nothing: for whichever version.
+  void OnGivenUp(kernel::Time now,
+                 kernel::Time sent,
+                 std::optional<std::string> manifest_digest);
   // The endpoint answered a request that was sent at `sent`, or did not.
   void OnAnswered(kernel::Time now, kernel::Time sent);
   void OnUnreachable();
-  // None of the requests reaches the endpoint any more.
-  void Clear() { m_requests.clear(); }
+  // The process has ended that answered a request sent at `answered`: it had
+  // received what was sent until then.
+  void OnProcessEnded(kernel::Time answered);
 
   // Returns whether a request for another version than that with this manifest
   // may take effect at `now` or later.
@@ -34,6 +37,7 @@
  private:
   struct Request {
     std::optional<std::string> manifest_digest{};
+    kernel::Time sent{};
     kernel::Time given_up{};
     std::optional<kernel::Time> answering_since{};
   };
--- a/source/radishrudder/staging/stage_area.cc
+++ b/source/radishrudder/staging/stage_area.cc
@@ -25,15 +25,17 @@
   }
 }
 
-AccessId StageArea::StartWrite(std::uint32_t index) {
-  m_accesses[++m_last_access] = {index, m_manifest_digest, /*is_write=*/true};
+AccessId StageArea::StartWrite(kernel::Time now, std::uint32_t index) {
+  m_accesses[++m_last_access] = {index, m_manifest_digest, now,
+                                 /*is_write=*/true};
   m_pieces[index].state = PieceState::kWriting;
   m_pieces[index].access = m_last_access;
   return m_last_access;
 }
 
 AccessId StageArea::StartRead(kernel::Time now, std::uint32_t index) {
-  m_accesses[++m_last_access] = {index, m_manifest_digest, /*is_write=*/false};
+  m_accesses[++m_last_access] = {index, m_manifest_digest, now,
+                                 /*is_write=*/false};
   m_pieces[index] = {PieceState::kReading, m_last_access, now};
   return m_last_access;
 }
@@ -50,7 +52,8 @@
                           ended.index < m_pieces.size() &&
                           m_pieces[ended.index].state == awaited &&
                           m_pieces[ended.index].access == access;
-  return EndedAccess{ended.index, std::move(ended.manifest_digest), is_current};
+  return EndedAccess{ended.index, std::move(ended.manifest_digest), ended.sent,
+                     is_current};
 }
 
 std::size_t StageArea::AccessesInProgress() const {
--- a/source/radishrudder/staging/stage_area.h
+++ b/source/radishrudder/staging/stage_area.h
@@ -39,12 +39,13 @@
   std::size_t Size() const { return m_pieces.size(); }
 
   // Start an access to a piece and return its number.
-  AccessId StartWrite(std::uint32_t index);
+  AccessId StartWrite(kernel::Time now, std::uint32_t index);
   AccessId StartRead(kernel::Time now, std::uint32_t index);
   // A write or read that ended.
   struct EndedAccess {
     std::uint32_t index = 0;
     std::string manifest_digest{};
+    kernel::Time sent{};
     // Whether the piece still awaits this access.
     bool is_current = false;
   };
@@ -84,6 +85,7 @@
   struct Access {
     std::uint32_t index = 0;
     std::string manifest_digest{};
+    kernel::Time sent{};
     bool is_write = false;
   };
 
--- a/source/radishrudder/staging/stager.cc
+++ b/source/radishrudder/staging/stager.cc
@@ -364,7 +364,8 @@
                                  : StageArea::PieceState::kMissing);
     }
     if (result == StageResult::kNoResponse) {
-      state.pending_writes.OnGivenUp(now, std::move(ended->manifest_digest));
+      state.pending_writes.OnGivenUp(now, ended->sent,
+                                     std::move(ended->manifest_digest));
     }
   }
   OnTick(now);
@@ -425,9 +426,9 @@
   running_reported = false;
   phase = Phase::kStaging;
   staging_area.DiscardAll();
-  // What was given up had been sent on connections to the process that ended.
-  pending_writes.Clear();
-  pending_orders.Clear();
+  pending_writes.OnProcessEnded(report_sent);
+  pending_orders.OnProcessEnded(report_sent);
+  // The connection of an order leads to the process whose report came before.
   order.reset();
   CloseOrderConnection();
 }
@@ -451,12 +452,19 @@
   // The report before may not have been answered, so the start time is that of
   // the latest one that was.
   const bool restarted = state.report && report.reachable &&
+                         report.started_at_ms != 0 &&
+                         state.report->started_at_ms != 0 &&
                          report.started_at_ms != state.report->started_at_ms;
   if (restarted) {
     state.OnEndpointRestarted(now, report);
   }
   if (report.reachable) {
+    const std::uint64_t known_start =
+        state.report ? state.report->started_at_ms : 0;
     state.report = report;
+    if (report.started_at_ms == 0) {
+      state.report->started_at_ms = known_start;
+    }
     state.report_sent = state.report_request_sent;
   } else if (state.report) {
     state.report->reachable = false;
@@ -478,9 +486,12 @@
   OnTick(now);
 }
 
-void Stager::OnOrderResult(kernel::Time now, OrderResult result) {
+void Stager::OnOrderResult(kernel::Time now,
+                           OrderConnectionId connection,
+                           OrderResult result) {
   State& state = *m_state;
-  if (state.phase != State::Phase::kOrdered || !state.order) {
+  if (state.phase != State::Phase::kOrdered || !state.order ||
+      state.order->connection != connection) {
     return;
   }
   const DeclaredVersion* version =
--- a/source/radishrudder/staging/stager_state.h
+++ b/source/radishrudder/staging/stager_state.h
@@ -24,6 +24,7 @@
 // An order that the endpoint may have accepted or may still accept.
 struct SentOrder {
   std::string manifest_digest{};
+  OrderConnectionId connection = 0;
   std::uint64_t expected_orders = 0;
   kernel::Time sent{};
   bool accepted = false;
@@ -78,8 +79,8 @@
                     settings.transfer.region,
                     kernel::Random(random.Next())) {
     // An agent process that ran before this one may have left requests.
-    pending_writes.OnGivenUp(now, std::nullopt);
-    pending_orders.OnGivenUp(now, std::nullopt);
+    pending_writes.OnGivenUp(now, now, std::nullopt);
+    pending_orders.OnGivenUp(now, now, std::nullopt);
   }
 
   // Performs all steps that are possible at `now`.
@@ -107,7 +108,7 @@
   void ExpireOrder(kernel::Time now);
   void StageAndOrder(kernel::Time now);
   void ReadLocalPieces(kernel::Time now);
-  void StagePieces();
+  void StagePieces(kernel::Time now);
   // Verifies the staged pieces on the process to which the order connection is
   // open. Returns whether all of them are verified.
   bool VerifyPieces(kernel::Time now);
--- a/source/radishrudder/staging/stager_steps.cc
+++ b/source/radishrudder/staging/stager_steps.cc
@@ -190,12 +190,12 @@
 
 void Stager::State::GiveUpOrder(kernel::Time now) {
   if (order && !order->accepted) {
-    pending_orders.OnGivenUp(now, order->manifest_digest);
+    pending_orders.OnGivenUp(now, order->sent, order->manifest_digest);
   }
   order.reset();
 }
 
-void Stager::State::StagePieces() {
+void Stager::State::StagePieces(kernel::Time now) {
   for (std::uint32_t i = 0;
        i < staging_area.Size() &&
        staging_area.AccessesInProgress() < kMaximumParallelAccesses;
@@ -206,7 +206,7 @@
     const std::string_view bytes =
         transfer.ChunkBytes(Target().manifest_digest, i);
     if (!bytes.empty()) {
-      const AccessId access = staging_area.StartWrite(i);
+      const AccessId access = staging_area.StartWrite(now, i);
       outputs.emplace_back(
           StagePiece{Target().name, i, std::string(bytes), access});
     }
@@ -246,7 +246,8 @@
                 "replaces " + std::to_string(report->version));
   phase = Phase::kOrdered;
   phase_started = now;
-  order = SentOrder{target.manifest_digest, report->accepted_orders, now};
+  order = SentOrder{target.manifest_digest, order_connection->id,
+                    report->accepted_orders, now};
   outputs.emplace_back(
       OrderLoad{target.name, order_connection->id, report->accepted_orders});
   CloseOrderConnection();
@@ -260,7 +261,7 @@
     return;
   }
   if (targets_interim || !IsInterimDue(now)) {
-    StagePieces();
+    StagePieces(now);
   }
   if (!staging_area.AllWritten()) {
     phase = Phase::kStaging;
--- a/tests/staging/stager_fleet.cc
+++ b/tests/staging/stager_fleet.cc
@@ -358,16 +358,18 @@
 
 void StagerFleet::HandleOutput(Host& host, OrderLoad& output) {
   if (host.async) {
-    host.async->Order(
-        output, ForStager(host, [this](Stager& stager, OrderResult result) {
-          stager.OnOrderResult(m_now, result);
-        }));
+    host.async->Order(output,
+                      ForStager(host, [this, connection = output.connection](
+                                          Stager& stager, OrderResult result) {
+                        stager.OnOrderResult(m_now, connection, result);
+                      }));
     return;
   }
   FakeEndpoint& endpoint = host.endpoint;
   endpoint.order_times.push_back(m_now);
   if (endpoint.busy || output.expected_orders != endpoint.accepted_orders) {
-    host.stager->OnOrderResult(m_now, OrderResult::kPreconditionFailed);
+    host.stager->OnOrderResult(m_now, output.connection,
+                               OrderResult::kPreconditionFailed);
     return;
   }
   ++endpoint.accepted_orders;
@@ -375,9 +377,10 @@
   endpoint.loading_version = output.version.number;
   endpoint.loaded_pieces.push_back(endpoint.staged);
   endpoint.load_finishes_at = m_now + kLoadTime;
-  host.stager->OnOrderResult(m_now, endpoint.responds_to_orders
-                                        ? OrderResult::kStarted
-                                        : OrderResult::kNoResponse);
+  host.stager->OnOrderResult(m_now, output.connection,
+                             endpoint.responds_to_orders
+                                 ? OrderResult::kStarted
+                                 : OrderResult::kNoResponse);
 }
 
 }  // namespace radishrudder::staging
