staging: an order takes a connection in use where new ones are refused

An endpoint with many calls resets connections beyond its limit.

After three failures an idle connection may be taken. It leads to one process as well; since a response of before may come first on it, only a report shows that the order was accepted. Two further points of the review: the endpoint has to have answered for some time, not once, until what was given up counts as done, and a server error to a write leaves open whether it was stored.

AsyncOrderTest NewConnectionsRefused and ReservedConnectionTest TakesAnIdleOneThatMayBeReused are new.

--- a/include/radishrudder/exchange/endpoint_pool.h
+++ b/include/radishrudder/exchange/endpoint_pool.h
@@ -91,11 +91,14 @@
                    AnswerListener& listener);
   // Closes the connection of an exchange that is not done.
   void Cancel(ExchangeId exchange);
-  // Opens a connection to "IP:PORT" for one exchange. Its request then reaches
-  // the process to which the connection was opened, or none, and no response to
+  // Keeps a connection to "IP:PORT" for one exchange: a new one, or an idle one
+  // if there is any and `may_be_reused`. Its request then reaches the process
+  // to which the connection was opened, or none. On a new one, no response to
   // an earlier request can be taken for its own. `on_reserved` is not called
   // before this function returns.
-  ReservationId Reserve(std::string_view address, OnReserved on_reserved);
+  ReservationId Reserve(std::string_view address,
+                        bool may_be_reused,
+                        OnReserved on_reserved);
   // Sends a request on the reserved connection, as `Start` does. Returns
   // nothing if the reservation is gone or its connection is not open: no byte
   // is sent.
--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -184,6 +184,8 @@
   static constexpr std::uint64_t kFirstVersion = 1;
   static constexpr int kOk = 200;
   static constexpr int kFirstFailure = 300;
+  // A server error does not say whether the request was executed.
+  static constexpr int kFirstServerError = 500;
   // Share of this instance's link that chunks may use.
   static constexpr double kLinkShare = 0.9;
 
@@ -545,7 +547,8 @@
                         std::optional<exchange::FetchedAnswer> response) {
                       m_stager->OnPieceStaged(
                           kernel::Now(), access,
-                          !response ? staging::StageResult::kNoResponse
+                          !response || response->status >= kFirstServerError
+                              ? staging::StageResult::kNoResponse
                           : response->status < kFirstFailure
                               ? staging::StageResult::kStored
                               : staging::StageResult::kRefused);
@@ -581,7 +584,7 @@
   void Execute(staging::OpenOrderConnection& output) {
     m_pool.CancelReservation(m_order_connection);
     m_order_connection = m_pool.Reserve(
-        m_settings.endpoint_address,
+        m_settings.endpoint_address, output.may_be_reused,
         [this, connection = output.connection](bool open) {
           m_stager->OnOrderConnection(kernel::Now(), connection, open);
           TakeOutputs();
--- a/include/radishrudder/staging/stager.h
+++ b/include/radishrudder/staging/stager.h
@@ -111,6 +111,9 @@
 // that executes the order.
 struct OpenOrderConnection {
   OrderConnectionId connection = 0;
+  // Whether one that other requests have used will do: an endpoint with many
+  // calls may refuse new ones.
+  bool may_be_reused = false;
 };
 // Orders the endpoint to load the staged pieces. Sent on `connection` or not at
 // all.
--- a/source/radishrudder/exchange/endpoint_pool.cc
+++ b/source/radishrudder/exchange/endpoint_pool.cc
@@ -74,10 +74,18 @@
     }
   }
 
-  // Opens the connection for a later `Start`.
+  // Opens the connection, if it is not open, for a later `Start`.
   void Reserve(ReservationId reservation) {
     m_reservation = reservation;
-    Connect();
+    if (!m_open) {
+      Connect();
+      return;
+    }
+    asio::post(m_pool.m_context, [self = shared_from_this(), reservation] {
+      if (self->m_reservation == reservation && self->m_open) {
+        self->m_pool.OnReservation(reservation, /*open=*/true);
+      }
+    });
   }
 
   // Ends the exchange without telling the listener.
@@ -379,9 +387,14 @@
 }
 
 EndpointPool::ReservationId EndpointPool::Reserve(std::string_view address,
+                                                  bool may_be_reused,
                                                   OnReserved on_reserved) {
-  const auto connection =
-      std::make_shared<Connection>(*this, std::string(address));
+  const std::string key(address);
+  std::shared_ptr<Connection> connection =
+      may_be_reused ? TakeIdle(key) : nullptr;
+  if (!connection) {
+    connection = std::make_shared<Connection>(*this, key);
+  }
   const ReservationId id = ++m_last_reservation;
   m_reserved.emplace(id, Reservation{connection, std::move(on_reserved)});
   connection->Reserve(id);
--- a/source/radishrudder/staging/pending_effects.cc
+++ b/source/radishrudder/staging/pending_effects.cc
@@ -22,7 +22,9 @@
     return IsDone(now, request) ||
            (request.manifest_digest == manifest_digest && request.sent <= sent);
   });
-  m_requests.push_back({std::move(manifest_digest), sent, now, std::nullopt});
+  m_requests.push_back({.manifest_digest = std::move(manifest_digest),
+                        .sent = sent,
+                        .given_up = now});
 }
 
 void PendingEffects::OnProcessEnded(kernel::Time answered) {
@@ -36,6 +38,7 @@
     if (!request.answering_since && sent >= request.given_up) {
       request.answering_since = now;
     }
+    request.answered_last = now;
   }
 }
 
@@ -47,7 +50,7 @@
 
 bool PendingEffects::IsDone(kernel::Time now, const Request& request) {
   return request.answering_since &&
-         now - *request.answering_since >= kResumeTime &&
+         request.answered_last - *request.answering_since >= kResumeTime &&
          now - request.given_up >= kSettleTime;
 }
 
--- a/source/radishrudder/staging/pending_effects.h
+++ b/source/radishrudder/staging/pending_effects.h
@@ -39,7 +39,9 @@
     std::optional<std::string> manifest_digest{};
     kernel::Time sent{};
     kernel::Time given_up{};
+    // The first and the latest answer since then, with none missing between.
     std::optional<kernel::Time> answering_since{};
+    kernel::Time answered_last{};
   };
   static bool IsDone(kernel::Time now, const Request& request);
 
--- a/source/radishrudder/staging/stager.cc
+++ b/source/radishrudder/staging/stager.cc
@@ -412,6 +412,7 @@
     state.next_report_request = now;
   } else {
     state.CloseOrderConnection();
+    ++state.order_connection_failures;
     state.next_order_connection = now + kOrderConnectionBackoff;
   }
   OnTick(now);
@@ -501,7 +502,7 @@
   switch (result) {
     case OrderResult::kStarted:
     case OrderResult::kAlreadyLoaded:
-      state.order->accepted = true;
+      state.order->accepted = !state.order->may_be_reused;
       [[fallthrough]];
     case OrderResult::kNoResponse:
       state.ReportStaging(
--- a/source/radishrudder/staging/stager_state.h
+++ b/source/radishrudder/staging/stager_state.h
@@ -27,6 +27,9 @@
   OrderConnectionId connection = 0;
   std::uint64_t expected_orders = 0;
   kernel::Time sent{};
+  // A response on a connection that was reused may belong to an earlier
+  // request, so only a report shows that the order was accepted.
+  bool may_be_reused = false;
   bool accepted = false;
 };
 
@@ -36,6 +39,7 @@
   // What is read and reported after the connection was opened comes from the
   // process that receives the order.
   std::optional<kernel::Time> opened{};
+  bool may_be_reused = false;
 };
 
 // A declared version and the progress of its transfer on this instance.
@@ -177,6 +181,7 @@
   std::optional<OrderConnection> order_connection;
   OrderConnectionId last_order_connection = 0;
   kernel::Time next_order_connection{};
+  std::uint32_t order_connection_failures = 0;  // Since the latest order.
   Phase phase = Phase::kStaging;
   kernel::Time phase_started{};
   kernel::Time next_order_attempt{};
--- a/source/radishrudder/staging/stager_steps.cc
+++ b/source/radishrudder/staging/stager_steps.cc
@@ -15,6 +15,8 @@
 constexpr milliseconds kOrderBackoff{300};
 constexpr milliseconds kLoadEffectTimeout{1000};
 constexpr milliseconds kOrderResponseTimeout{1500};
+// New connections for an order that fail until one in use is taken.
+constexpr std::uint32_t kNewConnectionFailures = 3;
 // An interim version is loaded only after this share of its turn period: by
 // then the newest version is present unless it is delayed.
 constexpr double kInterimTurnStartShare = 0.5;
@@ -220,8 +222,12 @@
     return false;
   }
   if (!order_connection && now >= next_order_connection) {
-    order_connection = OrderConnection{++last_order_connection, std::nullopt};
-    outputs.emplace_back(OpenOrderConnection{last_order_connection});
+    const bool may_be_reused =
+        order_connection_failures >= kNewConnectionFailures;
+    order_connection =
+        OrderConnection{++last_order_connection, std::nullopt, may_be_reused};
+    outputs.emplace_back(
+        OpenOrderConnection{last_order_connection, may_be_reused});
   }
   if (!order_connection || !order_connection->opened) {
     return false;
@@ -246,8 +252,12 @@
                 "replaces " + std::to_string(report->version));
   phase = Phase::kOrdered;
   phase_started = now;
-  order = SentOrder{target.manifest_digest, order_connection->id,
-                    report->accepted_orders, now};
+  order = SentOrder{.manifest_digest = target.manifest_digest,
+                    .connection = order_connection->id,
+                    .expected_orders = report->accepted_orders,
+                    .sent = now,
+                    .may_be_reused = order_connection->may_be_reused};
+  order_connection_failures = 0;
   outputs.emplace_back(
       OrderLoad{target.name, order_connection->id, report->accepted_orders});
   CloseOrderConnection();
--- a/tests/exchange/reserved_connection_test.cc
+++ b/tests/exchange/reserved_connection_test.cc
@@ -17,10 +17,11 @@
 class ReservedConnectionTest : public testing::Test {
  protected:
   // Reserves a connection and waits until it is open or has failed.
-  EndpointPool::ReservationId Reserve(const std::string& address) {
+  EndpointPool::ReservationId Reserve(const std::string& address,
+                                      bool may_be_reused = false) {
     m_open.reset();
-    const auto reservation =
-        m_pool.Reserve(address, [this](bool open) { m_open = open; });
+    const auto reservation = m_pool.Reserve(
+        address, may_be_reused, [this](bool open) { m_open = open; });
     EXPECT_FALSE(m_open);
     RunUntil([this] { return m_open.has_value(); });
     return reservation;
@@ -87,6 +88,14 @@
   EXPECT_EQ(peer.Connections(), 2U);
 }
 
+TEST_F(ReservedConnectionTest, TakesAnIdleOneThatMayBeReused) {
+  ScriptedPeer peer(m_context, {{kOk}, {kOk}});
+  SendOnPooledConnection(peer.Address());
+  EXPECT_TRUE(Send(Reserve(peer.Address(), /*may_be_reused=*/true)));
+  EXPECT_EQ(m_body, "ok");
+  EXPECT_EQ(peer.Connections(), 1U);
+}
+
 TEST_F(ReservedConnectionTest, IsNotUsedByOtherRequests) {
   ScriptedPeer peer(m_context, {{kOk}, {kOk}});
   const auto reservation = Reserve(peer.Address());
--- a/tests/staging/async_endpoint.cc
+++ b/tests/staging/async_endpoint.cc
@@ -85,7 +85,7 @@
 void AsyncEndpoint::Open(const OpenOrderConnection& open,
                          const std::function<void(bool)>& done) {
   m_order_connection = {open.connection, Connect(), /*is_open=*/false, done};
-  Notify(m_running);
+  Notify(m_running && (open.may_be_reused || !m_refuses_new_connections));
 }
 
 void AsyncEndpoint::Notify(bool open) {
--- a/tests/staging/async_endpoint.h
+++ b/tests/staging/async_endpoint.h
@@ -102,6 +102,8 @@
   // Runs `version` and holds it in the staging area.
   void Install(std::uint64_t version);
   void SetTiming(const AccessTiming& timing) { m_timing = timing; }
+  // Refuses connections for orders unless one in use may be taken.
+  void RefuseNewConnections() { m_refuses_new_connections = true; }
   void SetDelayRule(DelayRule rule) { m_delay_rule = std::move(rule); }
   // Ends the process and starts another one after `outage`. The staged pieces
   // are kept.
@@ -199,6 +201,7 @@
   std::uint64_t m_accepted_orders = 0;
   bool m_busy = false;
   OrderConnection m_order_connection;
+  bool m_refuses_new_connections = false;
   std::vector<EndpointLoad> m_loads;
   // Requests that wait for a process to start.
   std::vector<std::shared_ptr<Request>> m_waiting;
--- a/tests/staging/async_order_test.cc
+++ b/tests/staging/async_order_test.cc
@@ -312,6 +312,13 @@
   instance.RestartStager(3);
 }
 
+// An endpoint with many calls accepts no more connections. The version has to
+// be loaded all the same.
+void RefuseNewConnections(SlowInstance& instance) {
+  instance.Endpoint().RefuseNewConnections();
+  instance.Declare(2);
+}
+
 class AsyncOrderTest : public testing::TestWithParam<Sequence> {};
 
 // Guards against an endpoint that answers with weights of two versions or with
@@ -349,6 +356,7 @@
         {"SuspendedDuringWrite", SuspendDuringWrite},
         {"SuspendedDuringOrderOfFormerStager",
          SuspendDuringOrderOfFormerStager},
+        {"NewConnectionsRefused", RefuseNewConnections},
     }),
     [](const auto& sequence) { return sequence.param.name; });
 
