--- a/include/radishrudder/staging/stager.h
+++ b/include/radishrudder/staging/stager.h
@@ -119,10 +119,10 @@
 // all.
 struct OrderLoad {
   VersionId version{};
-  OrderConnectionId connection = 0;
   // The endpoint refuses the order if the number of orders that it accepted
   // differs.
   std::uint64_t expected_orders = 0;
+  OrderConnectionId connection = 0;
 };
 // Another instance has a version that is newer than the declared one, so this
 // instance has probably missed a declaration.
--- a/source/radishrudder/staging/stager_steps.cc
+++ b/source/radishrudder/staging/stager_steps.cc
@@ -259,7 +259,7 @@
                     .may_be_reused = order_connection->may_be_reused};
   order_connection_failures = 0;
   outputs.emplace_back(
-      OrderLoad{target.name, order_connection->id, report->accepted_orders});
+      OrderLoad{target.name, report->accepted_orders, order_connection->id});
   CloseOrderConnection();
 }
 
