--- a/review/2/cut_watch.cc
+++ b/review/3/cut_watch.cc
@@ -1,4 +1,4 @@
-// Case 2: a runner's entry is removed between two cut watches. See claim.txt.
+// Case 3: a runner's entry is removed between two cut watches. See claim.txt.
 #include <array>
 
 #include "../common/standin.h"
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Builds the stand-ins of the scripts into target/review/. They need a C++20
-# compiler and nlohmann-json3-dev, both among the packages of the deploy file.
+# compiler, nlohmann-json3-dev and libssl-dev, all among the packages of the
+# deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
@@ -8,5 +9,5 @@
   [ -e "$source" ] || continue
   name=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review/case-$name" \
-    "$source"
+    "$source" -lcrypto
 done
--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -255,9 +255,12 @@
   return ports;
 }
 
-inline std::shared_ptr<Channel> Connect(int port, double limit = 1) {
+inline std::shared_ptr<Channel> Connect(int port,
+                                        const char* ip = "127.0.0.1") {
   const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const sockaddr_in address = AddressOf(port);
+  sockaddr_in address = AddressOf(port);
+  inet_pton(AF_INET, ip, &address.sin_addr);
+  constexpr double limit = 1;
   const timeval time{static_cast<time_t>(limit), 0};
   setsockopt(handle, SOL_SOCKET, SO_SNDTIMEO, &time, sizeof(time));
   if (connect(handle, reinterpret_cast<const sockaddr*>(&address),
