--- a/review/3/cut_watch.cc
+++ b/review/3/cut_watch.cc
@@ -10,23 +10,25 @@
 constexpr int kRunners = 3;
 constexpr int kLeaving = 0;  // The runner that leaves.
 constexpr double kHeartbeat = 1.2;
-constexpr double kStagger = 0.05;  // Between the heartbeats of two runners.
-constexpr double kRemoveAt = 6.0;      // After the entry is ready.
-constexpr double kDrain = 2.0;         // `drain_ms`.
-constexpr double kServesAfter = 2.6;   // `drain_ms` and a little longer.
-constexpr double kFirstCut = -0.3;     // Relative to the removal.
-constexpr double kSecondCut = 0.6;     // The same, at the earliest.
+constexpr double kStagger = 0.05;     // Between the heartbeats of two runners.
+constexpr double kRemoveAt = 6.0;     // After the entry is ready.
+constexpr double kDrain = 2.0;        // `drain_ms`.
+constexpr double kServesAfter = 2.6;  // `drain_ms` and a little longer.
+constexpr double kFirstCut = -0.3;    // Relative to the removal.
+constexpr double kSecondCut = 0.6;    // The same, at the earliest.
 constexpr double kEnd = 14.0;
 
-std::string RunnerId(int i) { return "i-5f00" + std::to_string(i); }
+std::string RunnerId(int i) {
+  return "i-5f00" + std::to_string(i);
+}
 
 Json Manifest() {
   const auto route = [](const char* name, const char* prefix,
                         const char* kind) -> Json {
-    return {{"name", name},        {"host", "jepu9.example"},
-            {"prefix", prefix},    {"service", "shop-api"},
-            {"kind", kind},        {"max_attempts", 2},
-            {"timeout_ms", 800},   {"target_latency_ms", 300},
+    return {{"name", name},      {"host", "jepu9.example"},
+            {"prefix", prefix},  {"service", "shop-api"},
+            {"kind", kind},      {"max_attempts", 2},
+            {"timeout_ms", 800}, {"target_latency_ms", 300},
             {"priority", 2}};
   };
   return {{"version", 3},
@@ -34,8 +36,7 @@
            {route("deposit", "/filo73/", "non_idempotent"),
             route("fetch", "/lepu27/", "idempotent")}},
           {"services", {{{"name", "shop-api"}, {"max_connections", 96}}}},
-          {"tenants",
-           {{{"name", "bozi300"}, {"api_keys", {"key-of-bozi"}}}}},
+          {"tenants", {{{"name", "bozi300"}, {"api_keys", {"key-of-bozi"}}}}},
           {"limits",
            {{"max_header_bytes", 16384},
             {"max_body_bytes", 4194304},
@@ -154,14 +155,12 @@
           continue;
         }
         const double at = Now();
-        const std::string head =
-            std::string(deposit ? "POST /filo73/" : "GET /lepu27/") + id +
-            " HTTP/1.1\r\nHost: jepu9.example\r\nRadishrudder-Attempt-Id: " +
-            id +
-            "\r\nRadishrudder-Deadline-Ms: 1500\r\n"
-            "Authorization: Token key-of-bozi\r\n";
-        channel->Write(head +
-                       (deposit ? "Content-Length: 4\r\n\r\nbody" : "\r\n"));
+        channel->Write(Concat(
+            {deposit ? "POST /filo73/" : "GET /lepu27/", id,
+             " HTTP/1.1\r\nHost: jepu9.example\r\nRadishrudder-Attempt-Id: ",
+             id, "\r\nRadishrudder-Deadline-Ms: 1500\r\n",
+             "Authorization: Token key-of-bozi\r\n",
+             deposit ? "Content-Length: 4\r\n\r\nbody" : "\r\n"}));
         const auto answer = channel->Read();
         const int status = answer ? answer->status : 0;
         record.Line("sent %s at %.3f: answer %d", id.c_str(), at, status);
@@ -231,9 +230,10 @@
   for (const auto& [status, count] : statuses) {
     record.Line("answers %d: %d", status, count);
   }
-  record.Line("requests that reached %s: %d before the ack, %d later than "
-              "%.1f s after it; the last one %.3f s after it",
-              RunnerId(kLeaving).c_str(), before, late, kDrain, last);
+  record.Line(
+      "requests that reached %s: %d before the ack, %d later than "
+      "%.1f s after it; the last one %.3f s after it",
+      RunnerId(kLeaving).c_str(), before, late, kDrain, last);
   printf("late %d, last %.3f s after the ack\n", late, last);
   if (!entry.IsRunning() || before < 20) {
     stop(kCouldNotRun);
--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -26,6 +26,7 @@
 #include <cstring>
 #include <fstream>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -48,9 +49,9 @@
   return std::chrono::duration<double>(Clock::now() - g_start).count();
 }
 inline void SleepUntil(double at) {
-  std::this_thread::sleep_until(
-      g_start + std::chrono::duration_cast<Clock::duration>(
-                    std::chrono::duration<double>(at)));
+  std::this_thread::sleep_until(g_start +
+                                std::chrono::duration_cast<Clock::duration>(
+                                    std::chrono::duration<double>(at)));
 }
 inline void Sleep(double seconds) {
   std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
@@ -82,6 +83,14 @@
   FILE* m_file;
 };
 
+inline std::string Concat(std::initializer_list<std::string_view> parts) {
+  std::string text;
+  for (const std::string_view part : parts) {
+    text += part;
+  }
+  return text;
+}
+
 inline std::string Lower(std::string text) {
   std::ranges::transform(text, text.begin(),
                          [](unsigned char c) { return std::tolower(c); });
@@ -198,7 +207,8 @@
             return false;
           }
         }
-        const std::size_t size = std::stoul(m_buffer.substr(0, end), nullptr, 16);
+        const std::size_t size =
+            std::stoul(m_buffer.substr(0, end), nullptr, 16);
         if (!Need(end + 2 + size + 2)) {
           return false;
         }
@@ -260,8 +270,7 @@
   const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = AddressOf(port);
   inet_pton(AF_INET, ip, &address.sin_addr);
-  constexpr double limit = 1;
-  const timeval time{static_cast<time_t>(limit), 0};
+  const timeval time{1, 0};
   setsockopt(handle, SOL_SOCKET, SO_SNDTIMEO, &time, sizeof(time));
   if (connect(handle, reinterpret_cast<const sockaddr*>(&address),
               sizeof(address)) != 0) {
@@ -474,15 +483,15 @@
     std::size_t at = target.find('?');
     while (at != std::string::npos) {
       const std::size_t end = target.find('&', at + 1);
-      const std::string part = target.substr(
-          at + 1, end == std::string::npos ? end : end - at - 1);
+      const std::string part =
+          target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
       if (part.starts_with(name + "=")) {
         std::string value;
         const std::string raw = part.substr(name.size() + 1);
         for (std::size_t i = 0; i < raw.size(); ++i) {
           if (raw[i] == '%') {
-            value += static_cast<char>(
-                std::stoi(raw.substr(i + 1, 2), nullptr, 16));
+            value +=
+                static_cast<char>(std::stoi(raw.substr(i + 1, 2), nullptr, 16));
             i += 2;
           } else {
             value += raw[i];
@@ -523,9 +532,8 @@
           items.push_back(ToJson(key, item));
         }
       }
-      const Json body{{"items", items},
-                      {"has_more", has_more},
-                      {"at", m_data.revision}};
+      const Json body{
+          {"items", items}, {"has_more", has_more}, {"at", m_data.revision}};
       const std::string answer = Answer(200, Headers(), body.dump());
       lock.unlock();
       return channel.Write(answer);
@@ -613,54 +621,53 @@
     const auto address = [](int port) {
       return "127.0.0.1:" + std::to_string(port);
     };
-    const Json settings{
-        {"node", m_name},
-        {"role", "entry"},
-        {"machine_class", "edge"},
-        {"serves", {"edge", "control"}},
-        {"ip", "127.0.0.1"},
-        {"zone", "sask-a"},
-        {"region", "sask"},
-        {"zones", {{"sask-a", "sask"}}},
-        {"listen",
-         {{"front", address(m_ports[0])},
-          {"ready", address(m_ports[1])},
-          {"control", address(m_ports[2])}}},
-        {"internal_ports", {m_ports[3], m_ports[4]}},
-        {"seeds", seeds},
-        {"bootstrap", true},
-        {"limits",
-         {{"cpu_share", 0.19},
-          {"cores", 1},
-          {"memory_mb", 260},
-          {"max_fds", 4200},
-          {"link_mbps", 1000.0},
-          {"disk_mb", 0}}},
-        {"data_dir", nullptr},
-        {"discovery", "platform"},
-        {"heartbeat_ms", 1200},
-        {"bounds",
-         {{"stability_ms", 3000},
-          {"ack_ms", 4000},
-          {"drain_ms", 2000},
-          {"grace_s", 8},
-          {"loss_slack_ms", 200},
-          {"config_apply_ms", 2000},
-          {"downgrade_slack_ms", 250},
-          {"max_skew_ms", 5000},
-          {"revoke_strict", true},
-          {"revoke_ms", 5000},
-          {"retry_budget_ratio", 0.2},
-          {"budget_window_s", 10},
-          {"budget_slack", 100},
-          {"recovery_s", 12},
-          {"version_ms", 8000}}},
-        {"platform",
-         {{"address", address(m_store_port)},
-          {"form", "read"},
-          {"reads_per_s", 2000},
-          {"history_s", 20},
-          {"value_bytes", 1048576}}}};
+    const Json settings{{"node", m_name},
+                        {"role", "entry"},
+                        {"machine_class", "edge"},
+                        {"serves", {"edge", "control"}},
+                        {"ip", "127.0.0.1"},
+                        {"zone", "sask-a"},
+                        {"region", "sask"},
+                        {"zones", {{"sask-a", "sask"}}},
+                        {"listen",
+                         {{"front", address(m_ports[0])},
+                          {"ready", address(m_ports[1])},
+                          {"control", address(m_ports[2])}}},
+                        {"internal_ports", {m_ports[3], m_ports[4]}},
+                        {"seeds", seeds},
+                        {"bootstrap", true},
+                        {"limits",
+                         {{"cpu_share", 0.19},
+                          {"cores", 1},
+                          {"memory_mb", 260},
+                          {"max_fds", 4200},
+                          {"link_mbps", 1000.0},
+                          {"disk_mb", 0}}},
+                        {"data_dir", nullptr},
+                        {"discovery", "platform"},
+                        {"heartbeat_ms", 1200},
+                        {"bounds",
+                         {{"stability_ms", 3000},
+                          {"ack_ms", 4000},
+                          {"drain_ms", 2000},
+                          {"grace_s", 8},
+                          {"loss_slack_ms", 200},
+                          {"config_apply_ms", 2000},
+                          {"downgrade_slack_ms", 250},
+                          {"max_skew_ms", 5000},
+                          {"revoke_strict", true},
+                          {"revoke_ms", 5000},
+                          {"retry_budget_ratio", 0.2},
+                          {"budget_window_s", 10},
+                          {"budget_slack", 100},
+                          {"recovery_s", 12},
+                          {"version_ms", 8000}}},
+                        {"platform",
+                         {{"address", address(m_store_port)},
+                          {"form", "read"},
+                          {"reads_per_s", 2000},
+                          {"history_s", 20},
+                          {"value_bytes", 1048576}}}};
     const std::string path = m_folder + "/" + m_name + ".json";
     std::ofstream(path) << settings.dump(1);
     const std::string log = m_folder + "/" + m_name + ".log";
