--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -617,7 +617,8 @@
     return "127.0.0.1:" + std::to_string(Control());
   }
 
-  void Start(const std::vector<std::string>& seeds) {
+  // `bootstrap`: the whole system starts for the first time.
+  void Start(const std::vector<std::string>& seeds, bool bootstrap = true) {
     const auto address = [](int port) {
       return "127.0.0.1:" + std::to_string(port);
     };
@@ -635,7 +636,7 @@
                           {"control", address(m_ports[2])}}},
                         {"internal_ports", {m_ports[3], m_ports[4]}},
                         {"seeds", seeds},
-                        {"bootstrap", true},
+                        {"bootstrap", bootstrap},
                         {"limits",
                          {{"cpu_share", 0.19},
                           {"cores", 1},
