direct: a failed request to the store is no absence of the store

Cause: endpoints whose entries expire while the store is away stay in use for a grace period. Any failed request, such as a watch that was cut, counted as an absence; for 3 s after the next success each removal counted as an expiry, and each further failure began the grace period anew.

Change: a missing entry counts as expired only if the store answered nothing, neither for the list nor for the operator's documents, for a heartbeat interval (heartbeat_ms of the settings), came back within the grace period, and the entry had not arrived for two intervals. An absence begins the grace period anew at most twice for the same endpoint. After a failure the first watch waits for 10 ms, so that a store with nothing to report does not count as away for the whole wait of a watch. That also ends the same fault in the dates of declared versions, where one cut watch could count as a loss of the store for a second.

The list's old inputs, unreachable and reachable again, are gone: a test of them now says when the store answered, with the same times and expectations.

--- a/include/radishrudder/direct/endpoint_list.h
+++ b/include/radishrudder/direct/endpoint_list.h
@@ -32,24 +32,36 @@
 };
 
 struct EndpointListSettings {
-  // Endpoints that expired while the list was unreachable are kept for this
-  // long after it is reachable again, so that they can reappear.
+  // An endpoint writes its entry to the list about this often. The list drops
+  // an entry that was not written for three intervals.
+  kernel::Duration heartbeat_interval = std::chrono::milliseconds(1200);
+  // Endpoints whose entries expired while the store was away are kept for this
+  // long after its return, so that they can reappear.
   kernel::Duration expired_endpoint_grace = std::chrono::seconds(2);
-  // After the list has been reachable for this long, a missing endpoint counts
-  // as removed at once.
-  kernel::Duration settling_time = std::chrono::seconds(3);
+  // An expired endpoint that is still missing after this many returns of the
+  // store is removed.
+  std::uint32_t maximum_returns = 3;
 };
 
 // The endpoints as last read from the store. An update with a lower era and
 // revision than the known ones of its endpoint is ignored. A store that comes
 // back from an older copy, in a new era, brings back nothing that was known to
 // leave or to be removed.
+//
+// A missing entry counts as removed, unless it may have expired because the
+// store was away: it had not been written for some time, and the store has just
+// come back from an absence that was long enough to miss a heartbeat. Single
+// requests that fail between successful ones are no absence.
 class EndpointList {
  public:
   explicit EndpointList(EndpointListSettings settings) : m_settings(settings) {}
 
+  // The store answered a request that was sent at `requested_at`. Counts for
+  // requests of any kind; to be called before what the answer contains is
+  // passed on.
+  void OnStoreAnswered(kernel::Time now, kernel::Time requested_at);
   // Each returns whether the list changed.
-  bool OnUpdate(const ListedEndpoint& endpoint);
+  bool OnUpdate(kernel::Time now, const ListedEndpoint& endpoint);
   bool OnRemoved(kernel::Time now,
                  std::string_view id,
                  std::uint64_t revision,
@@ -59,9 +71,6 @@
                   const std::vector<ListedEndpoint>& endpoints,
                   std::uint64_t revision,
                   std::uint64_t era = 0);
-  // Reading the list failed, or succeeded again.
-  void OnUnreachable(kernel::Time now);
-  void OnReachable(kernel::Time now);
   // Removes expired endpoints whose grace period is over.
   bool OnTick(kernel::Time now);
 
@@ -73,8 +82,12 @@
  private:
   struct TrackedEndpoint {
     ListedEndpoint endpoint;
+    // When the latest version of its entry arrived.
+    kernel::Time heard_at{};
     // Set if the endpoint expired: when it is removed.
     std::optional<kernel::Time> remove_at;
+    // Returns of the store since it expired.
+    std::uint32_t returns = 0;
   };
 
   // Of the run that was removed.
@@ -85,7 +98,13 @@
     bool leaving = false;
   };
 
-  bool MayHaveExpired(kernel::Time now) const;
+  // Whether the store may be away, or was in the time up to `now`.
+  bool IsAway(kernel::Time now) const;
+  // Whether the absence of the store, and not the endpoint, may be the reason
+  // why its entry is missing.
+  bool MayHaveExpired(kernel::Time now, const TrackedEndpoint& tracked) const;
+  // Keeps the endpoint for the grace period that began at `returned_at`.
+  void KeepExpired(kernel::Time returned_at, TrackedEndpoint& tracked) const;
   // Returns whether the entry of an older copy of the list says less than what
   // is known of the endpoint. If so, later changes are compared with the entry.
   bool IsOutdatedCopy(const ListedEndpoint& copied);
@@ -95,8 +114,10 @@
   // By id, so that an older update does not add them again.
   std::map<std::string, Removal, std::less<>> m_removed;
   std::uint64_t m_era = 0;  // Of the latest snapshot; 0: none.
-  bool m_unreachable = false;
-  std::optional<kernel::Time> m_reachable_since;
+  // When the store answered last; nothing: not yet.
+  std::optional<kernel::Time> m_answered_at;
+  // When it answered first after an absence.
+  std::optional<kernel::Time> m_returned_at;
 };
 
 }  // namespace radishrudder::direct
--- a/include/radishrudder/dissemination/store_reader.h
+++ b/include/radishrudder/dissemination/store_reader.h
@@ -65,6 +65,11 @@
   // whole wait.
   kernel::BootTime complete_at{};
 };
+// The store answered a request that was sent at `requested_at`. Precedes what
+// the answer delivers.
+struct StoreAnswered {
+  kernel::Time requested_at{};
+};
 // The first request after a successful one failed.
 struct StoreUnreachable {};
 // The store responds again after failed requests.
@@ -83,6 +88,7 @@
                                  PrefixSnapshot,
                                  PrefixChanges,
                                  PrefixConfirmed,
+                                 StoreAnswered,
                                  StoreUnreachable,
                                  StoreRecovered,
                                  StoreEraChanged>;
@@ -99,6 +105,9 @@
   // Delay of the next watch after one that returned changes, so that changes in
   // quick succession are delivered together.
   std::chrono::milliseconds next_watch_delay{100};
+  // Wait of a watch after a failed request. It is short, so that its answer
+  // soon tells whether the store is still there.
+  std::chrono::milliseconds confirming_wait{10};
   // Backoff after the first failure; doubles with each consecutive failure.
   std::chrono::milliseconds initial_backoff{60};
   std::chrono::milliseconds maximum_backoff{500};
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -52,6 +52,7 @@
 
 struct EntryProcessSettings {
   direct::EntrySettings entry{};
+  direct::EndpointListSettings endpoint_list{};
   std::string callers_address{};
   std::string readiness_address{};
   std::string metrics_address{};
@@ -98,6 +99,7 @@
               caller->Reply({kOk, {{"Content-Type", "text/plain"}}},
                             m_journal.MetricsText());
             }),
+        m_list(ListSettings(m_settings.endpoint_list)),
         m_operator_follower(context,
                             m_fetcher,
                             {.address = m_settings.store_address,
@@ -208,6 +210,9 @@
                  updated.metrics_address, change);
     DeferSetting("store-address", current.store_address, updated.store_address,
                  change);
+    DeferSetting("endpoint-heartbeat-interval",
+                 current.endpoint_list.heartbeat_interval,
+                 updated.endpoint_list.heartbeat_interval, change);
     DeferSetting("peers-address", current.peers_address, updated.peers_address,
                  change);
     DeferSetting("load-reports-address", current.load_reports_address,
@@ -253,6 +258,13 @@
   // their callers.
   static constexpr std::chrono::milliseconds kResponseMargin{200};
 
+  // Entries that are written again arrive one pause later at the latest.
+  static direct::EndpointListSettings ListSettings(
+      direct::EndpointListSettings settings) {
+    settings.expired_endpoint_grace += kEndpointWatchPause;
+    return settings;
+  }
+
   void OnRequest(exchange::ReceivedRequest received,
                  std::shared_ptr<exchange::CallerExchange> caller) {
     const direct::CallId id = ++m_last_call;
@@ -386,6 +398,9 @@
                    std::get_if<dissemination::PrefixConfirmed>(&output)) {
       m_core.OnConfigurationConfirmed(confirmed->requested_at);
       m_peers.OnStoreRead(kernel::ToTime(confirmed->complete_at));
+    } else if (const auto* answered =
+                   std::get_if<dissemination::StoreAnswered>(&output)) {
+      m_list.OnStoreAnswered(kernel::Now(), answered->requested_at);
     } else {
       if (std::holds_alternative<dissemination::StoreUnreachable>(output)) {
         m_peers.OnStoreLost(kernel::Now());
@@ -660,16 +675,12 @@
       for (const dissemination::StoreItem& item : changes->items) {
         changed = OnEndpointItem(now, item) || changed;
       }
-    } else if (std::holds_alternative<dissemination::StoreUnreachable>(
-                   output)) {
-      m_list.OnUnreachable(now);
+    } else if (const auto* answered =
+                   std::get_if<dissemination::StoreAnswered>(&output)) {
+      m_list.OnStoreAnswered(now, answered->requested_at);
+    } else {
       LogStoreState(output, Platform::kEndpointPrefix,
                     m_endpoint_follower.Problem());
-    } else if (std::holds_alternative<dissemination::StoreRecovered>(output)) {
-      m_list.OnReachable(now);
-      LogStoreState(output, Platform::kEndpointPrefix, "");
-    } else {
-      LogStoreState(output, Platform::kEndpointPrefix, "");
     }
     if (changed) {
       m_core.OnEndpoints(now, m_list.Endpoints());
@@ -696,7 +707,7 @@
                     {"version", std::to_string(endpoint->model_version)},
                     {"revision", std::to_string(item.revision)}});
     }
-    return m_list.OnUpdate(*endpoint);
+    return m_list.OnUpdate(now, *endpoint);
   }
 
   std::optional<direct::ListedEndpoint> DecodeEndpoint(
@@ -841,7 +852,7 @@
   exchange::CallerServer m_callers;
   exchange::CallerServer m_readiness;
   exchange::CallerServer m_metrics_server;
-  direct::EndpointList m_list{direct::EndpointListSettings{}};
+  direct::EndpointList m_list;
   StoreFollower<typename Platform::Store> m_operator_follower;
   StoreFollower<typename Platform::Store> m_endpoint_follower;
   exchange::CallerServer m_peer_server;
--- a/source/radishrudder/direct/endpoint_list.cc
+++ b/source/radishrudder/direct/endpoint_list.cc
@@ -11,10 +11,28 @@
 // Maximum number of remembered removals; those with the lowest revisions are
 // dropped first.
 constexpr std::size_t kMaximumRememberedRemovals = 4096;
+// An entry that arrived less than this many heartbeat intervals ago has not
+// expired: its last interval of silence may have been on the way.
+constexpr int kIntervalsOfExpiredEntry = 2;
 
 }  // namespace
 
-bool EndpointList::OnUpdate(const ListedEndpoint& endpoint) {
+void EndpointList::OnStoreAnswered(kernel::Time now,
+                                   kernel::Time requested_at) {
+  const bool returned = IsAway(requested_at);
+  m_answered_at = now;
+  if (!returned) {
+    return;
+  }
+  m_returned_at = now;
+  for (auto& [id, tracked] : m_endpoints) {
+    if (tracked.remove_at && tracked.returns < m_settings.maximum_returns) {
+      KeepExpired(now, tracked);
+    }
+  }
+}
+
+bool EndpointList::OnUpdate(kernel::Time now, const ListedEndpoint& endpoint) {
   const auto removed = m_removed.find(endpoint.id);
   bool leaving = endpoint.leaving;
   // A run that leaves does not come back.
@@ -32,7 +50,7 @@
   }
   const auto found = m_endpoints.find(endpoint.id);
   if (found == m_endpoints.end()) {
-    TrackedEndpoint added{endpoint, std::nullopt};
+    TrackedEndpoint added{endpoint, now, std::nullopt, /*returns=*/0};
     added.endpoint.leaving = leaving;
     m_endpoints.emplace(endpoint.id, std::move(added));
     return true;
@@ -45,8 +63,12 @@
   }
   leaving = leaving || stays_leaving(known.started, known.leaving);
   tracked.remove_at.reset();
+  tracked.returns = 0;
   const bool changed = std::tie(endpoint.era, endpoint.revision) !=
                        std::tie(known.era, known.revision);
+  if (changed) {
+    tracked.heard_at = now;
+  }
   known = endpoint;
   known.leaving = leaving;
   return changed;
@@ -60,15 +82,14 @@
   if (found == m_endpoints.end()) {
     return false;
   }
-  const ListedEndpoint& known = found->second.endpoint;
-  if (std::tie(era, revision) < std::tie(known.era, known.revision)) {
+  TrackedEndpoint& tracked = found->second;
+  const ListedEndpoint& known = tracked.endpoint;
+  if (std::tie(era, revision) < std::tie(known.era, known.revision) ||
+      tracked.remove_at) {
     return false;
   }
-  if (MayHaveExpired(now) && !known.leaving) {
-    if (!found->second.remove_at) {
-      found->second.remove_at = (m_reachable_since ? *m_reachable_since : now) +
-                                m_settings.expired_endpoint_grace;
-    }
+  if (MayHaveExpired(now, tracked)) {
+    KeepExpired(*m_returned_at, tracked);
     return false;
   }
   m_removed[found->first] = {era, revision, known.started, known.leaving};
@@ -105,23 +126,24 @@
                               std::uint64_t era) {
   const bool new_era = m_era != 0 && era > m_era;
   m_era = std::max(m_era, era);
-  if (new_era) {
-    // What is missing may have been lost, and is written again if it lives.
-    m_reachable_since = now;
-  }
   bool changed = false;
   std::set<std::string_view> present;
   for (const ListedEndpoint& endpoint : endpoints) {
     present.insert(endpoint.id);
     if (!new_era || !IsOutdatedCopy(endpoint)) {
-      changed = OnUpdate(endpoint) || changed;
+      changed = OnUpdate(now, endpoint) || changed;
     }
   }
   std::vector<std::string> missing;
-  for (const auto& [id, tracked] : m_endpoints) {
-    if (!present.contains(id)) {
-      missing.push_back(id);
+  for (auto& [id, tracked] : m_endpoints) {
+    if (present.contains(id)) {
+      continue;
+    }
+    // The older copy may lack the entry; a live endpoint writes it again.
+    if (new_era && !tracked.endpoint.leaving && !tracked.remove_at) {
+      KeepExpired(now, tracked);
     }
+    missing.push_back(id);
   }
   for (const std::string& id : missing) {
     changed = OnRemoved(now, id, revision, era) || changed;
@@ -129,25 +151,8 @@
   return changed;
 }
 
-void EndpointList::OnUnreachable(kernel::Time now) {
-  m_unreachable = true;
-  m_reachable_since.reset();
-}
-
-void EndpointList::OnReachable(kernel::Time now) {
-  if (m_unreachable) {
-    m_unreachable = false;
-    m_reachable_since = now;
-    for (auto& [id, tracked] : m_endpoints) {
-      if (tracked.remove_at) {
-        tracked.remove_at = now + m_settings.expired_endpoint_grace;
-      }
-    }
-  }
-}
-
 bool EndpointList::OnTick(kernel::Time now) {
-  if (m_unreachable) {
+  if (IsAway(now)) {
     return false;
   }
   bool changed = false;
@@ -173,9 +178,24 @@
   return found == m_endpoints.end() ? nullptr : &found->second.endpoint;
 }
 
-bool EndpointList::MayHaveExpired(kernel::Time now) const {
-  return m_unreachable || (m_reachable_since &&
-                           now - *m_reachable_since < m_settings.settling_time);
+bool EndpointList::IsAway(kernel::Time now) const {
+  // An absence shorter than an interval prevents one heartbeat at most, and an
+  // entry expires after three.
+  return m_answered_at && now - *m_answered_at >= m_settings.heartbeat_interval;
+}
+
+bool EndpointList::MayHaveExpired(kernel::Time now,
+                                  const TrackedEndpoint& tracked) const {
+  return !tracked.endpoint.leaving && m_returned_at &&
+         now - *m_returned_at < m_settings.expired_endpoint_grace &&
+         now - tracked.heard_at >=
+             kIntervalsOfExpiredEntry * m_settings.heartbeat_interval;
+}
+
+void EndpointList::KeepExpired(kernel::Time returned_at,
+                               TrackedEndpoint& tracked) const {
+  tracked.remove_at = returned_at + m_settings.expired_endpoint_grace;
+  ++tracked.returns;
 }
 
 }  // namespace radishrudder::direct
--- a/source/radishrudder/dissemination/store_reader.cc
+++ b/source/radishrudder/dissemination/store_reader.cc
@@ -23,7 +23,9 @@
   m_request_started_at = boot_now;
   if (m_phase == Phase::kWatching) {
     m_wait = m_settings.watch_wait;
-    if (std::exchange(m_shorten_watch, false)) {
+    if (m_consecutive_failures > 0) {
+      m_wait = std::min(m_settings.confirming_wait, m_settings.watch_wait);
+    } else if (std::exchange(m_shorten_watch, false)) {
       m_wait = std::chrono::duration_cast<std::chrono::milliseconds>(
           m_wait * m_random.Uniform());
     }
@@ -156,6 +158,7 @@
 
 void StoreReader::OnResponse(kernel::Time now) {
   m_request_in_progress = false;
+  m_outputs.emplace_back(StoreAnswered{m_request_sent});
   // A history that was discarded meanwhile is read again in further requests.
   if (m_phase == Phase::kWatching || m_consecutive_failures > 0) {
     m_failed_for = m_consecutive_failures > 0 ? now - m_failing_since
--- a/tests/direct/endpoint_list_era_test.cc
+++ b/tests/direct/endpoint_list_era_test.cc
@@ -60,9 +60,9 @@
     if (known == Known::kNothing) {
       return;
     }
-    m_list.OnUpdate(MakeEndpoint(100, kEra));
+    m_list.OnUpdate(m_now, MakeEndpoint(100, kEra));
     if (known == Known::kLeaving || known == Known::kLeftAndRemoved) {
-      m_list.OnUpdate(MakeEndpoint(101, kEra, true));
+      m_list.OnUpdate(m_now, MakeEndpoint(101, kEra, true));
     }
     if (known == Known::kRemoved || known == Known::kLeftAndRemoved) {
       m_list.OnRemoved(m_now, "a", 102, kEra);
@@ -88,7 +88,7 @@
   m_now += milliseconds(1500);
   m_list.OnTick(m_now);
   if (test.written) {
-    m_list.OnUpdate(*test.written);
+    m_list.OnUpdate(m_now, *test.written);
   }
   m_now += milliseconds(1500);
   m_list.OnTick(m_now);
--- a/tests/direct/parts_test.cc
+++ b/tests/direct/parts_test.cc
@@ -65,17 +65,17 @@
 };
 
 TEST_F(EndpointListTest, IgnoresOlderRevisions) {
-  EXPECT_TRUE(m_list.OnUpdate(MakeListedEndpoint("a", 5, true)));
-  EXPECT_FALSE(m_list.OnUpdate(MakeListedEndpoint("a", 4, false)));
+  EXPECT_TRUE(m_list.OnUpdate(m_now, MakeListedEndpoint("a", 5, true)));
+  EXPECT_FALSE(m_list.OnUpdate(m_now, MakeListedEndpoint("a", 4, false)));
   EXPECT_TRUE(m_list.Find("a")->leaving);
   EXPECT_TRUE(m_list.OnRemoved(m_now, "a", 6));
-  EXPECT_FALSE(m_list.OnUpdate(MakeListedEndpoint("a", 5)));
+  EXPECT_FALSE(m_list.OnUpdate(m_now, MakeListedEndpoint("a", 5)));
   EXPECT_EQ(m_list.Find("a"), nullptr);
-  EXPECT_TRUE(m_list.OnUpdate(MakeListedEndpoint("a", 7)));
+  EXPECT_TRUE(m_list.OnUpdate(m_now, MakeListedEndpoint("a", 7)));
 }
 
 TEST_F(EndpointListTest, RemovesAtOnceWhileListIsReachable) {
-  m_list.OnUpdate(MakeListedEndpoint("a", 1));
+  m_list.OnUpdate(m_now, MakeListedEndpoint("a", 1));
   EXPECT_TRUE(m_list.OnRemoved(m_now, "a", 2));
   EXPECT_EQ(m_list.Size(), 0U);
 }
@@ -83,17 +83,18 @@
 // While the store is unreachable, entries expire although their endpoints are
 // alive.
 TEST_F(EndpointListTest, KeepsExpiredEndpointsForGracePeriod) {
-  m_list.OnUpdate(MakeListedEndpoint("back", 1));
-  m_list.OnUpdate(MakeListedEndpoint("gone", 2));
-  m_list.OnUpdate(MakeListedEndpoint("leaving", 3, true));
-  m_list.OnUnreachable(m_now);
+  m_list.OnUpdate(m_now, MakeListedEndpoint("back", 1));
+  m_list.OnUpdate(m_now, MakeListedEndpoint("gone", 2));
+  m_list.OnUpdate(m_now, MakeListedEndpoint("leaving", 3, true));
+  m_list.OnStoreAnswered(m_now, m_now);
   m_now += std::chrono::seconds(10);
-  m_list.OnReachable(m_now);
+  m_list.OnStoreAnswered(m_now, m_now);
   m_list.OnSnapshot(m_now, {}, 9);
   EXPECT_NE(m_list.Find("back"), nullptr);
   EXPECT_EQ(m_list.Find("leaving"), nullptr);
   m_now += milliseconds(1000);
-  m_list.OnUpdate(MakeListedEndpoint("back", 10));
+  m_list.OnStoreAnswered(m_now, m_now);
+  m_list.OnUpdate(m_now, MakeListedEndpoint("back", 10));
   m_now += milliseconds(1100);
   EXPECT_TRUE(m_list.OnTick(m_now));
   EXPECT_NE(m_list.Find("back"), nullptr);
--- a/tests/dissemination/store_reader_test.cc
+++ b/tests/dissemination/store_reader_test.cc
@@ -107,6 +107,26 @@
   EXPECT_TRUE(TakeLast<StoreRecovered>());
 }
 
+// Guards against a watch that was cut counting as a loss of the store for the
+// whole wait of the next one.
+TEST_F(StoreReaderTest, AsksAtOnceWhetherTheStoreIsThereAfterAFailure) {
+  ReadSnapshot(5);
+  ASSERT_EQ(TickAndTakeRequest<WatchChanges>()->wait, milliseconds(1000));
+  AdvanceTime(milliseconds(500));
+  m_reader.OnRequestFailed(m_now);
+  AdvanceTime(milliseconds(100));
+  const kernel::Time asked_at = m_now;
+  const auto question = TickAndTakeRequest<WatchChanges>();
+  ASSERT_TRUE(question);
+  EXPECT_LE(question->wait, milliseconds(50));
+  EXPECT_EQ(question->revision, 5U);
+  AdvanceTime(question->wait);
+  m_reader.OnChanges(m_now, {}, 5);
+  EXPECT_EQ(TakeLast<StoreAnswered>()->requested_at, asked_at);
+  EXPECT_TRUE(m_reader.IsReachable());
+  EXPECT_EQ(TickAndTakeRequest<WatchChanges>()->wait, milliseconds(1000));
+}
+
 TEST_F(StoreReaderTest, ReadsAllKeysAfterHistoryLoss) {
   ReadSnapshot(5);
   ASSERT_TRUE(TickAndTakeRequest<WatchChanges>());
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -11,6 +11,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <charconv>
 #include <map>
 #include <memory>
 #include <utility>
@@ -26,6 +27,7 @@
 
 constexpr milliseconds kServiceTime{20};
 constexpr milliseconds kWatchTime{300};
+constexpr milliseconds kFaultDelay{150};
 constexpr milliseconds kEventInterval{100};
 constexpr milliseconds kAnswerLimit{8000};
 // More than the buffers of two sockets hold.
@@ -56,6 +58,19 @@
   return text;
 }
 
+// Returns the time for which a watch wants to wait.
+milliseconds WaitOf(std::string_view target) {
+  constexpr std::string_view kWait = "wait_ms=";
+  const std::size_t position = target.find(kWait);
+  if (position == std::string_view::npos) {
+    return kWatchTime;
+  }
+  long wait = 0;
+  std::from_chars(target.data() + position + kWait.size(),
+                  target.data() + target.size(), wait);
+  return milliseconds(wait);
+}
+
 // Returns a connected socket, or -1.
 int Connect(std::string_view address, milliseconds limit) {
   const std::size_t colon = address.find(':');
@@ -136,6 +151,55 @@
   asio::post(m_context, [this, key = std::move(key)] { ApplyRemoval(key); });
 }
 
+void PlatformStandin::FailWatches(std::vector<std::string> prefixes,
+                                  WatchFault fault,
+                                  std::size_t interval) {
+  asio::post(m_context,
+             [this, prefixes = std::move(prefixes), fault, interval] {
+               m_fault = fault;
+               m_fault_interval = interval;
+               m_fault_counts.clear();
+               for (const std::string& prefix : prefixes) {
+                 m_fault_counts.emplace(prefix, 0);
+               }
+             });
+}
+
+WatchFault PlatformStandin::NextFault(std::string_view prefix) {
+  const auto found = m_fault_counts.find(prefix);
+  if (found == m_fault_counts.end()) {
+    return WatchFault::kNone;
+  }
+  return ++found->second % m_fault_interval == 0 ? m_fault : WatchFault::kNone;
+}
+
+void PlatformStandin::FailLater(WatchFault fault, const Exchange& caller) {
+  const auto timer =
+      std::make_shared<asio::steady_timer>(m_context, kFaultDelay);
+  timer->async_wait([this, timer, fault, caller](std::error_code) {
+    switch (fault) {
+      case WatchFault::kUnavailable:
+        caller->Reply({503, {}}, "");
+        break;
+      case WatchFault::kHistoryGone:
+        caller->Reply({410, {}}, "");
+        break;
+      case WatchFault::kBrokenOff:
+        caller->Begin({200, {}});
+        caller->Write(R"({"at": )");
+        caller->Abort();
+        break;
+      case WatchFault::kNoAnswer:
+        m_unanswered.push_back(caller);
+        break;
+      case WatchFault::kCut:
+      case WatchFault::kNone:
+        caller->Abort();
+        break;
+    }
+  });
+}
+
 void PlatformStandin::ApplyWrite(const StandinEntry& entry) {
   ++m_revision;
   std::erase_if(m_entries, [&entry](const StandinEntry& known) {
@@ -185,7 +249,15 @@
     if (m_watches < m_watch_bodies.size()) {
       body = m_watch_bodies[m_watches++];
     }
-    ReplyLater(m_watches < m_watch_bodies.size() ? kServiceTime : kWatchTime,
+    const milliseconds wait = WaitOf(target);
+    const WatchFault fault =
+        wait < kWatchTime ? WatchFault::kNone : NextFault(prefix);
+    if (fault != WatchFault::kNone) {
+      FailLater(fault, caller);
+      return;
+    }
+    ReplyLater(m_watches < m_watch_bodies.size() ? kServiceTime
+                                                 : std::min(wait, kWatchTime),
                caller, {200, {}}, std::move(body));
     return;
   }
--- a/tests/platform/platform_standin.h
+++ b/tests/platform/platform_standin.h
@@ -35,6 +35,16 @@
   std::string report{};       // Body of the response to GET /report.
 };
 
+// How the stand-in's store fails a watch that waits.
+enum class WatchFault {
+  kNone,
+  kCut,          // Resets the connection.
+  kUnavailable,  // Answers 503.
+  kBrokenOff,    // Ends the connection within the answer.
+  kHistoryGone,  // Answers 410.
+  kNoAnswer
+};
+
 // The platform's store with one configuration and one endpoint, and this
 // endpoint, on a thread of their own. Calls of /s/ are plain; a call of /t/MS
 // is answered with a stream of events that takes MS milliseconds. Calls of
@@ -55,6 +65,11 @@
   // Changes the store; watches return the change.
   void Write(StandinEntry entry);
   void Remove(std::string key);
+  // From now on, one of `interval` watches of each prefix fails while it waits.
+  // Those that wait for a shorter time than the stand-in takes do not fail.
+  void FailWatches(std::vector<std::string> prefixes,
+                   WatchFault fault,
+                   std::size_t interval);
   const std::string& EndpointAddress() const { return m_endpoint_address; }
   // How often the endpoint has begun to run the call with this id.
   int Runs(const std::string& attempt_id) const;
@@ -70,6 +85,9 @@
 
   void ApplyWrite(const StandinEntry& entry);
   void ApplyRemoval(const std::string& key);
+  // Returns how the next watch of the prefix fails.
+  WatchFault NextFault(std::string_view prefix);
+  void FailLater(WatchFault fault, const Exchange& caller);
   // Body of an answer to a request for a page of the prefix, of at most 500
   // items and 1 MB of values, or one item.
   std::string PageBody(std::string_view prefix, std::string_view target) const;
@@ -94,6 +112,11 @@
   std::vector<StandinEntry> m_entries;
   std::vector<std::string> m_watch_bodies;
   std::size_t m_watches = 0;
+  WatchFault m_fault = WatchFault::kNone;
+  std::size_t m_fault_interval = 1;
+  // Watches since faults began, by the prefixes that have them.
+  std::map<std::string, std::size_t, std::less<>> m_fault_counts;
+  std::vector<Exchange> m_unanswered;
   std::uint64_t m_revision = 9;
   std::vector<Change> m_changes;
   mutable std::mutex m_runs_mutex;
