exchange: an endpoint's answer waits until its caller has read more of it

Change: once an answer's unread bytes exceed its share of the memory for answers, the entry stops reading it from the endpoint; it goes on when the caller has read three quarters. The same share bounds a body that is not passed on yet and an event that is not whole. The system's receive buffer of a connection to an endpoint is 64 KiB, as it counts as memory of the process. While an endpoint waits for the caller, its silence is no reason for a retry, and an answer that ends then is not held against it or its request.

Programs of tests lock their ports: three cases of the new test did not start when their ports were taken by another test in the same moment.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -58,6 +58,9 @@
   // on the older version.
   std::chrono::milliseconds withdrawal_delay{500};
   CrashSuspectSettings crash_suspects{};
+  // Memory for what is held of all answers, in bytes. It is divided between the
+  // calls in progress; each may use a minimum in any case.
+  std::size_t answer_memory = 64U << 20U;
 };
 
 // A declaration of a model version, as read from the store.
@@ -127,6 +130,11 @@
   ResponseVerdict OnResponseHead(kernel::Time now,
                                  CallId call,
                                  EndpointResponse response);
+  // The caller reads its answer more slowly than it arrives, so that the
+  // endpoint has to wait; or does so no longer.
+  void OnCallerBehind(CallId id, bool behind);
+  // Bytes of one answer that may be held until its caller reads them.
+  std::size_t AnswerLimit() const;
   void OnResponseBody(kernel::Time now, CallId call, std::string data);
   void OnResponseEnd(kernel::Time now, CallId call);
   void OnAttemptFailed(kernel::Time now, CallId call, AttemptFailure failure);
--- a/include/radishrudder/exchange/caller_server.h
+++ b/include/radishrudder/exchange/caller_server.h
@@ -49,8 +49,11 @@
   virtual void Abort() = 0;
   // Called at most once, when the caller leaves before the answer ended.
   virtual void OnDisconnected(std::function<void()> handler) = 0;
-  // Bytes that the caller has not taken yet.
+  // Bytes of answers that wait in this process for the caller to read.
   virtual std::size_t BytesWaiting() const = 0;
+  // Called each time that some of them have been written to the connection,
+  // until the answer ends.
+  virtual void OnWritten(std::function<void()> handler) = 0;
 };
 
 struct ReceivedRequest {
--- a/include/radishrudder/exchange/endpoint_pool.h
+++ b/include/radishrudder/exchange/endpoint_pool.h
@@ -56,6 +56,9 @@
   // The end of an endpoint's idle timeout that is left unused.
   std::chrono::milliseconds idle_margin{1000};
   std::size_t maximum_idle = 64;  // Connections an address.
+  // Size of the system's receive buffer of a connection, which holds what is
+  // not read while reading is paused; 0: the system's own choice.
+  std::size_t receive_buffer_bytes = 0;
 };
 
 // Sends requests to endpoints over connections that it keeps. It never sends a
@@ -91,6 +94,11 @@
                    AnswerListener& listener);
   // Closes the connection of an exchange that is not done.
   void Cancel(ExchangeId exchange);
+  // Stops reading the answer of an exchange, which the peer notices as a slow
+  // reader. The listener may still hear of bytes that were read before. Nothing
+  // is noticed of the connection's end until reading is resumed.
+  void PauseReading(ExchangeId exchange);
+  void ResumeReading(ExchangeId exchange);
   // Keeps a connection to "IP:PORT" for one exchange: a new one, or an idle one
   // if there is any and `may_be_reused`. Its request then reaches the process
   // to which the connection was opened, or none. On a new one, no response to
--- a/include/radishrudder/serving/call_session.h
+++ b/include/radishrudder/serving/call_session.h
@@ -58,6 +58,16 @@
                m_request->method == "HEAD", *this);
   }
   void Cancel(exchange::EndpointPool& pool) { pool.Cancel(m_exchange); }
+  // Lets the endpoint wait until the caller has read more of the answer.
+  void PauseReading(exchange::EndpointPool& pool) {
+    m_paused = true;
+    pool.PauseReading(m_exchange);
+  }
+  void ResumeReading(exchange::EndpointPool& pool) {
+    m_paused = false;
+    pool.ResumeReading(m_exchange);
+  }
+  bool IsPaused() const { return m_paused; }
 
   void OnSending() override {
     Process& process = m_process;
@@ -110,6 +120,7 @@
   std::shared_ptr<exchange::CallerExchange> m_caller;
   std::string m_endpoint;
   exchange::EndpointPool::ExchangeId m_exchange = 0;
+  bool m_paused = false;
 };
 
 }  // namespace radishrudder::serving
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -78,7 +78,7 @@
         m_settings(std::move(settings)),
         m_core(m_settings.entry, kernel::Random(random.Next())),
         m_journal(m_settings.entry.name),
-        m_pool(context, {}),
+        m_pool(context, {.receive_buffer_bytes = kReceiveBufferBytes}),
         m_store_pool(context, {}),
         m_fetcher(context, m_store_pool),
         m_callers(context,
@@ -188,6 +188,8 @@
                  updated.entry.version_switch_grace, change);
     ApplySetting("settling-time", current.entry.undated_version_grace,
                  updated.entry.undated_version_grace, change);
+    ApplySetting("answer-memory", current.entry.answer_memory,
+                 updated.entry.answer_memory, change);
     ApplySetting("stop-timeout", current.stop_timeout, updated.stop_timeout,
                  change);
     ApplySetting("peer-seeds", current.peer_seeds, updated.peer_seeds, change);
@@ -252,6 +254,12 @@
   static constexpr std::chrono::milliseconds kLateArrivalTime{3000};
   // During a stop, connections that have been idle this long are closed.
   static constexpr std::chrono::milliseconds kStopIdleTimeout{400};
+  // The system's receive buffer of a connection to an endpoint. It counts as
+  // memory of the process while an answer is not read.
+  static constexpr std::size_t kReceiveBufferBytes = 64U << 10U;
+  // Reading goes on once the caller has read all but this share of what may be
+  // held of its answer.
+  static constexpr std::size_t kResumeDivisor = 4;
   // A stop ends this long before the platform would kill the process.
   static constexpr std::chrono::milliseconds kStopMargin{250};
   // Responses are complete this long before the stop ends, so that they reach
@@ -277,12 +285,24 @@
       TakeOutputs();
       m_sessions.erase(id);
     });
+    caller->OnWritten([this, id] { ResumeReading(id); });
     m_sessions.emplace(
         id, std::make_unique<Session>(*this, id, request, std::move(caller)));
     m_core.OnRequest(kernel::Now(), kernel::BootTimeNow(), id, request);
     TakeOutputs();
   }
 
+  // Goes on reading the answer of a call if its caller has read enough.
+  void ResumeReading(direct::CallId id) {
+    Session* session = Find(id);
+    if (session != nullptr && session->IsPaused() &&
+        session->Caller().BytesWaiting() <=
+            m_core.AnswerLimit() / kResumeDivisor) {
+      m_core.OnCallerBehind(id, /*behind=*/false);
+      session->ResumeReading(m_pool);
+    }
+  }
+
   // The platform may kill the process by the newest settings.
   void LimitServing() {
     m_core.OnDrain(kernel::Now(), *m_stop_started + m_settings.stop_timeout -
@@ -334,6 +354,10 @@
   void Execute(direct::SendResponseBody& output) {
     if (Session* session = Find(output.call)) {
       session->Caller().Write(output.data);
+      if (session->Caller().BytesWaiting() > m_core.AnswerLimit()) {
+        session->PauseReading(m_pool);
+        m_core.OnCallerBehind(output.call, /*behind=*/true);
+      }
     }
   }
   void Execute(direct::FinishResponse& output) {
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -92,6 +92,7 @@
   current.retry_budget_ratio = settings.retry_budget_ratio;
   current.version_switch_grace = settings.version_switch_grace;
   current.undated_version_grace = settings.undated_version_grace;
+  current.answer_memory = settings.answer_memory;
   for (const auto& [service, pool] : m_state->pools) {
     pool->Budget().SetShare(settings.retry_budget_ratio);
   }
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -36,6 +36,9 @@
 constexpr std::size_t kMaximumBufferedBytes = 256U << 10U;
 // An event that is larger ends the attempt.
 constexpr std::size_t kMaximumEventBytes = 1U << 20U;
+// What one answer may hold however many calls are in progress.
+constexpr std::size_t kMinimumAnswerBytes = 16U << 10U;
+constexpr std::size_t kMinimumEventBytes = 64U << 10U;
 // Range of Retry-After. Values are random, so that callers refused at the same
 // time do not all retry at the same time.
 constexpr milliseconds kMinimumRetryAfter{250};
@@ -235,10 +238,24 @@
   }
 }
 
+std::size_t Entry::State::AnswerLimit(std::size_t maximum) const {
+  const std::size_t share =
+      settings.answer_memory / std::max<std::size_t>(calls.size(), 1);
+  return std::clamp(share, std::min(kMinimumAnswerBytes, maximum), maximum);
+}
+
+void Entry::State::ReportFailure(kernel::Time now, const Call& call) {
+  if (call.attempt->waited_for_caller) {
+    Pool(call.service).OnAbandoned(now, RunOf(*call.attempt));
+  } else {
+    Pool(call.service).OnFailed(now, RunOf(*call.attempt));
+  }
+}
+
 void Entry::State::HandleFailure(kernel::Time now, Call& call, Reason reason) {
   call.may_have_run = true;
   RecordOutcome(now, call, CallRecord::Kind::kAttemptFailed, 0, reason);
-  Pool(call.service).OnFailed(now, RunOf(*call.attempt));
+  ReportFailure(now, call);
   call.excluded.push_back(call.attempt->endpoint);
   if (reason == Reason::kBroken && !call.attempt->harmless) {
     NoteBroken(now, call);
@@ -267,7 +284,8 @@
                                     std::string_view data) {
   std::string events = call.events.Feed(data);
   if (events.empty()) {
-    if (call.events.PendingBytes() > kMaximumEventBytes) {
+    if (call.events.PendingBytes() >
+        std::max(AnswerLimit(kMaximumEventBytes), kMinimumEventBytes)) {
       Emit(CancelAttempt{call.id});
       HandleFailure(now, call, Reason::kInvalidAnswer);
     }
@@ -413,12 +431,17 @@
   if (!call.attempt) {
     return;  // It waits for a place, which has a time limit of its own.
   }
-  const CurrentAttempt& attempt = *call.attempt;
+  CurrentAttempt& attempt = *call.attempt;
+  if (call.caller_behind) {
+    // Nothing is read, so the endpoint's silence means nothing.
+    attempt.last_progress = now;
+    Pool(call.service).OnDataReceived(now, attempt.endpoint);
+  }
   if (now >= call.deadline + kDeadlineGrace) {
     Emit(CancelAttempt{call.id});
     if (attempt.sent) {
       call.may_have_run = true;
-      Pool(call.service).OnFailed(now, RunOf(attempt));
+      ReportFailure(now, call);
     }
     FailCall(now, call, Reason::kTimeout);
     return;
@@ -583,6 +606,22 @@
   return ResponseVerdict::kAccept;
 }
 
+std::size_t Entry::AnswerLimit() const {
+  return m_state->AnswerLimit(kMaximumBufferedBytes);
+}
+
+void Entry::OnCallerBehind(CallId id, bool behind) {
+  Call* call = m_state->FindCall(id);
+  if (call == nullptr) {
+    return;
+  }
+  call->caller_behind = behind;
+  if (behind && call->attempt) {
+    call->attempt->waited_for_caller = true;
+    call->attempt->harmless = true;
+  }
+}
+
 void Entry::OnResponseBody(kernel::Time now, CallId id, std::string data) {
   Call* call = m_state->FindCall(id);
   if (call == nullptr || !call->attempt || !call->attempt->response) {
@@ -599,7 +638,7 @@
     return;
   }
   attempt.body += data;
-  if (attempt.body.size() > kMaximumBufferedBytes) {
+  if (attempt.body.size() > AnswerLimit()) {
     call->response_started = true;
     m_state->Emit(StartResponse{id, attempt.response->status,
                                 attempt.response->response_headers});
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -39,6 +39,9 @@
   CallId call = 0;
   // The answer got so far that its request does not crash endpoints.
   bool harmless = false;
+  // The endpoint had to wait for the caller, and may have ended the answer for
+  // that reason.
+  bool waited_for_caller = false;
 };
 
 // A caller's request whose response is not complete yet.
@@ -66,6 +69,8 @@
   std::optional<CurrentAttempt> attempt{};
   // The head of the response was sent to the caller.
   bool response_started = false;
+  // The endpoint has to wait until the caller has read more of the response.
+  bool caller_behind = false;
   EventSplitter events{};
   // Weights version of the response that was started.
   std::optional<std::uint64_t> version{};
@@ -126,6 +131,11 @@
   // An attempt ended without a complete response of the endpoint.
   void HandleRefusal(kernel::Time now, Call& call, routing::Refusal refusal);
   void HandleFailure(kernel::Time now, Call& call, Reason reason);
+  // Tells the pool that the attempt failed. An endpoint that had to wait for
+  // the caller is not to blame.
+  void ReportFailure(kernel::Time now, const Call& call);
+  // Bytes of one answer that may be held, at most `maximum`.
+  std::size_t AnswerLimit(std::size_t maximum) const;
   // Returns whether the call may have another attempt and takes that attempt
   // from the retry budget. Only called when another attempt is wanted.
   bool TryReserveRetry(kernel::Time now, Call& call);
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -70,6 +70,9 @@
            !HasUnread();
   }
   bool HasUnsent() const { return m_writing || !m_outgoing.empty(); }
+  std::size_t UnsentBytes() const {
+    return m_outgoing.size() + (m_writing ? m_sending.size() : 0);
+  }
   kernel::Time SilentSince() const { return m_silent_since; }
 
   void CheckTimes(kernel::Time now) {
@@ -102,6 +105,7 @@
     m_socket.close(ignored);
     m_server.m_connections.erase(self);
     std::function<void()> gone = std::exchange(m_gone, nullptr);
+    m_written = nullptr;
     m_exchange.reset();
     if (gone) {
       gone();
@@ -148,7 +152,12 @@
     }
     std::size_t BytesWaiting() const override {
       const auto connection = m_connection.lock();
-      return connection ? connection->m_outgoing.size() : 0;
+      return connection ? connection->UnsentBytes() : 0;
+    }
+    void OnWritten(std::function<void()> handler) override {
+      if (const auto connection = Current()) {
+        connection->m_written = std::move(handler);
+      }
     }
 
    private:
@@ -330,6 +339,7 @@
   void EndAnswer() {
     m_exchange.reset();
     m_gone = nullptr;
+    m_written = nullptr;
     m_silent_since = kernel::Now();
     m_ending = !m_keep;
     m_next = true;
@@ -374,8 +384,12 @@
           }
           if (failed) {
             self->Close();
-          } else {
-            self->WriteMore();
+            return;
+          }
+          self->WriteMore();
+          // The handler may be replaced while it runs.
+          if (const auto written = self->m_written) {
+            written();
           }
         });
   }
@@ -416,6 +430,7 @@
   std::string m_sending;
   std::shared_ptr<CallerExchange> m_exchange;  // The request in progress.
   std::function<void()> m_gone;
+  std::function<void()> m_written;
   std::optional<kernel::Time> m_begun;  // First byte of the next request.
   kernel::Time m_silent_since;
   kernel::Time m_read_at{};                       // When bytes were last read.
--- a/source/radishrudder/exchange/endpoint_pool.cc
+++ b/source/radishrudder/exchange/endpoint_pool.cc
@@ -88,6 +88,14 @@
     });
   }
 
+  void PauseReading() { m_paused = true; }
+  void ResumeReading() {
+    m_paused = false;
+    if (std::exchange(m_read_deferred, false)) {
+      Read();
+    }
+  }
+
   // Ends the exchange without telling the listener.
   void Close() {
     std::error_code ignored;
@@ -117,27 +125,31 @@
         self->FailToConnect();
       }
     });
-    m_socket.async_connect(
-        *endpoint, [self = shared_from_this()](std::error_code error) {
-          if (self->m_listener == nullptr && self->m_reservation == 0) {
-            return;
-          }
-          if (error) {
-            self->FailToConnect();
-            return;
-          }
-          self->m_timer.cancel();
-          self->m_open = true;
-          SetOptions(self->m_socket, self->m_pool.m_settings.silence_timeout);
-          if (self->m_reservation != 0) {
-            self->m_pool.OnReservation(self->m_reservation, /*open=*/true);
-          } else {
-            self->Write();
-          }
-          if (self->m_open) {
-            self->Read();
-          }
-        });
+    m_socket.async_connect(*endpoint, [self = shared_from_this()](
+                                          std::error_code error) {
+      if (self->m_listener == nullptr && self->m_reservation == 0) {
+        return;
+      }
+      if (error) {
+        self->FailToConnect();
+        return;
+      }
+      self->m_timer.cancel();
+      self->m_open = true;
+      SetOptions(self->m_socket, self->m_pool.m_settings.silence_timeout);
+      if (const std::size_t size = self->m_pool.m_settings.receive_buffer_bytes;
+          size > 0) {
+        SetReceiveBuffer(self->m_socket, size);
+      }
+      if (self->m_reservation != 0) {
+        self->m_pool.OnReservation(self->m_reservation, /*open=*/true);
+      } else {
+        self->Write();
+      }
+      if (self->m_open) {
+        self->Read();
+      }
+    });
   }
 
   // The listener must not hear of the failure while it still starts.
@@ -180,6 +192,10 @@
   }
 
   void Read() {
+    if (m_paused) {
+      m_read_deferred = true;
+      return;
+    }
     m_socket.async_read_some(
         asio::buffer(m_buffer),
         [self = shared_from_this()](std::error_code error, std::size_t size) {
@@ -279,6 +295,7 @@
     // connection in a state that the next request must not meet.
     const bool keep = m_keep && head.keep_alive && !extra_bytes && !m_writing &&
                       idle.count() > 0;
+    m_paused = false;
     m_listener = nullptr;
     m_pool.OnDone(m_exchange);
     if (keep) {
@@ -332,7 +349,9 @@
   bool m_head_only = false;
   bool m_head_taken = false;
   bool m_foreign = false;
-  bool m_keep = true;  // Nothing yet that forbids using it again.
+  bool m_paused = false;         // Nothing more is to be read for now.
+  bool m_read_deferred = false;  // The next read begins when that ends.
+  bool m_keep = true;            // Nothing yet that forbids using it again.
   kernel::Time m_usable_until{};
 };
 
@@ -386,6 +405,21 @@
   connection->Close();
 }
 
+void EndpointPool::PauseReading(ExchangeId exchange) {
+  const auto found = m_active.find(exchange);
+  if (found != m_active.end()) {
+    found->second->PauseReading();
+  }
+}
+
+void EndpointPool::ResumeReading(ExchangeId exchange) {
+  const auto found = m_active.find(exchange);
+  if (found != m_active.end()) {
+    const std::shared_ptr<Connection> connection = found->second;
+    connection->ResumeReading();
+  }
+}
+
 EndpointPool::ReservationId EndpointPool::Reserve(std::string_view address,
                                                   bool may_be_reused,
                                                   OnReserved on_reserved) {
--- a/source/radishrudder/exchange/socket_options.cc
+++ b/source/radishrudder/exchange/socket_options.cc
@@ -79,4 +79,9 @@
   SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
 }
 
+void SetReceiveBuffer(asio::ip::tcp::socket& socket, std::size_t bytes) {
+  SetOption(socket.native_handle(), SOL_SOCKET, SO_RCVBUF,
+            static_cast<int>(bytes));
+}
+
 }  // namespace radishrudder::exchange
--- a/source/radishrudder/exchange/socket_options.h
+++ b/source/radishrudder/exchange/socket_options.h
@@ -3,6 +3,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string_view>
 #include <system_error>
@@ -22,6 +23,9 @@
 void SetOptions(asio::ip::tcp::socket& socket,
                 std::chrono::milliseconds silence);
 
+// Limits the bytes that the system holds for the socket until they are read.
+void SetReceiveBuffer(asio::ip::tcp::socket& socket, std::size_t bytes);
+
 }  // namespace radishrudder::exchange
 
 #endif  // SOURCE_RADISHRUDDER_EXCHANGE_SOCKET_OPTIONS_H_
--- a/tests/direct/entry_attempts_test.cc
+++ b/tests/direct/entry_attempts_test.cc
@@ -612,5 +612,66 @@
   EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(), 1U);
 }
 
+// Guards against an endpoint that is taken for silent, or blamed, because its
+// answer is not read while the caller takes nothing.
+class CallerBehindTest : public EntryFixture,
+                         public testing::WithParamInterface<bool> {};
+
+TEST_P(CallerBehindTest, AttemptOfSlowCallerGoesOn) {
+  const bool behind = GetParam();
+  Start(Route(RouteKind::kStream, /*resumable=*/true));
+  const CallId call = Call();
+  m_entry.OnSending(m_now, call);
+  m_entry.OnResponseHead(m_now, call, SignedResponse(call, 200));
+  m_entry.OnResponseBody(m_now, call, "id: 1\ndata: a\n\n");
+  TakeOutputsOf<SendAttempt>();
+  m_entry.OnCallerBehind(call, behind);
+  for (int i = 0; i < 20; ++i) {
+    AdvanceTime(milliseconds(100));
+  }
+  EXPECT_EQ(TakeOutputsOf<CancelAttempt>().size(), behind ? 0U : 1U);
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(), behind ? 0U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, CallerBehindTest, testing::Bool());
+
+// Guards against healthy endpoints being ejected by callers that do not read
+// their answers before the deadline.
+TEST_F(EntryFixture, EndpointsAreNotBlamedForSlowCallers) {
+  Start(Route(RouteKind::kIdempotent, /*resumable=*/false), /*endpoints=*/1);
+  for (int i = 0; i < 20; ++i) {
+    const CallId call = Call();
+    ASSERT_EQ(TakeOutputsOf<SendAttempt>().size(), 1U);
+    m_entry.OnSending(m_now, call);
+    m_entry.OnResponseHead(m_now, call, SignedResponse(call, 200));
+    m_entry.OnResponseBody(m_now, call, std::string(1U << 20U, 'a'));
+    m_entry.OnCallerBehind(call, /*behind=*/true);
+    for (int tick = 0; tick < 70; ++tick) {
+      AdvanceTime(milliseconds(100));
+    }
+    EXPECT_EQ(TakeOutputsOf<AbortResponse>().size(), 1U);
+    m_entry.OnConfigurationConfirmed(m_boot);
+  }
+}
+
+// Guards against answers of many calls that together fill the memory: the more
+// calls are in progress, the less is held of each.
+class AnswerLimitTest : public EntryFixture {
+ protected:
+  AnswerLimitTest() : EntryFixture({.answer_memory = kMemory}) {}
+
+  static constexpr std::size_t kMemory = 1U << 20U;
+};
+
+TEST_F(AnswerLimitTest, IsDividedBetweenCalls) {
+  Start(Route(RouteKind::kIdempotent, /*resumable=*/false));
+  constexpr std::size_t kCalls = 8;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    EXPECT_LE(i * m_entry.AnswerLimit(), kMemory);
+    Call();
+  }
+  EXPECT_EQ(m_entry.AnswerLimit(), kMemory / kCalls);
+}
+
 }  // namespace
 }  // namespace radishrudder::direct
--- a/tests/exchange/endless_answer_test.cc
+++ b/tests/exchange/endless_answer_test.cc
@@ -103,6 +103,50 @@
   bool m_closed = false;
 };
 
+// Hears of an answer and counts its bytes.
+class ByteCounter : public AnswerListener {
+ public:
+  HeadVerdict OnHead(const ResponseHead&) override {
+    return HeadVerdict::kAccept;
+  }
+  void OnBody(std::string data) override { bytes += data.size(); }
+  void OnEnd() override {}
+  void OnFailure(Failure) override {}
+
+  std::size_t bytes = 0;
+};
+
+// Guards against an answer that is read on although nobody takes it: the rest
+// has to wait at the sender.
+TEST(PausedReadingTest, HoldsBackTheSender) {
+  constexpr milliseconds kPause{300};
+  asio::io_context context(1);
+  EndpointPool pool(context, {.receive_buffer_bytes = kBlockBytes});
+  EndlessServer server(context, {"", "HTTP/1.1 200 OK\r\n\r\n", Block("a")});
+  ByteCounter counter;
+  const auto exchange = pool.Start(server.Address(), "GET / HTTP/1.1\r\n\r\n",
+                                   /*head_only=*/false, counter);
+  while (counter.bytes < kBlockBytes) {
+    context.run_one();
+  }
+  pool.PauseReading(exchange);
+  context.run_for(kPause);
+  const std::size_t paused_at = counter.bytes;
+  const std::size_t sent = server.SentBytes();
+  context.run_for(kPause);
+  EXPECT_EQ(counter.bytes, paused_at);
+  EXPECT_EQ(server.SentBytes(), sent);
+  pool.ResumeReading(exchange);
+  while (counter.bytes < 2 * (paused_at + sent)) {
+    context.run_one();
+  }
+  pool.PauseReading(exchange);
+  pool.Cancel(exchange);
+  while (!server.IsClosed()) {
+    context.run_one();
+  }
+}
+
 class EndlessAnswerTest : public testing::TestWithParam<EndlessCase> {};
 
 // Guards against an answer that grows until the process runs out of memory, and
--- a/tests/platform/running_program.cc
+++ b/tests/platform/running_program.cc
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/file.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -36,20 +37,41 @@
   return !error;
 }
 
-// Returns the first of `kPorts` consecutive ports that are free. Processes of
-// tests that run at the same time begin their search at different ports.
-int FindPorts() {
+// Returns a handle that keeps other tests of this machine from using the ports
+// until it is closed, or -1 if another test has them.
+int LockPorts(int first) {
+  const std::filesystem::path path =
+      std::filesystem::temp_directory_path() /
+      ("radishrudder-ports-" + std::to_string(first));
+  const int handle = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (handle >= 0 && flock(handle, LOCK_EX | LOCK_NB) != 0) {
+    close(handle);
+    return -1;
+  }
+  return handle;
+}
+
+// Returns the first of `kPorts` consecutive ports that are free, and sets the
+// handle of their lock. Processes of tests that run at the same time begin
+// their search at different ports.
+int FindPorts(int& lock) {
   constexpr int kFirst = 20000;
   constexpr int kRange = 10000;
   for (int step = 0; step < kRange; ++step) {
-    const int first = kFirst + (getpid() * kPorts + step * kPorts) % kRange;
-    bool all_free = true;
+    // A multiple of `kPorts`, so that ranges are the same or disjoint.
+    const int first =
+        kFirst + (getpid() + step) * kPorts % (kRange / kPorts * kPorts);
+    lock = LockPorts(first);
+    bool all_free = lock >= 0;
     for (int port = first; port < first + kPorts; ++port) {
       all_free = all_free && IsFree(port);
     }
     if (all_free) {
       return first;
     }
+    if (lock >= 0) {
+      close(std::exchange(lock, -1));
+    }
   }
   return kFirst;
 }
@@ -66,7 +88,7 @@
                                std::vector<std::string> arguments)
     : m_program(program),
       m_arguments(std::move(arguments)),
-      m_first_port(FindPorts()) {
+      m_first_port(FindPorts(m_ports_lock)) {
   std::string pattern =
       std::filesystem::temp_directory_path() / "radishrudder-XXXXXX";
   m_directory = mkdtemp(pattern.data());
@@ -79,6 +101,9 @@
   }
   std::error_code ignored;
   std::filesystem::remove_all(m_directory, ignored);
+  if (m_ports_lock >= 0) {
+    close(m_ports_lock);
+  }
 }
 
 std::string RunningProgram::Address(int offset) const {
--- a/tests/platform/running_program.h
+++ b/tests/platform/running_program.h
@@ -75,6 +75,7 @@
   std::string m_program;  // File name.
   std::string m_directory;
   std::vector<std::string> m_arguments;
+  int m_ports_lock = -1;  // Handle of the lock on the ports.
   int m_first_port = 0;
   pid_t m_pid = -1;
   std::optional<int> m_status{};  // As `waitpid` gives it.
