exchange, http: what is read of answers is bounded in total and by its purpose

Cause: each answer that a process asks for itself was held up to 8 MB, and several at once as many times; answers to the daemons could be 64 MB where a status was asked for; trailers without end kept a request of the daemons going for ever (no time limit), and pages of the store that repeat themselves the reading of a prefix.

Change: the answers that a process reads at the same time share 24 MB; one that makes them exceed it fails, unless it has less than 256 KiB. Reports, answers to orders and peers' reports are read up to 1 MiB, pieces of the daemons' files up to their size. Heads, interim responses and trailers of libcurl's answers may have 256 KiB together. A page that goes no further than the preceding one counts as a failed request.

EndlessResponseTest before: trailers did not end within 60 s (ended by hand), header lines and interim responses ended by a limit of the library's own. StoreReaderTest.PageThatGoesNoFurtherFails: failed before. The tests of limits need parameters that are new.

--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -243,6 +243,7 @@
   static constexpr std::string_view kPeersPath = "/peers";
   // A peer that answers later tells nothing while a decision is due.
   static constexpr std::chrono::milliseconds kPeerTimeout{500};
+  static constexpr std::size_t kMaximumPeerReportBytes = 1U << 20U;
   // With hundreds of endpoints there is always a heartbeat, which ends a watch
   // at once. The pause bounds the calls to the store; a leaving endpoint is
   // known this much later, of the seconds that it still serves.
@@ -539,7 +540,8 @@
     m_fetcher.Fetch(output.address,
                     {.method = "POST",
                      .target = std::string(kPeersPath),
-                     .body = peers::ToText(MakeReport(sent_at))},
+                     .body = peers::ToText(MakeReport(sent_at)),
+                     .maximum_answer_bytes = kMaximumPeerReportBytes},
                     kPeerTimeout,
                     [this, sent_at, address = output.address](
                         std::optional<exchange::FetchedAnswer> response) {
--- a/source/radishrudder/daemon/endpoint_client.cc
+++ b/source/radishrudder/daemon/endpoint_client.cc
@@ -12,6 +12,8 @@
 
 constexpr std::chrono::milliseconds kStatusTimeout{1'000};
 constexpr std::chrono::milliseconds kOrderTimeout{60'000};
+// Of answers without weights or calls: the status and answers to orders.
+constexpr std::size_t kMaximumStatementBytes = 1U << 20U;
 constexpr int kStatusOk = 200;
 constexpr int kStatusAccepted = 202;
 constexpr int kStatusConflict = 409;
@@ -204,6 +206,7 @@
   request.headers = {{"Content-Type", "application/json"}};
   request.body = OrderText(order);
   request.timeout = kOrderTimeout;
+  request.maximum_body_bytes = kMaximumStatementBytes;
   if (!still_wanted()) {
     return std::nullopt;
   }
@@ -216,6 +219,7 @@
   request.url = m_url + path;
   request.body = std::move(body);
   request.timeout = kOrderTimeout;
+  request.maximum_body_bytes = kMaximumStatementBytes;
   const http::WholeAnswer answer = m_client.FetchNow(std::move(request));
   const bool accepted =
       !answer.result.error && answer.result.status < kFirstError;
@@ -232,6 +236,7 @@
   http::ClientRequest request;
   request.url = m_url + "/v1/status";
   request.timeout = kStatusTimeout;
+  request.maximum_body_bytes = kMaximumStatementBytes;
   m_client.Fetch(std::move(request), [done = std::move(done)](
                                          const http::WholeAnswer& answer) {
     const bool succeeded =
--- a/source/radishrudder/daemon/weights_fetcher.cc
+++ b/source/radishrudder/daemon/weights_fetcher.cc
@@ -34,6 +34,7 @@
   request.headers = {
       {"Range", "bytes=" + std::to_string(fetch.offset) + "-" +
                     std::to_string(fetch.offset + fetch.size - 1)}};
+  request.maximum_body_bytes = fetch.size;
   Get(std::move(request), kStatusPartialContent, std::move(done));
 }
 
--- a/source/radishrudder/dissemination/store_reader.cc
+++ b/source/radishrudder/dissemination/store_reader.cc
@@ -47,6 +47,13 @@
   if (!AcceptEra(now, era)) {
     return;
   }
+  // A page that does not go beyond the preceding one would be asked for again
+  // and again.
+  if (has_more && !items.empty() && !m_read_items.empty() &&
+      items.back().key <= m_read_items.back().key) {
+    OnRequestFailed(now);
+    return;
+  }
   OnResponse(now);
   // The pages are not one snapshot. The watch starts at the revision of the
   // first page, so that it delivers the changes made between pages.
--- a/source/radishrudder/http/client_transfer.cc
+++ b/source/radishrudder/http/client_transfer.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+// Of the heads of an answer and of the interim answers before it, and of
+// trailers.
+constexpr std::size_t kMaximumHeadBytes = 256U << 10U;
 constexpr std::string_view kWhitespace = " \t\r\n";
 
 // Sets an option of the right type; only a lack of memory can make it fail.
@@ -131,24 +134,30 @@
   m_header_lines.reset(list);
 }
 
-void ClientTransfer::TakeHeaderLine(std::string_view line) {
+bool ClientTransfer::TakeHeaderLine(std::string_view line) {
+  m_head_bytes += line.size();
+  if (m_head_bytes > kMaximumHeadBytes) {
+    m_too_large = true;
+    return false;
+  }
   if (line.starts_with("HTTP/")) {
     m_status = ParseStatusLine(line);
     m_headers.clear();
-    return;
+    return true;
   }
   if (const auto colon = line.find(':'); colon != std::string_view::npos) {
     m_headers.push_back({std::string(Trim(line.substr(0, colon))),
                          std::string(Trim(line.substr(colon + 1)))});
-    return;
+    return true;
   }
   if (!Trim(line).empty() || m_status < kFirstFinalStatus) {
-    return;
+    return true;
   }
   m_head_complete = true;
   if (m_handlers.on_head) {
     m_handlers.on_head(m_status, std::exchange(m_headers, {}));
   }
+  return true;
 }
 
 bool ClientTransfer::TakeData(std::string_view data) {
@@ -195,8 +204,10 @@
                                      std::size_t size,
                                      std::size_t count,
                                      void* transfer) {
-  static_cast<ClientTransfer*>(transfer)->TakeHeaderLine({data, size * count});
-  return size * count;
+  const std::string_view line(data, size * count);
+  return static_cast<ClientTransfer*>(transfer)->TakeHeaderLine(line)
+             ? line.size()
+             : 0;
 }
 
 std::size_t ClientTransfer::OnData(char* data,
--- a/source/radishrudder/http/client_transfer.h
+++ b/source/radishrudder/http/client_transfer.h
@@ -37,7 +37,8 @@
   void ConfigureMethod();
   void ConfigureHeaders();
   void AddHeaderLine(const std::string& line);
-  void TakeHeaderLine(std::string_view line);
+  // Returns false if the head is too large.
+  bool TakeHeaderLine(std::string_view line);
   bool TakeData(std::string_view data);
   std::error_code ErrorOf(CURLcode code) const;
 
@@ -63,6 +64,7 @@
   int m_status = 0;
   bool m_head_complete = false;  // Of the final response.
   std::size_t m_body_bytes = 0;
+  std::size_t m_head_bytes = 0;
   bool m_connected = false;
   bool m_too_large = false;
 };
--- a/tests/dissemination/store_reader_test.cc
+++ b/tests/dissemination/store_reader_test.cc
@@ -127,6 +127,17 @@
   EXPECT_EQ(TickAndTakeRequest<WatchChanges>()->wait, milliseconds(1000));
 }
 
+// Guards against pages without end.
+TEST_F(StoreReaderTest, PageThatGoesNoFurtherFails) {
+  ASSERT_TRUE(TickAndTakeRequest<ReadPage>());
+  m_reader.OnPage(m_now, {{"b", "1", 4, false}}, true, 10);
+  ASSERT_TRUE(TickAndTakeRequest<ReadPage>());
+  m_reader.OnPage(m_now, {{"b", "1", 4, false}}, true, 10);
+  EXPECT_FALSE(m_reader.IsReachable());
+  AdvanceTime(milliseconds(500));
+  EXPECT_EQ(TickAndTakeRequest<ReadPage>()->after, "");
+}
+
 TEST_F(StoreReaderTest, ReadsAllKeysAfterHistoryLoss) {
   ReadSnapshot(5);
   ASSERT_TRUE(TickAndTakeRequest<WatchChanges>());
--- a/tests/exchange/endless_answer_test.cc
+++ b/tests/exchange/endless_answer_test.cc
@@ -10,7 +10,10 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "radishrudder/exchange/endpoint_pool.h"
 #include "radishrudder/exchange/fetcher.h"
@@ -179,6 +182,119 @@
   EXPECT_EQ(server.IsClosed(), sends);
 }
 
+// Guards against a limit of one request that another one's size sets.
+TEST(EndlessAnswerLimitTest, HoldsForEachRequest) {
+  constexpr std::size_t kLimit = 64U << 10U;
+  asio::io_context context(1);
+  EndpointPool pool(context, {.receive_buffer_bytes = kBlockBytes});
+  Fetcher fetcher(context, pool);
+  EndlessServer server(context, {"", "HTTP/1.1 200 OK\r\n\r\n", Block("a")});
+  bool done = false;
+  fetcher.Fetch(
+      server.Address(),
+      {.method = "GET", .target = "/", .maximum_answer_bytes = kLimit},
+      kTimeout, [&](const std::optional<FetchedAnswer>& answer) {
+        done = true;
+        EXPECT_FALSE(answer);
+      });
+  const auto started = std::chrono::steady_clock::now();
+  while (!done) {
+    context.run_one();
+  }
+  EXPECT_LE(std::chrono::steady_clock::now() - started, kTimeout / 2);
+}
+
+// Guards against answers without end of many servers that together take the
+// memory of the process.
+TEST(EndlessAnswerLimitTest, HoldsForAllAnswersTogether) {
+  constexpr std::size_t kServers = 12;
+  // All that is kept, and what the buffers of a connection hold.
+  constexpr std::size_t kMaximumHeld = 24U << 20U;
+  constexpr std::size_t kBuffers = 4U << 20U;
+  asio::io_context context(1);
+  EndpointPool pool(context, {.receive_buffer_bytes = kBlockBytes});
+  Fetcher fetcher(context, pool);
+  std::vector<std::unique_ptr<EndlessServer>> servers;
+  std::size_t done = 0;
+  for (std::size_t i = 0; i < kServers; ++i) {
+    servers.push_back(std::make_unique<EndlessServer>(
+        context, EndlessCase{"", "HTTP/1.1 200 OK\r\n\r\n", Block("a")}));
+    fetcher.Fetch(servers.back()->Address(), {.method = "GET", .target = "/"},
+                  kTimeout, [&](const std::optional<FetchedAnswer>& answer) {
+                    ++done;
+                    EXPECT_FALSE(answer);
+                  });
+  }
+  while (done == 0) {
+    context.run_one();
+  }
+  std::size_t sent = 0;
+  for (const auto& server : servers) {
+    sent += server->SentBytes();
+  }
+  EXPECT_LE(sent, kMaximumHeld + kServers * kBuffers);
+  while (done < kServers) {
+    context.run_one();
+  }
+}
+
+struct SlowAnswerCase {
+  const char* name = "";
+  std::size_t part_bytes = 0;  // Sent every 100 ms.
+  milliseconds progress{0};
+  milliseconds total{0};
+  bool read = false;
+};
+
+void PrintTo(const SlowAnswerCase& slow, std::ostream* stream) {
+  *stream << slow.name;
+}
+
+class SlowAnswerTest : public testing::TestWithParam<SlowAnswerCase> {};
+
+// Guards against an answer that is given up although it keeps arriving: the
+// bytes fill the narrow link that the next attempt needs.
+TEST_P(SlowAnswerTest, IsReadAsLongAsItMakesProgress) {
+  constexpr std::size_t kBodyBytes = 80000;
+  const SlowAnswerCase& slow = GetParam();
+  asio::io_context context(1);
+  EndpointPool pool(context, {});
+  Fetcher fetcher(context, pool);
+  EndlessServer server(context,
+                       {"",
+                        "HTTP/1.1 200 OK\r\nContent-Length: " +
+                            std::to_string(kBodyBytes) + "\r\n\r\n",
+                        std::string(slow.part_bytes, 'a'), milliseconds(100)});
+  bool done = false;
+  std::optional<FetchedAnswer> answer;
+  const auto started = std::chrono::steady_clock::now();
+  fetcher.Fetch(server.Address(), {.method = "GET", .target = "/"},
+                {slow.progress, slow.total},
+                [&](std::optional<FetchedAnswer> received) {
+                  done = true;
+                  answer = std::move(received);
+                });
+  while (!done) {
+    context.run_one();
+  }
+  EXPECT_EQ(answer && answer->body.size() == kBodyBytes, slow.read);
+  EXPECT_LE(std::chrono::steady_clock::now() - started,
+            slow.total + milliseconds(500));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    SlowAnswerTest,
+    testing::Values(SlowAnswerCase{"Progress", 8000, milliseconds(400),
+                                   milliseconds(4000), true},
+                    SlowAnswerCase{"TooLittleProgress", 100, milliseconds(400),
+                                   milliseconds(4000), false},
+                    SlowAnswerCase{"LongerThanItMayTake", 8000,
+                                   milliseconds(400), milliseconds(600), false},
+                    SlowAnswerCase{"OneLimit", 8000, milliseconds(400),
+                                   milliseconds(400), false}),
+    [](const auto& info) { return info.param.name; });
+
 INSTANTIATE_TEST_SUITE_P(
     Servers,
     EndlessAnswerTest,
--- a/tests/http/broken_connection_test.cc
+++ b/tests/http/broken_connection_test.cc
@@ -12,9 +12,12 @@
 namespace radishrudder::http {
 namespace {
 
+constexpr std::size_t kEndlessBlockBytes = 65536;
+
 // Answers the first request of each connection and keeps it; closes the
 // connection without an answer at any further request, and at a first request
-// for /breaks. A first request for /cut/N gets the first N bytes of the answer.
+// for /breaks. A first request for /cut/N gets the first N bytes of the answer,
+// one for /endless/ the rest of its path again and again, a line each.
 class BreakingServer {
  public:
   BreakingServer()
@@ -33,6 +36,7 @@
     return "http://127.0.0.1:" + std::to_string(port) + path;
   }
   int Requests() const { return m_requests; }
+  std::size_t SentBytes() const { return m_sent; }
 
  private:
   void Run() {
@@ -60,10 +64,40 @@
       asio::write(socket, asio::buffer(kAnswer.substr(0, size)), error);
       return;
     }
+    constexpr std::string_view kEndless = "/endless/";
+    if (const std::size_t path = first.find(kEndless);
+        path != std::string::npos) {
+      const std::size_t begin = path + kEndless.size();
+      SendEndlessly(socket,
+                    first.substr(begin, first.find(' ', begin) - begin));
+      return;
+    }
     asio::write(socket, asio::buffer(kAnswer), error);
     ReadHead(socket);
   }
 
+  void SendEndlessly(asio::ip::tcp::socket& socket, const std::string& kind) {
+    std::string text = "HTTP/1.1 200 OK\r\n";
+    std::string line = "a: b\r\n";
+    if (kind == "interim") {
+      text.clear();
+      line = "HTTP/1.1 102 Processing\r\n\r\n";
+    } else if (kind == "trailers") {
+      text += "transfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n";
+    } else if (kind == "body") {
+      text += "\r\n";
+    }
+    asio::error_code error;
+    asio::write(socket, asio::buffer(text), error);
+    std::string block;
+    while (block.size() < kEndlessBlockBytes) {
+      block += line;
+    }
+    while (!error) {
+      m_sent += asio::write(socket, asio::buffer(block), error);
+    }
+  }
+
   // Returns an empty text if the peer closes the connection.
   std::string ReadHead(asio::ip::tcp::socket& socket) {
     std::string head;
@@ -80,6 +114,7 @@
   asio::ip::tcp::acceptor m_acceptor;
   std::atomic<int> m_requests = 0;
   std::atomic<bool> m_ending = false;
+  std::atomic<std::size_t> m_sent = 0;      // Of answers without end.
   std::vector<std::jthread> m_connections;  // End when the client does.
   std::thread m_thread;
 };
@@ -101,6 +136,29 @@
   EXPECT_EQ(server.Requests(), 3);
 }
 
+class EndlessResponseTest : public testing::TestWithParam<const char*> {};
+
+// Guards against a response whose head, interim responses, trailers or body go
+// on until the process runs out of memory or for ever: the request has no time
+// limit.
+TEST_P(EndlessResponseTest, EndsWithAnError) {
+  constexpr std::size_t kMaximumSentBytes = 24U << 20U;
+  BreakingServer server;
+  Client client;
+  const WholeAnswer answer =
+      client.FetchNow({.method = "GET",
+                       .url = server.Url(std::string("/endless/") + GetParam()),
+                       .maximum_body_bytes = 1U << 20U});
+  EXPECT_EQ(answer.result.error, std::errc::message_size);
+  EXPECT_LE(server.SentBytes(), kMaximumSentBytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Responses,
+    EndlessResponseTest,
+    testing::Values("lines", "interim", "trailers", "body"),
+    [](const auto& info) { return std::string(info.param); });
+
 class CutResponseTest : public testing::TestWithParam<int> {};
 
 // Guards against a 200 with an empty or short body, framed as complete, from an
