direct: an old configuration decides nothing that a newer one may forbid

Requests with keys were refused as stale all the while.

Cause: routes that need no key were served by a configuration of any age. And entries beyond narrow links did not get a newer one: a read was given up after 0.8 s (watches: 1.8 s) although it kept arriving, and begun anew behind its own bytes; agents read the configuration again each second.

Change: a request without a key is refused with 503 at once if the configuration is older than keys may be and either another entry uses a newer one or the configuration names allowed regions. Reads of the store go on while they make progress, 10 s at most (agents: 15 s), and agents that fail to read the configuration double the pause up to 8 s.

OldConfigurationTest: three of five cases failed before.

--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -155,7 +155,11 @@
   static constexpr std::chrono::milliseconds kWatchWait{25000};
   // The configuration names the model and the origin, which hardly ever change.
   static constexpr std::chrono::milliseconds kConfigurationInterval{60000};
+  // Doubles with each failed read: answers that are given up fill the link that
+  // the next ones need.
   static constexpr std::chrono::milliseconds kConfigurationRetryInterval{1000};
+  static constexpr std::chrono::milliseconds kMaximumConfigurationRetryInterval{
+      8000};
   // A version that another agent has seen is read from the store if the watch
   // has not delivered it within this time.
   static constexpr std::chrono::milliseconds kMissedVersionDelay{500};
@@ -181,6 +185,8 @@
   static constexpr std::uint32_t kRequestsPerNeighbour = 1;
   static constexpr std::chrono::milliseconds kMaximumOriginBackoff{800};
   static constexpr std::chrono::milliseconds kListTimeout{1500};
+  // Of an answer that keeps arriving.
+  static constexpr std::chrono::milliseconds kSlowAnswerTimeout{15000};
   static constexpr std::uint64_t kFirstVersion = 1;
   static constexpr int kOk = 200;
   static constexpr int kFirstFailure = 300;
@@ -311,13 +317,13 @@
   template <typename Done>
   void ReadOnce(std::string_view prefix,
                 bool stale,
-                std::chrono::milliseconds timeout,
+                exchange::FetchTimeouts timeouts,
                 Done done) {
     m_fetcher.Fetch(
         m_settings.store_address,
         stale ? Platform::Store::EncodeStalePage(prefix, {})
               : Platform::Store::EncodePage(prefix, {}),
-        timeout,
+        timeouts,
         [prefix = std::string(prefix),
          done](std::optional<exchange::FetchedAnswer> response) {
           std::string problem = "no answer";
@@ -335,18 +341,22 @@
 
   void ReadConfiguration() {
     m_next_configuration = kernel::Time::max();
-    ReadOnce(Platform::kConfigurationKey, /*stale=*/true, kListTimeout,
-             [this](const auto& items) {
+    ReadOnce(Platform::kConfigurationKey, /*stale=*/true,
+             {kListTimeout, kSlowAnswerTimeout}, [this](const auto& items) {
                for (const dissemination::StoreItem& item :
                     items.value_or(std::vector<dissemination::StoreItem>())) {
                  if (Platform::IsConfiguration(item.key)) {
                    OnConfiguration(item);
                  }
                }
+               m_configuration_retry_interval =
+                   items ? kConfigurationRetryInterval
+                         : std::min(2 * m_configuration_retry_interval,
+                                    kMaximumConfigurationRetryInterval);
                m_next_configuration =
                    kernel::Now() + Jitter(m_stager
                                               ? kConfigurationInterval
-                                              : kConfigurationRetryInterval);
+                                              : m_configuration_retry_interval);
              });
   }
 
@@ -400,10 +410,12 @@
   }
 
   void ReadListPage(const dissemination::ReadPage& page) {
+    m_list_page_after = page.after;
     m_fetcher.Fetch(
         m_settings.store_address,
         Platform::Store::EncodeStalePage(Platform::kEndpointPrefix, page),
-        kListTimeout, [this](std::optional<exchange::FetchedAnswer> response) {
+        {kListTimeout, kSlowAnswerTimeout},
+        [this](std::optional<exchange::FetchedAnswer> response) {
           OnListPage(response);
         });
   }
@@ -412,7 +424,13 @@
     std::string problem = "no answer";
     const auto decoded =
         response ? Platform::Store::Decode(*response, problem) : std::nullopt;
-    if (!decoded) {
+    const bool repeats = decoded && decoded->has_more &&
+                         !decoded->items.empty() &&
+                         decoded->items.back().key <= m_list_page_after;
+    if (repeats) {
+      problem = "a page that does not go beyond the preceding one";
+    }
+    if (!decoded || repeats) {
       // The previous list stays in use.
       logging::Log(logging::kHttpFailed,
                    {{"target", std::string(Platform::kEndpointPrefix)},
@@ -785,8 +803,11 @@
   std::map<std::string, std::uint64_t, std::less<>> m_malformed_entries;
   std::map<std::string, std::uint64_t, std::less<>> m_listed_malformed;
   kernel::Time m_list_requested_at{};
-  bool m_versions_read = false;  // All declarations were read once.
+  bool m_versions_read = false;   // All declarations were read once.
+  std::string m_list_page_after;  // Key after which the page begins.
   kernel::Time m_next_configuration{};
+  std::chrono::milliseconds m_configuration_retry_interval =
+      kConfigurationRetryInterval;
   std::uint64_t m_missed_version = 0;
   std::uint32_t m_missed_version_reads = 0;
   kernel::Time m_missed_version_read_at = kernel::Time::max();
--- a/include/radishrudder/serving/store_follower.h
+++ b/include/radishrudder/serving/store_follower.h
@@ -52,8 +52,12 @@
     std::string address{};
     std::string prefix{};
     dissemination::StoreReaderSettings reader{};
-    // Timeout of a request, in addition to a watch's own wait.
+    // Time without progress after which a request fails, in addition to a
+    // watch's own wait.
     std::chrono::milliseconds response_timeout{800};
+    // An answer that keeps arriving is read for this long: what was given up
+    // would stand in the way of the next attempt on a narrow link.
+    std::chrono::milliseconds answer_timeout{10000};
   };
 
   StoreFollower(asio::io_context& context,
@@ -78,12 +82,11 @@
     for (dissemination::StoreOutput& output : m_reader.TakeOutputs()) {
       if (const auto* page = std::get_if<dissemination::ReadPage>(&output)) {
         SendRequest(Codec::EncodePage(m_settings.prefix, *page),
-                    m_settings.response_timeout,
-                    /*page=*/true);
+                    std::chrono::milliseconds(0), /*page=*/true);
       } else if (const auto* watch =
                      std::get_if<dissemination::WatchChanges>(&output)) {
-        SendRequest(Codec::EncodeWatch(m_settings.prefix, *watch),
-                    watch->wait + m_settings.response_timeout, /*page=*/false);
+        SendRequest(Codec::EncodeWatch(m_settings.prefix, *watch), watch->wait,
+                    /*page=*/false);
       } else {
         m_handler(std::move(output));
       }
@@ -101,10 +104,11 @@
   }
 
   void SendRequest(const exchange::FetchRequest& request,
-                   std::chrono::milliseconds timeout,
+                   std::chrono::milliseconds wait,
                    bool page) {
     m_fetcher.Fetch(
-        m_settings.address, request, timeout,
+        m_settings.address, request,
+        {wait + m_settings.response_timeout, wait + m_settings.answer_timeout},
         [this, page](std::optional<exchange::FetchedAnswer> response) {
           OnResponse(response, page);
           Advance();
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -190,7 +190,8 @@
   // Keys may have been revoked and routes added since an old configuration.
   const bool is_fresh =
       state.IsFresh(boot_now, state.settings.maximum_configuration_age);
-  if (!is_fresh && (requires_key || route == nullptr)) {
+  if (!is_fresh && (requires_key || route == nullptr ||
+                    !state.MayServeByOldConfiguration())) {
     state.Refuse(now, request, id, kUnavailable, Reason::kStaleConfiguration);
     return;
   }
@@ -417,6 +418,10 @@
   return age.IsWithin(boot_now, maximum_age) && !peer_configuration.supersedes;
 }
 
+bool Entry::State::MayServeByOldConfiguration() const {
+  return !peer_configuration.supersedes && !configurations.LimitsRegions();
+}
+
 // The store may return a change to one entry later than to another; only what
 // should have arrived by now supersedes.
 void Entry::State::ComparePeerConfiguration(kernel::Time now) {
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -187,6 +187,10 @@
   void ApplyConfiguration(kernel::Time now);
   void RequireVersions(kernel::Time now);
   void ComparePeerConfiguration(kernel::Time now);
+  // Whether requests that need no key are still served when the configuration
+  // is older than keys may be: not if it is known to be outdated, nor if it
+  // says in which regions requests may be served, which may have changed.
+  bool MayServeByOldConfiguration() const;
   void UpdatePools(kernel::Time now);
   Call* FindCall(CallId id);
   // Identifies an endpoint run in evidence of crashes.
--- a/tests/direct/entry_admission_test.cc
+++ b/tests/direct/entry_admission_test.cc
@@ -101,6 +101,66 @@
   EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(), 1U);
 }
 
+struct OldConfigurationCase {
+  const char* name;
+  std::vector<std::string> route_regions{};
+  std::vector<std::string> workspace_regions{};
+  std::uint64_t told = 0;  // Version that another entry uses; 0: none.
+  bool served = false;
+};
+
+void PrintTo(const OldConfigurationCase& old, std::ostream* stream) {
+  *stream << old.name;
+}
+
+class OldConfigurationTest
+    : public EntryFixture,
+      public testing::WithParamInterface<OldConfigurationCase> {
+ protected:
+  OldConfigurationTest()
+      : EntryFixture({.region = "east", .regions = {{"", "east"}}}) {}
+};
+
+// Guards against requests without keys that are served by a configuration which
+// is known to be outdated, or outside the regions that a newer one allows.
+TEST_P(OldConfigurationTest, ServesExemptRouteOnlyIfItMay) {
+  RouteRule route = Route(RouteKind::kIdempotent, false);
+  route.key_exempt = true;
+  route.allowed_regions = GetParam().route_regions;
+  Start(route);
+  Configuration configuration = MakeConfiguration(2, route);
+  configuration.workspaces.front().allowed_regions =
+      GetParam().workspace_regions;
+  m_entry.OnConfiguration(m_now, configuration);
+  m_entry.OnConfigurationConfirmed(m_boot);
+  Call("");
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(), 1U);
+  AdvanceTime(milliseconds(4000));
+  if (GetParam().told > 0) {
+    m_entry.OnPeerConfiguration(m_now, GetParam().told,
+                                m_now - milliseconds(3000));
+    AdvanceTime(milliseconds(25));
+  }
+  Call("");
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(), GetParam().served ? 1U : 0U);
+  EXPECT_EQ(ResponseStatus(), GetParam().served ? 0 : 503);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    OldConfigurationTest,
+    testing::Values(OldConfigurationCase{.name = "NothingNewerKnown",
+                                         .served = true},
+                    OldConfigurationCase{.name = "SameElsewhere",
+                                         .told = 2,
+                                         .served = true},
+                    OldConfigurationCase{.name = "NewerElsewhere", .told = 3},
+                    OldConfigurationCase{.name = "RouteHasRegions",
+                                         .route_regions = {"east"}},
+                    OldConfigurationCase{.name = "WorkspaceHasRegions",
+                                         .workspace_regions = {"east"}}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST_F(AdmissionTest, RespondsUnavailableForUnknownRouteOnStaleConfiguration) {
   Start(Route(RouteKind::kNonIdempotent, false));
   m_boot += std::chrono::seconds(60);
