--- a/tests/platform/endless_endpoint.cc
+++ b/tests/platform/endless_endpoint.cc
@@ -1,6 +1,7 @@
 #include "tests/platform/endless_endpoint.h"
 
 #include <arpa/inet.h>
+#include <gtest/gtest.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -68,8 +69,10 @@
       m_rate(rate),
       m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   sockaddr_in address = Loopback(0);
-  bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  listen(m_listener, SOMAXCONN);
+  EXPECT_EQ(
+      bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+      0);
+  EXPECT_EQ(listen(m_listener, SOMAXCONN), 0);
   socklen_t size = sizeof(address);
   getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
   m_port = ntohs(address.sin_port);
