dissemination: a response that may be partial confirms nothing

The entry had just received versions 16, 19 and 23, one a response, and took each response for the proof that nothing newer existed.

Cause: the store leaves out further changes of a large response and names the last change in it as the revision to continue from. The reader confirmed with every response all that the store held when it was requested. Keys that a version takes away, denials of unknown routes and the dates of declared versions rest on the same confirmation.

Change: a response with changes confirms only if its revision goes beyond its last change; otherwise the next one decides.

PartialChangesTest: EndsWithItsLastChange failed before.

--- a/source/radishrudder/dissemination/store_reader.cc
+++ b/source/radishrudder/dissemination/store_reader.cc
@@ -87,8 +87,10 @@
   }
   OnResponse(now);
   m_revision = std::max(m_revision, revision);
+  std::uint64_t last_change = 0;
   for (StoreItem& item : items) {
     item.era = m_era;
+    last_change = std::max(last_change, item.revision);
   }
   const bool unchanged = items.empty();
   m_next_request = unchanged ? now : now + m_settings.next_watch_delay;
@@ -97,6 +99,11 @@
     m_outputs.emplace_back(
         PrefixChanges{std::move(items), m_complete_at, m_failed_for});
   }
+  // The store leaves out further changes of a large response. Only one that
+  // goes beyond its last change is known to be complete.
+  if (!unchanged && revision <= last_change) {
+    return;
+  }
   // The store ends a watch without changes only after its whole wait.
   const bool waited = unchanged && now - m_request_sent >= m_wait;
   Confirm(m_request_started_at,
--- a/tests/dissemination/store_reader_test.cc
+++ b/tests/dissemination/store_reader_test.cc
@@ -67,6 +67,40 @@
   EXPECT_EQ(TakeLast<PrefixConfirmed>()->requested_at, requested_at);
 }
 
+struct PartialCase {
+  const char* name;
+  std::uint64_t revision;  // Of the response, whose last change has 9.
+  bool complete;
+};
+
+class PartialChangesTest : public StoreReaderTest,
+                           public testing::WithParamInterface<PartialCase> {};
+
+// Guards against keys, routes and versions that count as current because a
+// response has come, while the store has left out later changes of it.
+TEST_P(PartialChangesTest, ConfirmOnlyWhatIsComplete) {
+  ReadSnapshot(5);
+  ASSERT_TRUE(TickAndTakeRequest<WatchChanges>());
+  const kernel::BootTime complete_at = m_boot;
+  AdvanceTime(milliseconds(300));
+  m_reader.OnChanges(m_now, {{"k", "w", 8, false}, {"l", "w", 9, false}},
+                     GetParam().revision);
+  EXPECT_EQ(TakeLast<PrefixConfirmed>().has_value(), GetParam().complete);
+  AdvanceTime(milliseconds(100));
+  EXPECT_EQ(TickAndTakeRequest<WatchChanges>()->revision, GetParam().revision);
+  m_reader.OnChanges(m_now, {{"m", "w", 14, false}}, 20);
+  const auto changes = TakeLast<PrefixChanges>();
+  ASSERT_TRUE(changes);
+  EXPECT_EQ(changes->previously_complete_at, complete_at);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    PartialChangesTest,
+    testing::Values(PartialCase{"EndsWithItsLastChange", 9, false},
+                    PartialCase{"GoesBeyondItsLastChange", 12, true}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 // Entries whose watches all end together after a change cannot date the next
 // declaration better than by a whole watch.
 TEST_F(StoreReaderTest, WatchesOfSeveralReadersSpreadAfterChange) {
