--- a/source/radishrudder/exchange/fetcher.cc
+++ b/source/radishrudder/exchange/fetcher.cc
@@ -48,8 +48,6 @@
         m_timer(fetcher.m_context),
         m_done(std::move(done)) {}
 
-  ~Exchange() override { ReleaseBytes(); }
-
   void Start(std::string_view address,
              const FetchRequest& request,
              const FetchTimeouts& timeouts) {
@@ -76,6 +74,7 @@
   void Stop() {
     m_done = nullptr;
     m_timer.cancel();
+    ReleaseBytes();
     m_fetcher.m_pool.Cancel(m_id);
   }
 
--- a/tests/exchange/endless_answer_test.cc
+++ b/tests/exchange/endless_answer_test.cc
@@ -238,6 +238,25 @@
   }
 }
 
+// Guards against a request that is still known to its timer using the fetcher
+// after its end.
+TEST(EndlessAnswerLimitTest, FetcherMayEndWhileAnAnswerArrives) {
+  asio::io_context context(1);
+  EndlessServer server(context, {"", "HTTP/1.1 200 OK\r\n\r\n", Block("a")});
+  bool done = false;
+  {
+    EndpointPool pool(context, {});
+    Fetcher fetcher(context, pool);
+    fetcher.Fetch(server.Address(), {.method = "GET", .target = "/"}, kTimeout,
+                  [&](const std::optional<FetchedAnswer>&) { done = true; });
+    while (server.SentBytes() < kBlockBytes) {
+      context.run_one();
+    }
+  }
+  context.run_for(milliseconds(100));
+  EXPECT_FALSE(done);
+}
+
 struct SlowAnswerCase {
   const char* name = "";
   std::size_t part_bytes = 0;  // Sent every 100 ms.
