--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -408,17 +408,15 @@
       // Evacuations first: calls that begin by this configuration obey them.
       m_core.OnEvacuations(kernel::Now(), EvacuationsOf(snapshot->items),
                            snapshot->era);
-      for (const dissemination::StoreItem& item : snapshot->items) {
-        OnOperatorItem(item, snapshot->previously_complete_at,
-                       snapshot->failed_for);
-      }
+      OnOperatorItems(snapshot->items, snapshot->previously_complete_at,
+                      snapshot->failed_for);
     } else if (auto* changes =
                    std::get_if<dissemination::PrefixChanges>(&output)) {
       for (const dissemination::StoreItem& item : changes->items) {
         OnEvacuationItem(item);
-        OnOperatorItem(item, changes->previously_complete_at,
-                       changes->failed_for);
       }
+      OnOperatorItems(changes->items, changes->previously_complete_at,
+                      changes->failed_for);
     } else if (const auto* confirmed =
                    std::get_if<dissemination::PrefixConfirmed>(&output)) {
       m_core.OnConfigurationConfirmed(confirmed->requested_at);
@@ -464,34 +462,49 @@
     }
   }
 
-  void OnOperatorItem(const dissemination::StoreItem& item,
-                      std::optional<kernel::BootTime> absent_at,
-                      kernel::Duration store_failed_for) {
-    kernel::Findings findings;
-    if (item.removed) {
-      return;
+  void OnOperatorItems(std::span<const dissemination::StoreItem> items,
+                       std::optional<kernel::BootTime> absent_at,
+                       kernel::Duration store_failed_for) {
+    // Reading a large configuration takes time, so those that a later one of
+    // the same response replaces are left out.
+    for (auto item = items.rbegin(); item != items.rend(); ++item) {
+      if (!item->removed && Platform::IsConfiguration(item->key) &&
+          OnConfigurationItem(*item)) {
+        break;
+      }
     }
-    if (Platform::IsConfiguration(item.key)) {
-      if (auto configuration =
-              Platform::DecodeConfiguration(item.value, findings)) {
-        const std::uint64_t version = configuration->version;
-        const bool in_force =
-            m_core.OnConfiguration(kernel::Now(), std::move(*configuration));
-        if (in_force) {
-          ApplyBounds();
-        }
-        logging::Log(
-            in_force ? logging::kDocumentInForce : logging::kOldVersionIgnored,
-            {{"key", item.key},
-             {"version", std::to_string(version)},
-             {"revision", std::to_string(item.revision)}});
+    for (const dissemination::StoreItem& item : items) {
+      if (item.removed || !Platform::IsVersion(item.key)) {
+        continue;
       }
-    } else if (Platform::IsVersion(item.key)) {
+      kernel::Findings findings;
       if (const auto version = Platform::DecodeVersion(item.value, findings)) {
         OnVersion(*version, item.revision, absent_at, store_failed_for);
       }
+      m_journal.LogFindings(findings);
+    }
+  }
+
+  // Returns whether the configuration could be read.
+  bool OnConfigurationItem(const dissemination::StoreItem& item) {
+    kernel::Findings findings;
+    auto configuration = Platform::DecodeConfiguration(item.value, findings);
+    const bool readable = configuration.has_value();
+    if (readable) {
+      const std::uint64_t version = configuration->version;
+      const bool in_force =
+          m_core.OnConfiguration(kernel::Now(), std::move(*configuration));
+      if (in_force) {
+        ApplyBounds();
+      }
+      logging::Log(
+          in_force ? logging::kDocumentInForce : logging::kOldVersionIgnored,
+          {{"key", item.key},
+           {"version", std::to_string(version)},
+           {"revision", std::to_string(item.revision)}});
     }
     m_journal.LogFindings(findings);
+    return readable;
   }
 
   // `absent_at`: latest time at which the store was known not to contain the
