direct: an entry that was read late after an outage may have expired as well

Callers lost one of three live endpoints for 0.2 s after a return of the store. Found by a trial on a scratch copy (a store away for 3.9 s, entries lapsed and written again 1.9 s after its return): the log has "instance-joined" for an endpoint that should have been kept.

Cause: its last heartbeat had been written before the outage and was read with the answer that ended it, together with the removal.

Change: what arrives after a time in which the list was not read counts as written at the beginning of that time.

The case RemovedRightAfterAnOutage of EndpointListOutageTest was wrong for the same reason: its heartbeat came with the answer that ended the outage. It is read one answer later now, with the same expectation. Two new cases have the sequence of the trial.

--- a/include/radishrudder/direct/endpoint_list.h
+++ b/include/radishrudder/direct/endpoint_list.h
@@ -60,6 +60,9 @@
   // requests of any kind; to be called before what the answer contains is
   // passed on.
   void OnStoreAnswered(kernel::Time now, kernel::Time requested_at);
+  // The same for a request for the list itself. Entries of its answer were
+  // written at any time since the preceding one.
+  void OnListAnswered(kernel::Time now, kernel::Time requested_at);
   // Each returns whether the list changed.
   bool OnUpdate(kernel::Time now, const ListedEndpoint& endpoint);
   bool OnRemoved(kernel::Time now,
@@ -82,7 +85,8 @@
  private:
   struct TrackedEndpoint {
     ListedEndpoint endpoint;
-    // When the latest version of its entry arrived.
+    // When the latest version of its entry arrived, or before it was written
+    // if it may have waited for the end of an absence.
     kernel::Time heard_at{};
     // Set if the endpoint expired: when it is removed.
     std::optional<kernel::Time> remove_at;
@@ -116,6 +120,11 @@
   std::uint64_t m_era = 0;  // Of the latest snapshot; 0: none.
   // When the store answered last; nothing: not yet.
   std::optional<kernel::Time> m_answered_at;
+  // When it answered a request for the list last.
+  std::optional<kernel::Time> m_list_answered_at;
+  // Set if the list was not read for a time before its latest answer: when that
+  // time began.
+  std::optional<kernel::Time> m_unread_since;
   // When it answered first after an absence.
   std::optional<kernel::Time> m_returned_at;
 };
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -716,7 +716,7 @@
       }
     } else if (const auto* answered =
                    std::get_if<dissemination::StoreAnswered>(&output)) {
-      m_list.OnStoreAnswered(now, answered->requested_at);
+      m_list.OnListAnswered(now, answered->requested_at);
     } else {
       LogStoreState(output, Platform::kEndpointPrefix,
                     m_endpoint_follower.Problem());
--- a/source/radishrudder/direct/endpoint_list.cc
+++ b/source/radishrudder/direct/endpoint_list.cc
@@ -32,6 +32,16 @@
   }
 }
 
+void EndpointList::OnListAnswered(kernel::Time now, kernel::Time requested_at) {
+  OnStoreAnswered(now, requested_at);
+  m_unread_since.reset();
+  if (m_list_answered_at &&
+      requested_at - *m_list_answered_at >= m_settings.heartbeat_interval) {
+    m_unread_since = m_list_answered_at;
+  }
+  m_list_answered_at = now;
+}
+
 bool EndpointList::OnUpdate(kernel::Time now, const ListedEndpoint& endpoint) {
   const auto removed = m_removed.find(endpoint.id);
   bool leaving = endpoint.leaving;
@@ -50,7 +60,8 @@
   }
   const auto found = m_endpoints.find(endpoint.id);
   if (found == m_endpoints.end()) {
-    TrackedEndpoint added{endpoint, now, std::nullopt, /*returns=*/0};
+    TrackedEndpoint added{endpoint, m_unread_since.value_or(now), std::nullopt,
+                          /*returns=*/0};
     added.endpoint.leaving = leaving;
     m_endpoints.emplace(endpoint.id, std::move(added));
     return true;
@@ -67,7 +78,7 @@
   const bool changed = std::tie(endpoint.era, endpoint.revision) !=
                        std::tie(known.era, known.revision);
   if (changed) {
-    tracked.heard_at = now;
+    tracked.heard_at = m_unread_since.value_or(now);
   }
   known = endpoint;
   known.leaving = leaving;
--- a/tests/direct/endpoint_list_outage_test.cc
+++ b/tests/direct/endpoint_list_outage_test.cc
@@ -19,6 +19,7 @@
 
 enum class Step {
   kAnswer,     // The store answers a request that it received at once.
+  kOther,      // The same for a request that is not for the list.
   kSlow,       // It answers a request that was sent at the preceding step.
   kHeartbeat,  // The entry of the endpoint is written and read.
   kTombstone,  // Its removal is read.
@@ -48,7 +49,11 @@
     endpoint.id = "a";
     endpoint.started = 7;
     endpoint.revision = ++m_revision;
-    m_list.OnStoreAnswered(m_now, step == Step::kSlow ? m_previous : m_now);
+    if (step == Step::kOther) {
+      m_list.OnStoreAnswered(m_now, m_now);
+      return;
+    }
+    m_list.OnListAnswered(m_now, step == Step::kSlow ? m_previous : m_now);
     if (step == Step::kHeartbeat) {
       m_list.OnUpdate(m_now, endpoint);
     } else if (step == Step::kTombstone) {
@@ -143,13 +148,28 @@
                     {5000, Step::kTombstone}},
                    5000,
                    false},
-        // Heartbeats that were read after the outage rule out an expiry.
+        // Heartbeats that were written after the outage rule out an expiry.
         OutageCase{"RemovedRightAfterAnOutage",
                    {{0, Step::kHeartbeat},
-                    {4000, Step::kHeartbeat},
-                    {4100, Step::kTombstone}},
-                   4100,
+                    {4000, Step::kAnswer},
+                    {4100, Step::kHeartbeat},
+                    {4200, Step::kTombstone}},
+                   4200,
                    false},
+        // The heartbeat was written before the outage and not read in time.
+        OutageCase{"ExpiredAfterAnUnreadHeartbeat",
+                   {{0, Step::kHeartbeat},
+                    {4000, Step::kHeartbeat},
+                    {4000, Step::kTombstone}},
+                   4000,
+                   true},
+        OutageCase{"ExpiredAfterAnUnreadHeartbeatBesideOtherAnswers",
+                   {{0, Step::kHeartbeat},
+                    {3990, Step::kOther},
+                    {4000, Step::kHeartbeat},
+                    {4000, Step::kTombstone}},
+                   4000,
+                   true},
         OutageCase{"RemovedLongAfterAnOutage",
                    {{0, Step::kHeartbeat},
                     {4000, Step::kAnswer},
