--- a/cmake/RadishrudderTargets.cmake
+++ b/cmake/RadishrudderTargets.cmake
@@ -28,17 +28,18 @@
     ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
 endfunction()
 
-# radishrudder_add_test(<name> SOURCES <file>... DEPENDS <target>...)
-# Declares one GoogleTest program and registers its cases with CTest.
+# radishrudder_add_test(<name> [SERIAL] SOURCES <file>... DEPENDS <target>...)
+# Declares one GoogleTest program and registers its cases with CTest. SERIAL:
+# CTest runs no other test beside one of its cases.
 function(radishrudder_add_test name)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "SERIAL" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR})
   target_link_libraries(${name} PRIVATE
     radishrudder_options ${ARG_DEPENDS} GTest::gtest_main)
   gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST
     WORKING_DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR}
-    PROPERTIES TIMEOUT 300)
+    PROPERTIES TIMEOUT 300 RUN_SERIAL ${ARG_SERIAL})
 endfunction()
 
 # radishrudder_add_program(<name> SOURCES <file>... DEPENDS <target>...)
--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -94,6 +94,8 @@
   kRequestOnTrial,   // The request may crash endpoints and is in progress.
   kNoAllowedRegion,  // Its route and its workspace allow no common region.
   kStopping,         // The process may end before the call does.
+  kNoMemory,         // Its callers hold as much memory as they may.
+  kCallerStalled,    // Its caller reads no more, and others need the endpoint.
 };
 std::string_view ToText(Reason reason);
 
--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -133,8 +133,14 @@
   // The caller reads its answer more slowly than it arrives, so that the
   // endpoint has to wait; or does so no longer.
   void OnCallerBehind(CallId id, bool behind);
-  // Bytes of one answer that may be held until its caller reads them.
+  // Bytes of one answer that may be held before it is passed on.
   std::size_t AnswerLimit() const;
+  // `stalled`: calls whose callers have read nothing of their answers for a
+  // while, so that their endpoints wait. Ends those of services that have had
+  // no place for another call since this function was called last.
+  void OnCallersStalled(kernel::Time now, std::span<const CallId> stalled);
+  // Bytes of a call's answer that the entry holds and has not passed on.
+  std::size_t BufferedBytes(CallId id) const;
   void OnResponseBody(kernel::Time now, CallId call, std::string data);
   void OnResponseEnd(kernel::Time now, CallId call);
   void OnAttemptFailed(kernel::Time now, CallId call, AttemptFailure failure);
--- a/include/radishrudder/exchange/caller_server.h
+++ b/include/radishrudder/exchange/caller_server.h
@@ -12,8 +12,10 @@
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <utility>
 #include <vector>
 
+#include "radishrudder/exchange/memory_account.h"
 #include "radishrudder/exchange/message_reader.h"
 #include "radishrudder/kernel/time.h"
 
@@ -54,6 +56,14 @@
   // Called each time that some of them have been written to the connection,
   // until the answer ends.
   virtual void OnWritten(std::function<void()> handler) = 0;
+  // Takes note of bytes of the answer that are held elsewhere in this process.
+  virtual void SetBuffered(std::size_t bytes) = 0;
+  // Returns whether this process may hold more of the answer. If not, the
+  // answer may be broken off soon after, if its caller has stopped reading.
+  virtual bool MayHoldMore() = 0;
+  // Whether the caller has not taken any of the bytes that wait for it for a
+  // while.
+  virtual bool IsStalled() const = 0;
 };
 
 struct ReceivedRequest {
@@ -68,14 +78,25 @@
  public:
   using Handler =
       std::function<void(ReceivedRequest, std::shared_ptr<CallerExchange>)>;
+  using MakeRefusal = std::function<AnswerHead(ReceivedRequest)>;
 
+  // With a memory account of its own, without limits.
   CallerServer(asio::io_context& context, Handler handler);
+  // What callers hold counts in `account`, which must outlive the server.
+  CallerServer(asio::io_context& context,
+               MemoryAccount& account,
+               Handler handler);
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
 
   std::error_code Listen(std::string_view address);
   void SetLimits(const CallerLimits& limits) { m_limits = limits; }
+  // Returns the answer to what has been read of a request that is refused for
+  // lack of memory; its body is left out. Without it, the status is 503.
+  void OnMemoryShortage(MakeRefusal make_refusal) {
+    m_make_refusal = std::move(make_refusal);
+  }
   // Answers from now on say that their connection closes after them.
   void CloseAfterAnswers() { m_closing = true; }
   // Accepts no more connections than those that are already established.
@@ -85,8 +106,7 @@
   void CloseIdle(kernel::Time now, std::chrono::milliseconds silent);
   // Refuses requests of which only a part has arrived. `make_answer` returns
   // the answer to what has been read of one; its body is left out.
-  void RefuseIncomplete(
-      const std::function<AnswerHead(ReceivedRequest)>& make_answer);
+  void RefuseIncomplete(const MakeRefusal& make_answer);
   // Applies the time limits; to be called a few times a second.
   void CheckTimes(kernel::Time now);
   std::size_t Connections() const { return m_connections.size(); }
@@ -104,9 +124,12 @@
   void Add(asio::ip::tcp::socket socket);
 
   asio::io_context& m_context;
+  MemoryAccount m_own_account;
+  MemoryAccount& m_account;
   asio::ip::tcp::acceptor m_acceptor;
   asio::steady_timer m_accept_pause;
   Handler m_handler;
+  MakeRefusal m_make_refusal;
   CallerLimits m_limits;
   bool m_closing = false;
   std::size_t m_dropping = 0;
--- a/include/radishrudder/exchange/endpoint_pool.h
+++ b/include/radishrudder/exchange/endpoint_pool.h
@@ -45,6 +45,13 @@
   virtual void OnFailure(Failure failure) = 0;
 };
 
+// A whole request: `bytes`, followed by `body`, which `body_owner` keeps.
+struct OutgoingRequest {
+  std::string bytes{};
+  std::string_view body{};
+  std::shared_ptr<const void> body_owner{};
+};
+
 struct PoolSettings {
   // Time for a new connection to open.
   std::chrono::milliseconds connect_timeout{300};
@@ -78,16 +85,16 @@
 
   // Returns an id that no exchange has.
   ExchangeId NextExchange() { return ++m_last; }
-  // Sends `bytes`, one whole request, to "IP:PORT". `exchange`: an id of
-  // `NextExchange`; on an idle connection, `OnSending` is called at once, and
-  // may cancel it. `head_only`: it is a HEAD request. The listener must live
-  // until it is done or `Cancel` was called.
+  // Sends a request to "IP:PORT". `exchange`: an id of `NextExchange`; on an
+  // idle connection, `OnSending` is called at once, and may cancel it.
+  // `head_only`: it is a HEAD request. The listener must live until it is done
+  // or `Cancel` was called.
   void Start(ExchangeId exchange,
              std::string_view address,
-             std::string bytes,
+             OutgoingRequest request,
              bool head_only,
              AnswerListener& listener);
-  // The same with the next id, which it returns.
+  // The same with the next id, which it returns. `bytes`: the whole request.
   ExchangeId Start(std::string_view address,
                    std::string bytes,
                    bool head_only,
--- a/include/radishrudder/exchange/message_reader.h
+++ b/include/radishrudder/exchange/message_reader.h
@@ -65,9 +65,18 @@
   const ResponseHead& Response() const;
   // Bytes of the head read so far.
   std::size_t HeadBytes() const;
+  // Returns and forgets the head of the request.
+  RequestHead TakeRequest();
   // Returns and forgets the body bytes read since the last call.
   std::string TakeBody();
   std::size_t BodyBytesHeld() const;
+  // Length that the head of a request states for its body, if it does.
+  std::optional<std::uint64_t> AnnouncedBodyBytes() const;
+  // Allocates memory for the whole body of a request that states its length.
+  void ReserveBody();
+  // Memory that the head and the body take at most, in bytes.
+  std::size_t HeadMemory() const;
+  std::size_t BodyMemory() const;
 
  private:
   struct State;
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -78,6 +78,10 @@
     109, Level::kInfo, "stop-ended",
     "A planned stop ended: how long it took and what happened to the requests "
     "that arrived meanwhile."};
+inline constexpr Event kPeersEnded{
+    110, Level::kWarning, "peers-ended",
+    "Callers or other peers held as much memory or as many connections as they "
+    "may: some were refused or closed."};
 inline constexpr Event kDocumentInForce{
     201, Level::kInfo, "document-in-force",
     "A revision of a document took effect."};
--- a/include/radishrudder/serving/call_journal.h
+++ b/include/radishrudder/serving/call_journal.h
@@ -8,6 +8,7 @@
 
 #include "radishrudder/direct/call.h"
 #include "radishrudder/direct/entry_gauges.h"
+#include "radishrudder/exchange/memory_account.h"
 #include "radishrudder/kernel/findings.h"
 #include "radishrudder/kernel/time.h"
 #include "radishrudder/kernel/token_bucket.h"
@@ -39,6 +40,7 @@
   // Updates the metrics of load reports, if there are any.
   void RecordLoadReports(kernel::Time now, const LoadCollector& collector);
   void RecordGauges(const direct::EntryGauges& gauges);
+  void RecordCallerMemory(const exchange::MemoryAccount& account);
   void LogFindings(const kernel::Findings& findings);
   void CountStoreEra() { m_metrics.Count("radishrudder_store_eras_total", {}); }
   void CountCallerDisconnected() {
--- a/include/radishrudder/serving/call_session.h
+++ b/include/radishrudder/serving/call_session.h
@@ -54,7 +54,9 @@
     // `OnSending` may cancel the exchange, start another one or destroy this
     // session; its members must not be used afterwards.
     pool.Start(m_exchange, attempt.address,
-               Codec::EncodeAttempt(*m_request, attempt),
+               {.bytes = Codec::EncodeAttempt(*m_request, attempt),
+                .body = m_request->body,
+                .body_owner = m_request},
                m_request->method == "HEAD", *this);
   }
   void Cancel(exchange::EndpointPool& pool) { pool.Cancel(m_exchange); }
@@ -93,8 +95,10 @@
   }
   void OnBody(std::string data) override {
     Process& process = m_process;
-    process.Core().OnResponseBody(kernel::Now(), m_id, std::move(data));
+    const direct::CallId id = m_id;
+    process.Core().OnResponseBody(kernel::Now(), id, std::move(data));
     process.TakeOutputs();
+    process.OnAnswerBuffered(id);
   }
   void OnEnd() override {
     Process& process = m_process;
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -26,6 +26,7 @@
 #include "radishrudder/serving/call_journal.h"
 #include "radishrudder/serving/call_session.h"
 #include "radishrudder/serving/load_collector.h"
+#include "radishrudder/serving/peer_memory_log.h"
 #include "radishrudder/serving/settings_change.h"
 #include "radishrudder/serving/store_follower.h"
 
@@ -62,6 +63,8 @@
   // Takes agents' load reports by UDP; empty: none.
   std::string load_reports_address{};
   std::uint16_t agents_port = 0;  // The same on all instances.
+  // What callers may make this process hold, on all listeners together.
+  exchange::MemoryLimits callers{.bytes = 128U << 20U};
   // Time from SIGTERM until the platform kills the process.
   std::chrono::milliseconds stop_timeout{8000};
 };
@@ -81,19 +84,24 @@
         m_pool(context, {.receive_buffer_bytes = kReceiveBufferBytes}),
         m_store_pool(context, {}),
         m_fetcher(context, m_store_pool),
+        m_memory(m_settings.callers),
+        m_random(random.Next()),
         m_callers(context,
+                  m_memory,
                   [this](exchange::ReceivedRequest request,
                          std::shared_ptr<exchange::CallerExchange> caller) {
                     OnRequest(std::move(request), std::move(caller));
                   }),
         m_readiness(
             context,
+            m_memory,
             [this](const exchange::ReceivedRequest&,
                    const std::shared_ptr<exchange::CallerExchange>& caller) {
               AnswerReadiness(*caller);
             }),
         m_metrics_server(
             context,
+            m_memory,
             [this](const exchange::ReceivedRequest&,
                    const std::shared_ptr<exchange::CallerExchange>& caller) {
               caller->Reply({kOk, {{"Content-Type", "text/plain"}}},
@@ -121,6 +129,7 @@
             }),
         m_peer_server(
             context,
+            m_memory,
             [this](const exchange::ReceivedRequest& request,
                    const std::shared_ptr<exchange::CallerExchange>& peer) {
               AnswerPeer(request, *peer);
@@ -136,7 +145,18 @@
                            m_core.OnLoadReports(kernel::Now(), {&report, 1});
                            TakeOutputs();
                          }),
-        m_tick(context) {}
+        m_tick(context) {
+    m_callers.OnMemoryShortage([this](exchange::ReceivedRequest received) {
+      return RefuseUnread(
+          kernel::Now(), std::move(received), direct::Reason::kNoMemory,
+          kMinimumMemoryRetryAfter +
+              std::chrono::milliseconds(static_cast<std::int64_t>(
+                  m_random.Below(kMemoryRetryAfterSpread.count()))));
+    });
+    m_readiness.SetLimits(kBodilessLimits);
+    m_metrics_server.SetLimits(kBodilessLimits);
+    m_peer_server.SetLimits({.body_bytes = kMaximumPeerReportBytes});
+  }
 
   std::error_code Start() {
     std::error_code error = m_callers.Listen(m_settings.callers_address);
@@ -190,6 +210,8 @@
                  updated.entry.undated_version_grace, change);
     ApplySetting("answer-memory", current.entry.answer_memory,
                  updated.entry.answer_memory, change);
+    ApplySetting("caller-limits", current.callers, updated.callers, change);
+    m_memory.SetLimits(current.callers);
     ApplySetting("stop-timeout", current.stop_timeout, updated.stop_timeout,
                  change);
     ApplySetting("peer-seeds", current.peer_seeds, updated.peer_seeds, change);
@@ -226,6 +248,13 @@
 
   direct::Entry& Core() { return m_core; }
 
+  // Bytes of a call's answer have arrived; the entry may hold some of them.
+  void OnAnswerBuffered(direct::CallId id) {
+    if (Session* session = Find(id)) {
+      session->Caller().SetBuffered(m_core.BufferedBytes(id));
+    }
+  }
+
   // Carries out the outputs of the core.
   void TakeOutputs() {
     for (direct::Output& output : m_core.TakeOutputs()) {
@@ -261,6 +290,12 @@
   // Reading goes on once the caller has read all but this share of what may be
   // held of its answer.
   static constexpr std::size_t kResumeDivisor = 4;
+  // Of listeners whose requests have no body.
+  static constexpr exchange::CallerLimits kBodilessLimits{.head_bytes = 8192,
+                                                          .body_bytes = 0};
+  // Range of Retry-After of requests that are refused for lack of memory.
+  static constexpr std::chrono::milliseconds kMinimumMemoryRetryAfter{500};
+  static constexpr std::chrono::milliseconds kMemoryRetryAfterSpread{1000};
   // A stop ends this long before the platform would kill the process.
   static constexpr std::chrono::milliseconds kStopMargin{250};
   // Responses are complete this long before the stop ends, so that they reach
@@ -298,12 +333,36 @@
     Session* session = Find(id);
     if (session != nullptr && session->IsPaused() &&
         session->Caller().BytesWaiting() <=
-            m_core.AnswerLimit() / kResumeDivisor) {
+            m_memory.MaximumAnswerBytes() / kResumeDivisor &&
+        session->Caller().MayHoldMore()) {
       m_core.OnCallerBehind(id, /*behind=*/false);
       session->ResumeReading(m_pool);
     }
   }
 
+  // Answers that wait for memory go on once there is some; those whose callers
+  // have stopped reading end once other calls need their endpoints.
+  void CheckPausedAnswers(kernel::Time now) {
+    m_memory.Enforce(now);
+    m_memory_log.OnTick(now, m_memory);
+    m_journal.RecordCallerMemory(m_memory);
+    std::vector<direct::CallId> paused;
+    std::vector<direct::CallId> stalled;
+    for (const auto& [id, session] : m_sessions) {
+      if (session->IsPaused()) {
+        paused.push_back(id);
+        if (session->Caller().IsStalled()) {
+          stalled.push_back(id);
+        }
+      }
+    }
+    for (const direct::CallId id : paused) {
+      ResumeReading(id);
+    }
+    m_core.OnCallersStalled(now, stalled);
+    TakeOutputs();
+  }
+
   // The platform may kill the process by the newest settings.
   void LimitServing() {
     m_core.OnDrain(kernel::Now(), *m_stop_started + m_settings.stop_timeout -
@@ -355,7 +414,8 @@
   void Execute(direct::SendResponseBody& output) {
     if (Session* session = Find(output.call)) {
       session->Caller().Write(output.data);
-      if (session->Caller().BytesWaiting() > m_core.AnswerLimit()) {
+      if (session->Caller().BytesWaiting() > 0 &&
+          !session->Caller().MayHoldMore()) {
         session->PauseReading(m_pool);
         m_core.OnCallerBehind(output.call, /*behind=*/true);
       }
@@ -787,6 +847,7 @@
       m_load_collector.SetEndpoints(now, m_core.ReportingEndpoints());
       m_journal.RecordLoadReports(now, m_load_collector);
       m_journal.RecordGauges(m_core.Gauges());
+      CheckPausedAnswers(now);
       m_callers.CheckTimes(now);
       m_readiness.CheckTimes(now);
       m_metrics_server.CheckTimes(now);
@@ -819,10 +880,11 @@
     if (now >= m_stop_ends_at - kResponseMargin) {
       m_core.StopWaiting(now);
       TakeOutputs();
-      m_callers.RefuseIncomplete(
-          [this, now](exchange::ReceivedRequest received) {
-            return RefuseAsStopping(now, std::move(received));
-          });
+      m_callers.RefuseIncomplete([this,
+                                  now](exchange::ReceivedRequest received) {
+        return RefuseUnread(now, std::move(received), direct::Reason::kStopping,
+                            std::chrono::milliseconds(0));
+      });
     }
     const bool idle = elapsed >= kLateArrivalTime &&
                       m_core.CallsInProgress() == 0 &&
@@ -837,21 +899,22 @@
     return true;
   }
 
-  // Refuses a request that the stop ends before its last byte has arrived.
-  exchange::AnswerHead RefuseAsStopping(kernel::Time now,
-                                        exchange::ReceivedRequest received) {
+  // Refuses a request of which not all bytes have arrived.
+  exchange::AnswerHead RefuseUnread(kernel::Time now,
+                                    exchange::ReceivedRequest received,
+                                    direct::Reason reason,
+                                    std::chrono::milliseconds retry_after) {
     const direct::CallerRequest request =
         Platform::Calls::DecodeRequest(std::move(received));
-    direct::CallRecord record{.call = ++m_last_call,
-                              .status = kUnavailable,
-                              .reason = direct::Reason::kStopping};
+    direct::CallRecord record{
+        .call = ++m_last_call, .status = kUnavailable, .reason = reason};
     record.attempt_id = request.attempt_id;
     record.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - request.received_at);
     record.detail = request.host + request.path;
     m_journal.Record(now, record);
     return Platform::Calls::EncodeGeneratedResponse(
-        kUnavailable, request.attempt_id, std::chrono::milliseconds(0));
+        kUnavailable, request.attempt_id, retry_after);
   }
 
   void LogStopEnd(kernel::Time now) {
@@ -888,6 +951,9 @@
   exchange::EndpointPool m_store_pool;
   exchange::Fetcher m_fetcher;
   std::map<direct::CallId, std::unique_ptr<Session>> m_sessions;
+  exchange::MemoryAccount m_memory;
+  PeerMemoryLog m_memory_log{m_settings.entry.name};
+  kernel::Random m_random;
   exchange::CallerServer m_callers;
   exchange::CallerServer m_readiness;
   exchange::CallerServer m_metrics_server;
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -78,6 +78,10 @@
       return "no-allowed-region";
     case Reason::kStopping:
       return "stopping";
+    case Reason::kNoMemory:
+      return "no-memory";
+    case Reason::kCallerStalled:
+      return "caller-stalled";
   }
   return "none";
 }
--- a/source/radishrudder/direct/entry_admission.cc
+++ b/source/radishrudder/direct/entry_admission.cc
@@ -132,6 +132,7 @@
   if (require_free_capacity && admission != admissions.end() &&
       admission->second.Waiting().CountUpTo(call.rank) > 0 &&
       TryWait(now, call)) {
+    services_without_place.insert(call.service);
     return;
   }
   const CallId id = call.id;
@@ -140,6 +141,9 @@
   if (!selected.id.empty() || FindCall(id) == nullptr) {
     return;
   }
+  if (ReasonOf(selected) == Reason::kAllBusy) {
+    services_without_place.insert(call.service);
+  }
   const bool may_wait =
       selected.available_after
           ? *selected.available_after <= kMaximumAvailabilityWait
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -610,6 +610,35 @@
   return m_state->AnswerLimit(kMaximumBufferedBytes);
 }
 
+std::size_t Entry::BufferedBytes(CallId id) const {
+  const Call* call = m_state->FindCall(id);
+  if (call == nullptr) {
+    return 0;
+  }
+  return call->events.PendingBytes() +
+         (call->attempt ? call->attempt->body.capacity() : 0);
+}
+
+void Entry::OnCallersStalled(kernel::Time now,
+                             std::span<const CallId> stalled) {
+  const auto services = std::exchange(m_state->services_without_place, {});
+  for (const CallId id : stalled) {
+    Call* call = m_state->FindCall(id);
+    if (call == nullptr || !call->attempt ||
+        !services.contains(call->service)) {
+      continue;
+    }
+    const std::string service = call->service;
+    m_state->Emit(CancelAttempt{id});
+    if (call->attempt->sent) {
+      m_state->Pool(service).OnAbandoned(now, m_state->RunOf(*call->attempt));
+      call->may_have_run = true;
+    }
+    m_state->FailCall(now, *call, Reason::kCallerStalled);
+    m_state->ServeWaiting(now, service);
+  }
+}
+
 void Entry::OnCallerBehind(CallId id, bool behind) {
   Call* call = m_state->FindCall(id);
   if (call == nullptr) {
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -245,6 +245,8 @@
   // limit expires later.
   std::optional<kernel::Time> serves_until;
   bool waiting_stopped = false;  // No call may wait any more.
+  // Services that had no place for a call since stalled callers were looked at.
+  std::set<std::string, std::less<>> services_without_place;
   std::vector<ListedEndpoint> endpoints;
   std::map<std::string, std::unique_ptr<ServicePool>, std::less<>> pools;
   // By model, the latest declared versions, oldest first.
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -4,11 +4,11 @@
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
-#include <asio/write.hpp>
 #include <charconv>
 #include <optional>
 #include <utility>
 
+#include "radishrudder/exchange/byte_blocks.h"
 #include "radishrudder/kernel/boot_time.h"
 #include "source/radishrudder/exchange/socket_options.h"
 
@@ -24,10 +24,20 @@
 // the caller closes it before.
 constexpr std::chrono::milliseconds kLingerTime{1000};
 
+// What a connection takes without a request.
+constexpr std::size_t kConnectionBytes = 8U << 10U;
+// Bytes behind a request in progress that are read before its answer ends.
+constexpr std::size_t kReadAheadBytes = 16U << 10U;
+// What an answer may grow by until it is asked for again.
+constexpr std::size_t kAnswerStepBytes = 16U << 10U;
+// Copies of a request's head while it is in progress.
+constexpr std::size_t kHeadCopies = 2;
+
 constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
 constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
 
 void AppendHeader(std::string_view name,
                   std::string_view value,
@@ -52,14 +62,17 @@
 }  // namespace
 
 class CallerServer::Connection
-    : public std::enable_shared_from_this<Connection> {
+    : public std::enable_shared_from_this<Connection>,
+      public MemoryHolder {
  public:
   Connection(CallerServer& server, asio::ip::tcp::socket socket)
       : m_server(server),
         m_socket(std::move(socket)),
         m_reader(MessageReader::Kind::kRequest),
-        m_silent_since(kernel::Now()) {
+        m_silent_since(kernel::Now()),
+        m_share(server.m_account, *this, m_silent_since) {
     SetOptions(m_socket, kCallerSilence);
+    m_share.Set(kConnectionBytes, m_silent_since);
   }
 
   void Start() { Read(); }
@@ -69,9 +82,9 @@
     return !m_exchange && !m_begun && !HasUnsent() && !m_lingering_since &&
            !HasUnread();
   }
-  bool HasUnsent() const { return m_writing || !m_outgoing.empty(); }
+  bool HasUnsent() const { return m_writing || !m_outgoing.IsEmpty(); }
   std::size_t UnsentBytes() const {
-    return m_outgoing.size() + (m_writing ? m_sending.size() : 0);
+    return m_outgoing.Size() + (m_writing ? m_sending.size() - m_sent : 0);
   }
   kernel::Time SilentSince() const { return m_silent_since; }
 
@@ -91,9 +104,37 @@
   // Whether a part of a request has been read.
   bool IsIncomplete() const { return m_begun && !m_exchange; }
 
-  void RefuseIncomplete(
-      const std::function<AnswerHead(ReceivedRequest)>& make_answer) {
-    Refuse(make_answer({m_reader.Request(), {}, *m_begun}));
+  void RefuseIncomplete(const MakeRefusal& make_answer) {
+    Refuse(make_answer ? make_answer({m_reader.TakeRequest(), {}, *m_begun})
+                       : AnswerHead{kUnavailable, {}});
+  }
+
+  Revocable RevocablePart() const override {
+    if (m_revoked) {
+      return Revocable::kNothing;
+    }
+    if (HasUnsent()) {
+      return Revocable::kStalled;
+    }
+    return m_exchange ? Revocable::kNothing : Revocable::kAll;
+  }
+
+  void Revoke(kernel::Time now, Shortage shortage) override {
+    if (IsIncomplete()) {
+      RefuseIncomplete(m_server.m_make_refusal);
+      if (shortage == Shortage::kMemory) {
+        m_share.Set(HeldBytes(), now);
+        return;
+      }
+    }
+    if (shortage == Shortage::kMemory && m_exchange) {
+      // The call that needs the memory must not be interrupted by the end of
+      // this one.
+      m_revoked = true;
+      CloseLater();
+      return;
+    }
+    Close();
   }
 
   void Close() {
@@ -103,6 +144,7 @@
     const auto self = shared_from_this();
     std::error_code ignored;
     m_socket.close(ignored);
+    m_share.Close();
     m_server.m_connections.erase(self);
     std::function<void()> gone = std::exchange(m_gone, nullptr);
     m_written = nullptr;
@@ -159,6 +201,22 @@
         connection->m_written = std::move(handler);
       }
     }
+    void SetBuffered(std::size_t bytes) override {
+      const auto connection = Current();
+      if (connection && connection->m_buffered_bytes != bytes) {
+        connection->m_buffered_bytes = bytes;
+        connection->UpdateShare(kernel::Now());
+      }
+    }
+    bool MayHoldMore() override {
+      const auto connection = Current();
+      return connection && connection->MayHoldMore();
+    }
+    bool IsStalled() const override {
+      const auto connection = Current();
+      return connection && connection->HasUnsent() &&
+             connection->m_share.IsStalled(kernel::Now());
+    }
 
    private:
     // Returns the connection while this exchange is the one in progress.
@@ -172,6 +230,10 @@
   };
 
   void Read() {
+    if (IsAnswering() && m_incoming.size() >= kReadAheadBytes) {
+      m_read_deferred = true;
+      return;
+    }
     m_socket.async_read_some(
         asio::buffer(m_buffer),
         [self = shared_from_this()](std::error_code error, std::size_t size) {
@@ -184,6 +246,9 @@
           }
           self->m_read_at = kernel::Now();
           if (!self->m_refusing && !self->m_lingering_since) {
+            if (!self->HasUnsent()) {
+              self->m_share.OnTransferred(size, self->m_read_at);
+            }
             self->m_incoming.append(self->m_buffer.data(), size);
             self->Advance();
           } else if (!std::exchange(self->m_dropping, true)) {
@@ -208,45 +273,60 @@
     return m_socket.available(error) > 0;
   }
 
+  // Whether an earlier request keeps the next one waiting.
+  bool IsAnswering() const { return m_exchange || HasUnsent(); }
+
   // Reads the next request once none is in progress.
   void Advance() {
-    // A caller that sends on while its request runs is read no further than
-    // one request's limits.
     const CallerLimits& limits = m_server.m_limits;
-    if (m_exchange) {
-      if (m_incoming.size() > limits.head_bytes + limits.body_bytes) {
-        Close();
-      }
-      return;
-    }
-    if (m_incoming.empty()) {
+    const kernel::Time now = kernel::Now();
+    if (IsAnswering() || m_incoming.empty()) {
+      UpdateShare(now);
       return;
     }
     if (!m_begun) {
-      m_begun = kernel::Now();
+      m_begun = now;
       m_reader.Reset();
+      m_share.Restart(now);
     }
     const ReadProgress progress = m_reader.Feed(m_incoming);
     m_incoming.erase(0, progress.consumed);
+    if (m_incoming.empty() && m_incoming.capacity() > kReadBytes) {
+      Free(m_incoming);
+    }
     if (progress.state == ReadState::kMalformed) {
       Refuse({kBadRequest, {}});
     } else if (m_reader.HeadBytes() > limits.head_bytes) {
       Refuse({kHeaderTooLarge, {}});
-    } else if (m_reader.BodyBytesHeld() > limits.body_bytes) {
+    } else if (std::max<std::uint64_t>(
+                   m_reader.AnnouncedBodyBytes().value_or(0),
+                   m_reader.BodyBytesHeld()) > limits.body_bytes) {
       Refuse({kContentTooLarge, {}});
+    } else if (!m_share.Request(HeldBytes(), now)) {
+      RefuseIncomplete(m_server.m_make_refusal);
     } else if (progress.state == ReadState::kComplete) {
-      Dispatch();
-    } else if (m_reader.HeadComplete() && !m_continued &&
-               http::EqualNames(
-                   http::FindHeader(m_reader.Request().headers, "Expect"),
-                   "100-continue")) {
+      Dispatch(now);
+    } else {
+      AwaitRest();
+    }
+  }
+
+  // Prepares for the part of a request that has not arrived.
+  void AwaitRest() {
+    m_reader.ReserveBody();
+    if (m_reader.HeadComplete() && !m_continued &&
+        http::EqualNames(http::FindHeader(m_reader.Request().headers, "Expect"),
+                         "100-continue")) {
       m_continued = true;
       Send("HTTP/1.1 100 Continue\r\n\r\n");
     }
   }
 
-  void Dispatch() {
-    ReceivedRequest request{m_reader.Request(), m_reader.TakeBody(), *m_begun};
+  void Dispatch(kernel::Time now) {
+    const std::size_t head_bytes = kHeadCopies * m_reader.HeadMemory();
+    ReceivedRequest request{m_reader.TakeRequest(), m_reader.TakeBody(),
+                            *m_begun};
+    m_request_bytes = head_bytes + request.body.capacity();
     m_begun.reset();
     m_continued = false;
     m_keep = request.head.keep_alive;
@@ -254,20 +334,54 @@
     m_head_only = request.head.method == "HEAD";
     const auto exchange = std::make_shared<Exchange>(weak_from_this());
     m_exchange = exchange;
+    UpdateShare(now);
     m_server.m_handler(std::move(request), exchange);
   }
 
+  // Memory that this process holds for the caller. What a head announces counts
+  // at once, so that a body that does not fit is refused before it is sent.
+  std::size_t HeldBytes() const {
+    std::size_t bytes = kConnectionBytes + m_incoming.capacity() +
+                        m_outgoing.AllocatedBytes() + m_sending.capacity() +
+                        m_buffered_bytes + m_request_bytes;
+    if (m_begun) {
+      bytes += m_reader.HeadMemory() +
+               std::max<std::size_t>(m_reader.AnnouncedBodyBytes().value_or(0),
+                                     m_reader.BodyMemory());
+    }
+    if (m_read_deferred) {
+      bytes += m_server.m_account.Buffers().receive;
+    }
+    return bytes;
+  }
+
+  void UpdateShare(kernel::Time now) {
+    if (!m_revoked) {
+      m_share.Set(HeldBytes(), now);
+    }
+  }
+
+  bool MayHoldMore() {
+    return !m_revoked &&
+           UnsentBytes() + kAnswerStepBytes <=
+               m_server.m_account.MaximumAnswerBytes() &&
+           m_share.MayGrow(kAnswerStepBytes, kernel::Now());
+  }
+
   // Answers a request that was not taken, and closes the connection.
   void Refuse(const AnswerHead& head) {
     m_keep = false;
     m_refusing = true;
     m_begun.reset();
+    m_reader.Reset();
+    Free(m_incoming);
     std::string text;
     AppendHead(head, text);
     AppendHeader("Content-Length", "0", text);
     text += "\r\n";
     m_ending = true;
     Send(text);
+    UpdateShare(kernel::Now());
   }
 
   void AppendHead(const AnswerHead& head, std::string& text) {
@@ -340,60 +454,81 @@
     m_exchange.reset();
     m_gone = nullptr;
     m_written = nullptr;
+    m_request_bytes = 0;
+    m_buffered_bytes = 0;
     m_silent_since = kernel::Now();
     m_ending = !m_keep;
-    m_next = true;
   }
 
   void Send(std::string_view text) {
-    m_outgoing += text;
-    if (!m_writing) {
+    if (m_revoked) {
+      return;
+    }
+    const bool first = !HasUnsent();
+    m_outgoing.Append(text);
+    if (first) {
+      m_share.Restart(kernel::Now());
       WriteMore();
     }
+    if (HasUnsent()) {
+      UpdateShare(kernel::Now());
+    }
   }
 
   void WriteMore() {
-    if (m_outgoing.empty()) {
-      OnWritten();
-      return;
-    }
-    m_writing = true;
-    m_sending = std::exchange(m_outgoing, {});
     // Most answers fit the socket's buffer: try before waiting.
     std::error_code error;
     m_socket.non_blocking(true, error);
-    const std::size_t sent =
-        error ? 0 : m_socket.write_some(asio::buffer(m_sending), error);
-    if (!error && sent == m_sending.size()) {
-      m_writing = false;
-      OnWritten();
-      return;
-    }
-    if (error && error != asio::error::would_block) {
-      m_writing = false;
-      CloseLater();
-      return;
+    while (!m_outgoing.IsEmpty()) {
+      m_sending = m_outgoing.TakeFirst();
+      m_sent = error ? 0 : m_socket.write_some(asio::buffer(m_sending), error);
+      if (error && error != asio::error::would_block) {
+        Free(m_sending);
+        CloseLater();
+        return;
+      }
+      if (m_sent < m_sending.size()) {
+        m_writing = true;
+        WriteRest();
+        return;
+      }
     }
-    m_sending.erase(0, sent);
-    asio::async_write(
-        m_socket, asio::buffer(m_sending),
-        [self = shared_from_this()](std::error_code failed, std::size_t) {
-          self->m_writing = false;
-          if (!self->m_socket.is_open()) {
+    Free(m_sending);
+    OnWritten();
+  }
+
+  void WriteRest() {
+    m_socket.async_write_some(
+        asio::buffer(m_sending) + m_sent,
+        [self = shared_from_this()](std::error_code error, std::size_t size) {
+          if (!self->m_socket.is_open() || self->m_revoked) {
             return;
           }
-          if (failed) {
+          if (error) {
             self->Close();
             return;
           }
-          self->WriteMore();
-          // The handler may be replaced while it runs.
-          if (const auto written = self->m_written) {
-            written();
-          }
+          self->OnWrote(size);
         });
   }
 
+  void OnWrote(std::size_t size) {
+    const kernel::Time now = kernel::Now();
+    m_share.OnTransferred(size, now);
+    m_sent += size;
+    if (m_sent < m_sending.size()) {
+      WriteRest();
+    } else {
+      m_writing = false;
+      WriteMore();
+      UpdateShare(now);
+    }
+    // The handler may be replaced while it runs.
+    if (const auto written = m_written) {
+      written();
+    }
+  }
+
   // Closes outside of the caller's own call into the exchange.
   void CloseLater() {
     asio::post(m_socket.get_executor(),
@@ -409,15 +544,22 @@
       m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
       m_ending = false;
       m_lingering_since = kernel::Now();
-    } else if (m_next) {
-      m_next = false;
-      if (!m_incoming.empty()) {
-        asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-          if (self->m_socket.is_open()) {
-            self->Advance();
-          }
-        });
-      }
+      Free(m_incoming);
+    }
+    UpdateShare(kernel::Now());
+    if (!m_exchange && (!m_incoming.empty() || m_read_deferred)) {
+      asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (self->m_socket.is_open() && !self->m_lingering_since) {
+          self->Advance();
+        }
+        self->ResumeReading();
+      });
+    }
+  }
+
+  void ResumeReading() {
+    if (m_socket.is_open() && std::exchange(m_read_deferred, false)) {
+      Read();
     }
   }
 
@@ -426,8 +568,11 @@
   MessageReader m_reader;
   std::array<char, kReadBytes> m_buffer{};
   std::string m_incoming;
-  std::string m_outgoing;
+  ByteBlocks m_outgoing;
   std::string m_sending;
+  std::size_t m_sent = 0;                      // Bytes of `m_sending`.
+  std::size_t m_request_bytes = 0;             // Of the request in progress.
+  std::size_t m_buffered_bytes = 0;            // Of its answer, held elsewhere.
   std::shared_ptr<CallerExchange> m_exchange;  // The request in progress.
   std::function<void()> m_gone;
   std::function<void()> m_written;
@@ -440,14 +585,22 @@
   bool m_chunked_ok = true;
   bool m_head_only = false;
   bool m_writing = false;
-  bool m_ending = false;    // Close once everything is written.
-  bool m_refusing = false;  // A request was refused unread.
-  bool m_dropping = false;  // Bytes arrived that are not read.
-  bool m_next = false;      // An answer ended; the next request may begin.
+  bool m_ending = false;         // Close once everything is written.
+  bool m_refusing = false;       // A request was refused unread.
+  bool m_dropping = false;       // Bytes arrived that are not read.
+  bool m_read_deferred = false;  // The next read begins after the answer.
+  bool m_revoked = false;        // The connection is about to be closed.
+  MemoryShare m_share;
 };
 
 CallerServer::CallerServer(asio::io_context& context, Handler handler)
+    : CallerServer(context, m_own_account, std::move(handler)) {}
+
+CallerServer::CallerServer(asio::io_context& context,
+                           MemoryAccount& account,
+                           Handler handler)
     : m_context(context),
+      m_account(account),
       m_acceptor(context),
       m_accept_pause(context),
       m_handler(std::move(handler)) {}
@@ -464,7 +617,8 @@
   if (!endpoint) {
     return std::make_error_code(std::errc::invalid_argument);
   }
-  const std::error_code error = OpenAcceptor(m_acceptor, *endpoint, kBacklog);
+  const std::error_code error =
+      OpenAcceptor(m_acceptor, *endpoint, kBacklog, m_account.Buffers());
   if (!error) {
     Accept();
   }
@@ -487,6 +641,9 @@
 }
 
 void CallerServer::Add(asio::ip::tcp::socket socket) {
+  if (!m_account.AdmitConnection(kernel::Now())) {
+    return;  // Its caller sees that nothing of a request has been read.
+  }
   const auto connection =
       std::make_shared<Connection>(*this, std::move(socket));
   m_connections.insert(connection);
@@ -503,8 +660,7 @@
   }
 }
 
-void CallerServer::RefuseIncomplete(
-    const std::function<AnswerHead(ReceivedRequest)>& make_answer) {
+void CallerServer::RefuseIncomplete(const MakeRefusal& make_answer) {
   const auto connections = m_connections;
   for (const auto& connection : connections) {
     if (connection->IsIncomplete()) {
--- a/source/radishrudder/exchange/endpoint_pool.cc
+++ b/source/radishrudder/exchange/endpoint_pool.cc
@@ -56,13 +56,13 @@
   bool IsConnected() const { return m_open; }
 
   void Start(ExchangeId exchange,
-             std::string bytes,
+             OutgoingRequest request,
              bool head_only,
              AnswerListener& listener) {
     m_exchange = exchange;
     m_reservation = 0;
     m_listener = &listener;
-    m_request = std::move(bytes);
+    m_request = std::move(request);
     m_reader.Reset(head_only);
     m_head_only = head_only;
     m_head_taken = false;
@@ -179,10 +179,13 @@
     if (m_listener == nullptr) {
       return;
     }
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(m_request.bytes),
+                                                  asio::buffer(m_request.body)};
     asio::async_write(
-        m_socket, asio::buffer(m_request),
+        m_socket, parts,
         [self = shared_from_this()](std::error_code error, std::size_t) {
           self->m_writing = false;
+          self->m_request = {};
           if (error && self->m_listener != nullptr) {
             // An answer may have come before the connection broke: the read
             // decides.
@@ -340,7 +343,7 @@
   asio::steady_timer m_timer;
   MessageReader m_reader;
   std::array<char, kReadBytes> m_buffer{};
-  std::string m_request;
+  OutgoingRequest m_request;  // Until it is written.
   ExchangeId m_exchange = 0;
   ReservationId m_reservation = 0;  // 0: not reserved.
   AnswerListener* m_listener = nullptr;
@@ -377,13 +380,14 @@
                                              bool head_only,
                                              AnswerListener& listener) {
   const ExchangeId exchange = NextExchange();
-  Start(exchange, address, std::move(bytes), head_only, listener);
+  Start(exchange, address, OutgoingRequest{.bytes = std::move(bytes)},
+        head_only, listener);
   return exchange;
 }
 
 void EndpointPool::Start(ExchangeId exchange,
                          std::string_view address,
-                         std::string bytes,
+                         OutgoingRequest request,
                          bool head_only,
                          AnswerListener& listener) {
   const std::string key(address);
@@ -392,7 +396,7 @@
     connection = std::make_shared<Connection>(*this, key);
   }
   m_active.emplace(exchange, connection);
-  connection->Start(exchange, std::move(bytes), head_only, listener);
+  connection->Start(exchange, std::move(request), head_only, listener);
 }
 
 void EndpointPool::Cancel(ExchangeId exchange) {
@@ -451,7 +455,8 @@
   }
   const ExchangeId exchange = ++m_last;
   m_active.emplace(exchange, connection);
-  connection->Start(exchange, std::move(bytes), /*head_only=*/false, listener);
+  connection->Start(exchange, OutgoingRequest{.bytes = std::move(bytes)},
+                    /*head_only=*/false, listener);
   return exchange;
 }
 
--- a/source/radishrudder/exchange/message_reader.cc
+++ b/source/radishrudder/exchange/message_reader.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "radishrudder/exchange/byte_blocks.h"
+
 namespace radishrudder::exchange {
 namespace {
 
@@ -15,6 +17,8 @@
 // Returned by the head callback: the message has no body.
 constexpr int kNoBody = 1;
 constexpr std::uint64_t kUnknownLength = ~std::uint64_t{0};
+// A string that grows allocates up to this many times its size.
+constexpr std::size_t kStringGrowth = 2;
 
 }  // namespace
 
@@ -26,23 +30,32 @@
   }
 
   static int OnTarget(http_parser* parser, const char* data, size_t size) {
-    Of(parser).request.target.append(data, size);
+    State& state = Of(parser);
+    state.request.target.append(data, size);
+    state.head_text_bytes += size;
     return 0;
   }
   static int OnName(http_parser* parser, const char* data, size_t size) {
     State& state = Of(parser);
+    if (state.head_complete) {
+      return 0;  // Trailers are read and left out.
+    }
     if (!state.in_name) {
       state.Headers().emplace_back();
       state.in_name = true;
     }
     state.Headers().back().name.append(data, size);
+    state.head_text_bytes += size;
     return 0;
   }
   static int OnValue(http_parser* parser, const char* data, size_t size) {
     State& state = Of(parser);
+    if (state.head_complete) {
+      return 0;
+    }
     state.in_name = false;
-    // A header after the body (a trailer) has a name of its own before it.
     state.Headers().back().value.append(data, size);
+    state.head_text_bytes += size;
     return 0;
   }
   static int OnHead(http_parser* parser) {
@@ -56,6 +69,10 @@
       state.request.chunked_ok =
           parser->http_major > 1 ||
           (parser->http_major == 1 && parser->http_minor >= 1);
+      if (parser->content_length != kUnknownLength &&
+          (parser->flags & F_CHUNKED) == 0) {
+        state.announced_body_bytes = parser->content_length;
+      }
       state.head_complete = true;
       return 0;
     }
@@ -70,7 +87,7 @@
     return state.head_only && !state.interim ? kNoBody : 0;
   }
   static int OnBody(http_parser* parser, const char* data, size_t size) {
-    Of(parser).body.append(data, size);
+    Of(parser).body.Append({data, size});
     return 0;
   }
   static int OnComplete(http_parser* parser) {
@@ -86,10 +103,6 @@
   }
 
   std::vector<http::Header>& Headers() {
-    // Trailers are read and left out.
-    if (head_complete) {
-      return trailers;
-    }
     return kind == Kind::kRequest ? request.headers : response.headers;
   }
 
@@ -112,9 +125,10 @@
   http_parser parser{};
   RequestHead request;
   ResponseHead response;
-  std::vector<http::Header> trailers;
-  std::string body;
+  ByteBlocks body;
   std::size_t head_bytes = 0;
+  std::size_t head_text_bytes = 0;  // In the strings of the head.
+  std::optional<std::uint64_t> announced_body_bytes;
   bool head_only = false;
   bool in_name = false;
   bool interim = false;  // A response with a status below 200.
@@ -135,11 +149,13 @@
   http_parser_init(&state.parser,
                    state.kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   state.parser.data = &state;
+  Free(state.request.target);
   state.request = {};
   state.response = {};
-  state.trailers.clear();
-  state.body.clear();
+  state.body.Clear();
   state.head_bytes = 0;
+  state.head_text_bytes = 0;
+  state.announced_body_bytes.reset();
   state.head_only = head_only;
   state.in_name = false;
   state.interim = false;
@@ -156,7 +172,7 @@
     progress.consumed = http_parser_execute(&state.parser, &State::Callbacks(),
                                             bytes.data(), bytes.size());
     if (!head_was_complete) {
-      state.head_bytes += progress.consumed - state.body.size();
+      state.head_bytes += progress.consumed - state.body.Size();
     }
     const http_errno error = HTTP_PARSER_ERRNO(&state.parser);
     const bool switched = state.kind == Kind::kResponse &&
@@ -206,12 +222,39 @@
   return m_state->head_bytes;
 }
 
+RequestHead MessageReader::TakeRequest() {
+  return std::exchange(m_state->request, {});
+}
+
 std::string MessageReader::TakeBody() {
-  return std::exchange(m_state->body, {});
+  return m_state->body.TakeAll();
 }
 
 std::size_t MessageReader::BodyBytesHeld() const {
-  return m_state->body.size();
+  return m_state->body.Size();
+}
+
+std::optional<std::uint64_t> MessageReader::AnnouncedBodyBytes() const {
+  return m_state->announced_body_bytes;
+}
+
+void MessageReader::ReserveBody() {
+  State& state = *m_state;
+  if (state.announced_body_bytes && !state.complete) {
+    state.body.Reserve(*state.announced_body_bytes);
+  }
+}
+
+std::size_t MessageReader::HeadMemory() const {
+  const State& state = *m_state;
+  const auto& headers = state.kind == Kind::kRequest ? state.request.headers
+                                                     : state.response.headers;
+  return headers.capacity() * sizeof(http::Header) +
+         kStringGrowth * state.head_text_bytes;
+}
+
+std::size_t MessageReader::BodyMemory() const {
+  return m_state->body.AllocatedBytes();
 }
 
 }  // namespace radishrudder::exchange
--- a/source/radishrudder/exchange/socket_options.cc
+++ b/source/radishrudder/exchange/socket_options.cc
@@ -52,9 +52,17 @@
 
 std::error_code OpenAcceptor(asio::ip::tcp::acceptor& acceptor,
                              const asio::ip::tcp::endpoint& endpoint,
-                             int backlog) {
+                             int backlog,
+                             const BufferSizes& buffers) {
   std::error_code error;
   acceptor.open(endpoint.protocol(), error);
+  const int handle = acceptor.native_handle();
+  if (!error && buffers.receive > 0) {
+    SetOption(handle, SOL_SOCKET, SO_RCVBUF, static_cast<int>(buffers.receive));
+  }
+  if (!error && buffers.send > 0) {
+    SetOption(handle, SOL_SOCKET, SO_SNDBUF, static_cast<int>(buffers.send));
+  }
   if (!error) {
     acceptor.set_option(asio::socket_base::reuse_address(true), error);
   }
--- a/source/radishrudder/exchange/socket_options.h
+++ b/source/radishrudder/exchange/socket_options.h
@@ -8,15 +8,18 @@
 #include <string_view>
 #include <system_error>
 
+#include "radishrudder/exchange/memory_account.h"
+
 namespace radishrudder::exchange {
 
 // Parses "IP:PORT".
 std::optional<asio::ip::tcp::endpoint> ParseAddress(std::string_view text);
 
-// Opens, binds and listens.
+// Opens, binds and listens. Connections that are accepted have the buffers.
 std::error_code OpenAcceptor(asio::ip::tcp::acceptor& acceptor,
                              const asio::ip::tcp::endpoint& endpoint,
-                             int backlog);
+                             int backlog,
+                             const BufferSizes& buffers);
 
 // Sends small writes at once, and lets a peer that fell silent be noticed: by
 // unacknowledged bytes after `silence`, without traffic by probes.
--- a/source/radishrudder/logging/events.cc
+++ b/source/radishrudder/logging/events.cc
@@ -27,6 +27,7 @@
                                       kSettingsReloaded,
                                       kSettingsRejected,
                                       kStopEnded,
+                                      kPeersEnded,
                                       kDocumentInForce,
                                       kDocumentRejected,
                                       kConfigurationUnavailable,
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -259,6 +259,14 @@
   }
 }
 
+void CallJournal::RecordCallerMemory(const exchange::MemoryAccount& account) {
+  m_metrics.Gauge("radishrudder_caller_memory_bytes", {},
+                  static_cast<double>(account.BytesHeld()));
+  m_metrics.Gauge("radishrudder_caller_connections", {},
+                  static_cast<double>(account.Connections()));
+  CountTotal("radishrudder_callers_ended_total", "", account.Shortages());
+}
+
 void CallJournal::CountTotal(const std::string& name,
                              const std::string& reason,
                              std::uint64_t total) {
--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -59,7 +59,8 @@
   direct::SendAttempt attempt;
   attempt.endpoint_id = "i-1";
   attempt.time_left = std::chrono::milliseconds(700);
-  const std::string text = CallCodec::EncodeAttempt(request, attempt);
+  const std::string text =
+      CallCodec::EncodeAttempt(request, attempt) + request.body;
   const std::string line =
       "\r\n" + GetParam().header.name + ": " + GetParam().header.value + "\r\n";
   EXPECT_EQ(text.find(line) != std::string::npos, GetParam().forwarded);
--- a/tests/platform/metrics_program_test.cc
+++ b/tests/platform/metrics_program_test.cc
@@ -50,6 +50,7 @@
   EXPECT_TRUE(AwaitLine(R"(radishrudder_endpoints_cold{service="plain"} 1)"));
   EXPECT_TRUE(AwaitLine(R"(radishrudder_calls_waiting{service="plain"} 0)"));
   EXPECT_TRUE(AwaitLine("radishrudder_data_centres_evacuated 0"));
+  EXPECT_TRUE(AwaitLine("radishrudder_callers_ended_total 0"));
   m_standin.Write({kKey, "{}"});
   EXPECT_TRUE(AwaitLine("radishrudder_data_centres_evacuated 1"));
   m_standin.Remove(kKey);
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -32,6 +32,7 @@
 constexpr milliseconds kAnswerLimit{8000};
 // More than the buffers of two sockets hold.
 constexpr std::size_t kLargeBytes = 32U << 20U;
+constexpr std::size_t kMediumBytes = 4U << 20U;
 constexpr std::size_t kPrefixSize = 3;  // Of a route, such as "/t/".
 
 std::string FreeAddress(asio::io_context& context, const std::string& ip) {
@@ -127,11 +128,11 @@
        R"("max_connections": 64)" +
            m_endpoint_settings.service_members + R"(}], "limits": {}})"});
   m_entries.push_back(
-      {"servers/i-1",
-       R"({"service": "plain", "zone": "a", "slots": 32, "state": "ready",)"
-       R"("born": 1, "address": ")" +
-           m_endpoint_address + "\"" + m_endpoint_settings.listed_members +
-           "}"});
+      {"servers/i-1", R"({"service": "plain", "zone": "a", "slots": )" +
+                          std::to_string(m_endpoint_settings.slots) +
+                          R"(, "state": "ready", "born": 1, "address": ")" +
+                          m_endpoint_address + "\"" +
+                          m_endpoint_settings.listed_members + "}"});
   m_store.Listen(store_address);
   m_endpoint.Listen(m_endpoint_address);
   m_thread = std::thread([this] { m_context.run(); });
@@ -330,6 +331,7 @@
   ReplyLater(target.starts_with("/n/") ? time() : kServiceTime, caller,
              std::move(head),
              target.ends_with("?large") ? std::string(kLargeBytes, 'x')
+             : target.ends_with("?4MB") ? std::string(kMediumBytes, 'x')
                                         : std::string("done"));
 }
 
--- a/tests/platform/platform_standin.h
+++ b/tests/platform/platform_standin.h
@@ -27,6 +27,7 @@
 // How the stand-in's endpoint differs from a plain one.
 struct StandinEndpoint {
   std::string ip = "127.0.0.1";
+  int slots = 32;  // As listed; more requests are executed all the same.
   // Members of the service in the configuration and of the endpoint in the
   // list, each preceded by a comma.
   std::string service_members{};
@@ -49,7 +50,7 @@
 // endpoint, on a thread of their own. Calls of /s/ are plain; a call of /t/MS
 // is answered with a stream of events that takes MS milliseconds. Calls of
 // /n/MS, answered after this time, and streams of /u/MS may not be repeated.
-// The answer to /n/MS?large is of 32 MB.
+// The answer to /n/MS?large is of 32 MB, that to /n/MS?4MB of 4 MB.
 class PlatformStandin {
  public:
   // `more_entries`: other entries of the store. `watch_bodies`: bodies of the
--- a/tests/platform/running_program.cc
+++ b/tests/platform/running_program.cc
@@ -187,6 +187,41 @@
   return 0;
 }
 
+std::size_t RunningProgram::UnreadBytes() const {
+  constexpr int kHexadecimal = 16;
+  std::ifstream file("/proc/net/tcp");
+  std::string line;
+  std::getline(file, line);  // Names of the columns.
+  std::size_t unread = 0;
+  while (std::getline(file, line)) {
+    std::istringstream columns(line);
+    std::string number;
+    std::string local;
+    std::string remote;
+    std::string state;
+    std::string queues;  // "SEND:RECEIVE"
+    columns >> number >> local >> remote >> state >> queues;
+    constexpr std::string_view kListening = "0A";
+    const int port =
+        std::stoi(local.substr(local.find(':') + 1), nullptr, kHexadecimal);
+    if (state != kListening && port >= m_first_port &&
+        port < m_first_port + kStorePort) {
+      unread += std::stoull(queues.substr(queues.find(':') + 1), nullptr,
+                            kHexadecimal);
+    }
+  }
+  return unread;
+}
+
+std::size_t RunningProgram::OpenDescriptors() const {
+  std::error_code error;
+  const std::filesystem::directory_iterator handles(
+      "/proc/" + std::to_string(m_pid) + "/fd", error);
+  return error ? 0
+               : static_cast<std::size_t>(
+                     std::distance(begin(handles), end(handles)));
+}
+
 std::string RunningProgram::ReadLog() const {
   std::ifstream file(m_directory + "/log");
   return {std::istreambuf_iterator<char>(file), {}};
--- a/tests/platform/running_program.h
+++ b/tests/platform/running_program.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace radishrudder::platform {
@@ -35,6 +36,10 @@
   std::string PeersAddress() const { return Address(kPeersPort); }
   std::string MetricsAddress() const { return Address(kMetricsPort); }
   std::string StoreAddress() const { return Address(kStorePort); }
+  // Adds a flag of the program, for example a port of the addresses above.
+  void AddArgument(std::string argument) {
+    m_arguments.push_back(std::move(argument));
+  }
   // Replaces the settings file; without a text, removes it.
   void WriteSettings(const std::optional<std::string>& text) const;
   void Start();
@@ -56,6 +61,10 @@
   std::size_t ResidentBytes() const;
   // The most memory that the process has used so far; 0 if it has ended.
   std::size_t PeakResidentBytes() const;
+  // Bytes that the system has received for the listeners' connections and the
+  // process has not read.
+  std::size_t UnreadBytes() const;
+  std::size_t OpenDescriptors() const;
   // Returns how many records of the log contain `text`.
   std::size_t CountRecords(std::string_view text) const;
   std::size_t LogBytes() const { return ReadLog().size(); }
--- a/tests/serving/call_session_test.cc
+++ b/tests/serving/call_session_test.cc
@@ -55,6 +55,7 @@
     return direct::ResponseVerdict::kAccept;
   }
   void OnResponseBody(kernel::Time, direct::CallId, const std::string&) {}
+  void OnAnswerBuffered(direct::CallId) {}
   void OnResponseEnd(kernel::Time, direct::CallId) { ++ended; }
   void OnAttemptFailed(kernel::Time, direct::CallId, direct::AttemptFailure) {
     ++ended;
