exchange: messages of other agents count in an account of memory

Cause: each link between agents could hold a message of 8 MiB, on any number of connections. 60 connections that stop just short of the end took 535 MB (whole messages of 4 MiB: 354 MB) of an agent's 128, and 600 idle ones more descriptors than it has.

--- a/include/radishrudder/exchange/frame_links.h
+++ b/include/radishrudder/exchange/frame_links.h
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,6 +12,8 @@
 #include <string_view>
 #include <system_error>
 
+#include "radishrudder/exchange/memory_account.h"
+
 namespace radishrudder::exchange {
 
 // Exchanges messages with other processes of the system, each as four bytes of
@@ -21,7 +24,13 @@
  public:
   using Handler = std::function<void(std::string_view frame)>;
 
+  // With a memory account of its own, without limits.
   FrameLinks(asio::io_context& context, Handler handler);
+  // What other processes hold here counts in `account`, which must outlive the
+  // links.
+  FrameLinks(asio::io_context& context,
+             MemoryAccount& account,
+             Handler handler);
   ~FrameLinks();
   FrameLinks(const FrameLinks&) = delete;
   FrameLinks& operator=(const FrameLinks&) = delete;
@@ -39,7 +48,10 @@
   void Accept();
 
   asio::io_context& m_context;
+  MemoryAccount m_own_account;
+  MemoryAccount& m_account;
   asio::ip::tcp::acceptor m_acceptor;
+  asio::steady_timer m_accept_pause;
   Handler m_handler;
   std::map<std::string, std::shared_ptr<Outgoing>> m_outgoing;
   std::set<std::shared_ptr<Incoming>> m_incoming;
--- a/include/radishrudder/serving/agent_process.h
+++ b/include/radishrudder/serving/agent_process.h
@@ -24,6 +24,7 @@
 #include "radishrudder/kernel/boot_time.h"
 #include "radishrudder/logging/events.h"
 #include "radishrudder/serving/load_reporter.h"
+#include "radishrudder/serving/peer_memory_log.h"
 #include "radishrudder/serving/settings_change.h"
 #include "radishrudder/serving/store_follower.h"
 #include "radishrudder/staging/stager.h"
@@ -61,6 +62,8 @@
   std::string service{};
   double link_bytes_per_second = 0;
   staging::StagerSettings stager{};
+  // What agents of other instances may make this process hold.
+  exchange::MemoryLimits peers{.bytes = 32U << 20U};
 };
 
 // The process that runs beside an endpoint and supplies it with weights. Calls
@@ -80,7 +83,10 @@
         m_fetcher(context, m_pool),
         m_unkept_pool(context, {.maximum_idle = 0}),
         m_unkept_fetcher(context, m_unkept_pool),
-        m_links(context, [this](std::string_view frame) { OnFrame(frame); }),
+        m_memory(m_settings.peers),
+        m_links(context,
+                m_memory,
+                [this](std::string_view frame) { OnFrame(frame); }),
         m_version_follower(context,
                            m_fetcher,
                            {.address = m_settings.store_address,
@@ -129,6 +135,8 @@
       m_stager->SetTurnDelays(current.stager.first_turn_delay,
                               current.stager.last_turn_delay);
     }
+    ApplySetting("peer-limits", current.peers, updated.peers, change);
+    m_memory.SetLimits(current.peers);
     DeferSetting("instance", current.instance, updated.instance, change);
     DeferSetting("address", current.ip, updated.ip, change);
     DeferSetting("data-centre", current.data_centre, updated.data_centre,
@@ -756,6 +764,8 @@
     if (now >= m_next_idle_check) {
       m_next_idle_check = now + kMaximumTickInterval;
       m_pool.CloseIdle(now);
+      m_memory.Enforce(now);
+      m_memory_log.OnTick(now, m_memory);
     }
     kernel::Duration wait = kMaximumTickInterval;
     if (m_stager) {
@@ -784,6 +794,8 @@
   // would keep: idle ones would keep out those that still have chunks to fetch.
   exchange::EndpointPool m_unkept_pool;
   exchange::Fetcher m_unkept_fetcher;
+  exchange::MemoryAccount m_memory;
+  PeerMemoryLog m_memory_log{m_settings.instance};
   exchange::FrameLinks m_links;
   StoreFollower<typename Platform::Store> m_version_follower;
   dissemination::InstanceListRelay m_instance_list;
--- a/source/radishrudder/exchange/frame_links.cc
+++ b/source/radishrudder/exchange/frame_links.cc
@@ -10,6 +10,8 @@
 #include <cstdint>
 #include <utility>
 
+#include "radishrudder/exchange/byte_blocks.h"
+#include "radishrudder/kernel/boot_time.h"
 #include "source/radishrudder/exchange/socket_options.h"
 
 namespace radishrudder::exchange {
@@ -23,6 +25,9 @@
 constexpr std::chrono::milliseconds kConnectTimeout{800};
 constexpr std::chrono::milliseconds kSilence{3000};
 constexpr int kBacklog = 256;
+constexpr std::chrono::milliseconds kAcceptPause{50};
+// What a connection takes without a message.
+constexpr std::size_t kLinkBytes = 4U << 10U;
 
 void AppendFrame(std::string_view frame, std::string& text) {
   const auto size = static_cast<std::uint32_t>(frame.size());
@@ -153,11 +158,15 @@
   bool m_closed = false;
 };
 
-class FrameLinks::Incoming : public std::enable_shared_from_this<Incoming> {
+class FrameLinks::Incoming : public std::enable_shared_from_this<Incoming>,
+                             public MemoryHolder {
  public:
   Incoming(FrameLinks& links, asio::ip::tcp::socket socket)
-      : m_links(links), m_socket(std::move(socket)) {
+      : m_links(links),
+        m_socket(std::move(socket)),
+        m_share(links.m_account, *this, kernel::Now()) {
     SetOptions(m_socket, kSilence);
+    m_share.Set(kLinkBytes, kernel::Now());
   }
 
   void ReadLength() {
@@ -173,11 +182,17 @@
             self->Close();
             return;
           }
-          self->m_frame.clear();
+          self->m_share.Restart(kernel::Now());
           self->ReadFrame(size);
         });
   }
 
+  // The sender notices that its message is lost by the end of the connection.
+  void Revoke(kernel::Time /*now*/, Shortage /*shortage*/) override { Close(); }
+  Revocable RevocablePart() const override {
+    return m_handling ? Revocable::kNothing : Revocable::kAll;
+  }
+
   void Close() {
     if (m_closed) {
       return;
@@ -185,6 +200,7 @@
     m_closed = true;
     std::error_code ignored;
     m_socket.close(ignored);
+    m_share.Close();
     m_links.m_incoming.erase(shared_from_this());
   }
 
@@ -192,16 +208,20 @@
   // Reads the rest of a frame: `missing` bytes.
   void ReadFrame(std::size_t missing) {
     if (missing == 0) {
-      m_links.m_handler(m_frame);
-      ReadLength();
+      HandleFrame();
       return;
     }
-    const std::size_t known = m_frame.size();
     const std::size_t part = std::min(missing, kReadBytes);
-    m_frame.resize(known + part);
-    asio::async_read(m_socket, asio::buffer(m_frame.data() + known, part),
+    // The frame is assembled at its end, beside one block of it.
+    if (!m_share.Request(kLinkBytes + m_frame.AllocatedBytes() + 2 * part,
+                         kernel::Now())) {
+      Close();
+      return;
+    }
+    m_block.resize(part);
+    asio::async_read(m_socket, asio::buffer(m_block),
                      [self = shared_from_this(), left = missing - part](
-                         std::error_code error, std::size_t) {
+                         std::error_code error, std::size_t size) {
                        if (self->m_closed) {
                          return;
                        }
@@ -209,19 +229,45 @@
                          self->Close();
                          return;
                        }
+                       self->m_share.OnTransferred(size, kernel::Now());
+                       self->m_frame.Append(self->m_block);
                        self->ReadFrame(left);
                      });
   }
 
+  void HandleFrame() {
+    Free(m_block);
+    const std::string frame = m_frame.TakeAll();
+    m_handling = true;
+    m_links.m_handler(frame);
+    m_handling = false;
+    if (!m_closed) {
+      m_share.Set(kLinkBytes, kernel::Now());
+      ReadLength();
+    }
+  }
+
   FrameLinks& m_links;
   asio::ip::tcp::socket m_socket;
   std::array<char, kLengthBytes> m_length{};
-  std::string m_frame;
+  std::string m_block;  // The part of the frame that is read now.
+  ByteBlocks m_frame;   // What was read before.
   bool m_closed = false;
+  bool m_handling = false;
+  MemoryShare m_share;
 };
 
 FrameLinks::FrameLinks(asio::io_context& context, Handler handler)
-    : m_context(context), m_acceptor(context), m_handler(std::move(handler)) {}
+    : FrameLinks(context, m_own_account, std::move(handler)) {}
+
+FrameLinks::FrameLinks(asio::io_context& context,
+                       MemoryAccount& account,
+                       Handler handler)
+    : m_context(context),
+      m_account(account),
+      m_acceptor(context),
+      m_accept_pause(context),
+      m_handler(std::move(handler)) {}
 
 FrameLinks::~FrameLinks() {
   std::error_code ignored;
@@ -241,7 +287,8 @@
   if (!endpoint) {
     return std::make_error_code(std::errc::invalid_argument);
   }
-  const std::error_code error = OpenAcceptor(m_acceptor, *endpoint, kBacklog);
+  const std::error_code error =
+      OpenAcceptor(m_acceptor, *endpoint, kBacklog, m_account.Buffers());
   if (!error) {
     Accept();
   }
@@ -266,7 +313,17 @@
     if (!m_acceptor.is_open()) {
       return;
     }
-    if (!error) {
+    if (error) {
+      // Most likely no descriptor is free: others end in the meantime.
+      m_accept_pause.expires_after(kAcceptPause);
+      m_accept_pause.async_wait([this](std::error_code stopped) {
+        if (!stopped && m_acceptor.is_open()) {
+          Accept();
+        }
+      });
+      return;
+    }
+    if (m_account.AdmitConnection(kernel::Now())) {
       const auto link = std::make_shared<Incoming>(*this, std::move(socket));
       m_incoming.insert(link);
       link->ReadLength();
--- a/tests/platform/client_crowd_program_test.cc
+++ b/tests/platform/client_crowd_program_test.cc
@@ -420,6 +420,61 @@
                   {.start = WithLength("/n/0?large", 0), .reads = false}}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Messages between agents have four bytes of length before them.
+class AgentCrowdTest : public ClientCrowdTest {};
+
+TEST_P(AgentCrowdTest, StaysWithinItsLimits) {
+  const CrowdCase& crowd = GetParam();
+  constexpr std::size_t kAgentMegabytes = 128;
+  RunningProgram agent("agent");
+  const PlatformStandin standin(agent.StoreAddress());
+  std::string settings = agent.SettingsText(kBounds);
+  const std::string limits = R"("limits": {)";
+  settings.replace(settings.find(limits), limits.size(),
+                   limits + R"("memory_mb": )" +
+                       std::to_string(kAgentMegabytes) + R"(, "max_fds": )" +
+                       std::to_string(crowd.descriptors) + ", ");
+  agent.WriteSettings(settings);
+  agent.Start();
+  ASSERT_TRUE(agent.AwaitLog(" process-started ", 1, kLimit));
+  ClientCrowd clients(agent.PeersAddress(), crowd.form, crowd.clients);
+  std::size_t most_bytes = 0;
+  std::size_t most_descriptors = 0;
+  clients.Run(kRounds * kRound, [&] {
+    const auto now = Clock::now();
+    if (now >= m_next_observation) {
+      m_next_observation = now + kObservationInterval;
+      most_bytes =
+          std::max(most_bytes, agent.ResidentBytes() + agent.UnreadBytes());
+      most_descriptors = std::max(most_descriptors, agent.OpenDescriptors());
+    }
+  });
+  RecordProperty("most_bytes", std::to_string(most_bytes));
+  EXPECT_TRUE(agent.IsRunning());
+  EXPECT_LE(most_descriptors, crowd.descriptors);
+  if (kMemoryIsOurs) {
+    EXPECT_LE(most_bytes, kAgentMegabytes * 1'000'000);
+  }
+  agent.Signal(SIGTERM);
+  EXPECT_EQ(agent.AwaitExit(kLimit), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Crowds,
+    AgentCrowdTest,
+    testing::Values(
+        CrowdCase{"OneByteShort",
+                  {.start = std::string("\0\x80\0\0", 4),
+                   .repeated = Block("x"),
+                   .repeated_bytes = (8U << 20U) - 1}},
+        CrowdCase{"WholeMessages",
+                  {.start = "",
+                   .repeated = std::string("\0\x40\0\0", 4) +
+                               std::string(4U << 20U, 'x'),
+                   .repeated_bytes = 8 * (std::size_t{4U << 20U} + 4)}},
+        CrowdCase{"IdleConnections", {}, 600, Listener::kPeers, 500}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 // The project's own daemons, with the memory that docs/CAPACITY.md allows a
 // process.
 class DaemonCrowdTest : public ClientCrowdTest {
