--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -85,7 +85,6 @@
         m_store_pool(context, {}),
         m_fetcher(context, m_store_pool),
         m_memory(m_settings.callers),
-        m_random(random.Next()),
         m_callers(context,
                   m_memory,
                   [this](exchange::ReceivedRequest request,
@@ -145,7 +144,8 @@
                            m_core.OnLoadReports(kernel::Now(), {&report, 1});
                            TakeOutputs();
                          }),
-        m_tick(context) {
+        m_tick(context),
+        m_random(random.Next()) {
     m_callers.OnMemoryShortage([this](exchange::ReceivedRequest received) {
       return RefuseUnread(
           kernel::Now(), std::move(received), direct::Reason::kNoMemory,
@@ -953,7 +953,6 @@
   std::map<direct::CallId, std::unique_ptr<Session>> m_sessions;
   exchange::MemoryAccount m_memory;
   PeerMemoryLog m_memory_log{m_settings.entry.name};
-  kernel::Random m_random;
   exchange::CallerServer m_callers;
   exchange::CallerServer m_readiness;
   exchange::CallerServer m_metrics_server;
@@ -965,6 +964,7 @@
   std::uint64_t m_told_revision = 0;  // What peers were told of.
   LoadCollector m_load_collector;
   asio::steady_timer m_tick;
+  kernel::Random m_random;
   kernel::Time m_next_maintenance{};
   std::optional<kernel::Time> m_stop_started;
   kernel::Time m_stop_ends_at{};         // If a stop has started.
