--- a/source/radishrudder/http/counted_socket.h
+++ b/source/radishrudder/http/counted_socket.h
@@ -22,13 +22,10 @@
   using key_type = ConnectionMemoryService;      // NOLINT
   static inline asio::execution_context::id id;  // NOLINT
 
-  explicit ConnectionMemoryService(
-      asio::execution_context& context,
-      std::shared_ptr<ConnectionMemory> connection_memory = nullptr)
-      : asio::execution_context::service(context),
-        memory(std::move(connection_memory)) {}
+  explicit ConnectionMemoryService(asio::execution_context& context)
+      : asio::execution_context::service(context) {}
 
-  std::shared_ptr<ConnectionMemory> memory;
+  std::shared_ptr<ConnectionMemory> memory{};  // Null: no limit.
 
  private:
   void shutdown() override { memory.reset(); }
--- a/source/radishrudder/http/server.cc
+++ b/source/radishrudder/http/server.cc
@@ -389,8 +389,8 @@
   Implementation& state = *m_implementation;
   try {
     // The context belongs to the shared state.
-    asio::make_service<ConnectionMemoryService>(state.shared->context,
-                                                state.settings.memory);
+    asio::use_service<ConnectionMemoryService>(state.shared->context).memory =
+        state.settings.memory;
     restinio::io_context_holder_t context(std::shared_ptr<asio::io_context>(
         state.shared, &state.shared->context));
     state.server = std::make_unique<Implementation::RestinioServer>(
