exchange, serving: a request in progress counts with what is decoded from it

Cause: a request in progress was counted as twice its head. Each listed part is a string of 32 bytes, so such a request takes 180 KB instead of the 68 counted; and what was counted could not be refused any more, since the request had been taken.

Change: the memory of a decoded request is computed and asked for before the request is used. If it isn't granted, the answer is 503 with Retry-After and nothing has been executed.

Sockets are now counted as well as descriptors, since the platform reserves 200 descriptors for files.

--- a/include/radishrudder/serving/call_session.h
+++ b/include/radishrudder/serving/call_session.h
@@ -19,7 +19,9 @@
 concept CallCodec = requires(exchange::ReceivedRequest received,
                              const direct::CallerRequest& request,
                              const direct::SendAttempt& attempt,
+                             const exchange::RequestHead& request_head,
                              const exchange::ResponseHead& head) {
+  { T::AttemptId(request_head) } -> std::same_as<std::string_view>;
   {
     T::DecodeRequest(std::move(received))
     } -> std::same_as<direct::CallerRequest>;
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -15,6 +15,7 @@
 
 #include "radishrudder/direct/endpoint_list.h"
 #include "radishrudder/direct/entry.h"
+#include "radishrudder/direct/request_memory.h"
 #include "radishrudder/exchange/caller_server.h"
 #include "radishrudder/exchange/endpoint_pool.h"
 #include "radishrudder/exchange/fetcher.h"
@@ -146,13 +147,11 @@
                          }),
         m_tick(context),
         m_random(random.Next()) {
-    m_callers.OnMemoryShortage([this](exchange::ReceivedRequest received) {
-      return RefuseUnread(
-          kernel::Now(), std::move(received), direct::Reason::kNoMemory,
-          kMinimumMemoryRetryAfter +
-              std::chrono::milliseconds(static_cast<std::int64_t>(
-                  m_random.Below(kMemoryRetryAfterSpread.count()))));
-    });
+    m_callers.OnMemoryShortage(
+        [this](const exchange::ReceivedRequest& received) {
+          return RefuseUnread(kernel::Now(), received,
+                              direct::Reason::kNoMemory, MemoryRetryAfter());
+        });
     m_readiness.SetLimits(kBodilessLimits);
     m_metrics_server.SetLimits(kBodilessLimits);
     m_peer_server.SetLimits({.body_bytes = kMaximumPeerReportBytes});
@@ -315,6 +314,15 @@
     m_received_in_stop += m_stop_started ? 1 : 0;
     const auto request = std::make_shared<const direct::CallerRequest>(
         Platform::Calls::DecodeRequest(std::move(received)));
+    if (!caller->HoldRequest(direct::MemoryInProgress(*request))) {
+      RecordRefusal(kernel::Now(), request->attempt_id,
+                    request->host + request->path, request->received_at,
+                    direct::Reason::kNoMemory);
+      caller->Reply(Platform::Calls::EncodeGeneratedResponse(
+                        kUnavailable, request->attempt_id, MemoryRetryAfter()),
+                    "");
+      return;
+    }
     caller->OnDisconnected([this, id] {
       m_journal.CountCallerDisconnected();
       m_core.OnCallerDisconnected(kernel::Now(), id);
@@ -880,11 +888,11 @@
     if (now >= m_stop_ends_at - kResponseMargin) {
       m_core.StopWaiting(now);
       TakeOutputs();
-      m_callers.RefuseIncomplete([this,
-                                  now](exchange::ReceivedRequest received) {
-        return RefuseUnread(now, std::move(received), direct::Reason::kStopping,
-                            std::chrono::milliseconds(0));
-      });
+      m_callers.RefuseIncomplete(
+          [this, now](const exchange::ReceivedRequest& received) {
+            return RefuseUnread(now, received, direct::Reason::kStopping,
+                                std::chrono::milliseconds(0));
+          });
     }
     const bool idle = elapsed >= kLateArrivalTime &&
                       m_core.CallsInProgress() == 0 &&
@@ -899,22 +907,41 @@
     return true;
   }
 
-  // Refuses a request of which not all bytes have arrived.
+  std::chrono::milliseconds MemoryRetryAfter() {
+    return kMinimumMemoryRetryAfter +
+           std::chrono::milliseconds(static_cast<std::int64_t>(
+               m_random.Below(kMemoryRetryAfterSpread.count())));
+  }
+
+  // Refuses a request of which not all bytes have arrived. Reads no more of its
+  // head than the answer needs.
   exchange::AnswerHead RefuseUnread(kernel::Time now,
-                                    exchange::ReceivedRequest received,
+                                    const exchange::ReceivedRequest& received,
                                     direct::Reason reason,
                                     std::chrono::milliseconds retry_after) {
-    const direct::CallerRequest request =
-        Platform::Calls::DecodeRequest(std::move(received));
+    const exchange::RequestHead& head = received.head;
+    const std::string_view attempt_id = Platform::Calls::AttemptId(head);
+    RecordRefusal(now, attempt_id,
+                  std::string(http::FindHeader(head.headers, "Host")) +
+                      head.target.substr(0, head.target.find('?')),
+                  received.received_at, reason);
+    return Platform::Calls::EncodeGeneratedResponse(kUnavailable, attempt_id,
+                                                    retry_after);
+  }
+
+  // Takes note of a request that was refused before the core saw it.
+  void RecordRefusal(kernel::Time now,
+                     std::string_view attempt_id,
+                     std::string detail,
+                     kernel::Time received_at,
+                     direct::Reason reason) {
     direct::CallRecord record{
         .call = ++m_last_call, .status = kUnavailable, .reason = reason};
-    record.attempt_id = request.attempt_id;
+    record.attempt_id = attempt_id;
     record.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - request.received_at);
-    record.detail = request.host + request.path;
+        now - received_at);
+    record.detail = std::move(detail);
     m_journal.Record(now, record);
-    return Platform::Calls::EncodeGeneratedResponse(
-        kUnavailable, request.attempt_id, retry_after);
   }
 
   void LogStopEnd(kernel::Time now) {
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -30,8 +30,6 @@
 constexpr std::size_t kReadAheadBytes = 16U << 10U;
 // What an answer may grow by until it is asked for again.
 constexpr std::size_t kAnswerStepBytes = 16U << 10U;
-// Copies of a request's head while it is in progress.
-constexpr std::size_t kHeadCopies = 2;
 
 constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
@@ -201,6 +199,10 @@
         connection->m_written = std::move(handler);
       }
     }
+    bool HoldRequest(std::size_t bytes) override {
+      const auto connection = Current();
+      return connection && connection->HoldRequest(bytes);
+    }
     void SetBuffered(std::size_t bytes) override {
       const auto connection = Current();
       if (connection && connection->m_buffered_bytes != bytes) {
@@ -323,7 +325,7 @@
   }
 
   void Dispatch(kernel::Time now) {
-    const std::size_t head_bytes = kHeadCopies * m_reader.HeadMemory();
+    const std::size_t head_bytes = m_reader.HeadMemory();
     ReceivedRequest request{m_reader.TakeRequest(), m_reader.TakeBody(),
                             *m_begun};
     m_request_bytes = head_bytes + request.body.capacity();
@@ -361,6 +363,16 @@
     }
   }
 
+  bool HoldRequest(std::size_t bytes) {
+    const std::size_t previous = std::exchange(m_request_bytes, bytes);
+    const kernel::Time now = kernel::Now();
+    if (m_share.Request(HeldBytes(), now)) {
+      return true;
+    }
+    m_request_bytes = previous;
+    return false;
+  }
+
   bool MayHoldMore() {
     return !m_revoked &&
            UnsentBytes() + kAnswerStepBytes <=
--- a/tests/exchange/caller_server_test.cc
+++ b/tests/exchange/caller_server_test.cc
@@ -300,6 +300,45 @@
   EXPECT_TRUE(m_received.empty() || m_received.starts_with("HTTP/1.1 408"));
 }
 
+struct HoldCase {
+  const char* name;
+  std::size_t bytes;
+  bool held;
+};
+
+class RequestMemoryTest : public ServerTest,
+                          public testing::WithParamInterface<HoldCase> {};
+
+// A request that takes too much memory to be executed can be refused, and its
+// connection is of use afterwards.
+TEST_P(RequestMemoryTest, IsHeldWithinTheLimit) {
+  MemoryAccount account({.bytes = 1U << 20U});
+  CallerServer server(m_context, account,
+                      [this](ReceivedRequest /*request*/,
+                             std::shared_ptr<CallerExchange> exchange) {
+                        m_exchanges.push_back(std::move(exchange));
+                      });
+  const std::string address = FreeAddress(m_context);
+  ASSERT_FALSE(server.Listen(address));
+  asio::ip::tcp::socket client(m_context);
+  client.connect(EndpointOf(address));
+  asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  RunUntil([this] { return m_exchanges.size() == 1; });
+  EXPECT_EQ(m_exchanges[0]->HoldRequest(GetParam().bytes), GetParam().held);
+  EXPECT_EQ(account.BytesHeld() >= GetParam().bytes, GetParam().held);
+  m_exchanges[0]->Reply({GetParam().held ? 200 : 503, {}}, "");
+  asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  RunUntil([this] { return m_exchanges.size() == 2; });
+  EXPECT_LT(account.BytesHeld(), 64U << 10U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    RequestMemoryTest,
+    testing::Values(HoldCase{"Fits", 256U << 10U, true},
+                    HoldCase{"TooLarge", 2U << 20U, false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST(FrameLinksTest, DeliverMessagesInOrder) {
   asio::io_context context(1);
   std::vector<std::string> received;
--- a/tests/platform/client_crowd.cc
+++ b/tests/platform/client_crowd.cc
@@ -18,7 +18,9 @@
 constexpr milliseconds kPollTime{5};
 constexpr milliseconds kReconnectTime{200};
 constexpr int kSmallBuffer = 4096;
+constexpr std::string_view kStatusLine = "HTTP/1.1 ";
 constexpr std::string_view kRefusal = "HTTP/1.1 503 ";
+constexpr std::string_view kAttemptId = "Radishrudder-Attempt-Id: ";
 
 }  // namespace
 
@@ -41,8 +43,8 @@
       if (client.socket < 0 && now >= client.next) {
         Connect(client);
       }
-      const bool sends = !client.send_failed && client.sent < TotalBytes() &&
-                         now >= client.next;
+      const bool sends =
+          !client.send_failed && HasMore(client) && now >= client.next;
       short events = m_form.reads || client.send_failed ? POLLIN : 0;
       if (sends) {
         events = static_cast<short>(events | POLLOUT);
@@ -100,7 +102,25 @@
       .substr(offset % m_form.repeated.size(), m_form.repeated_bytes - offset);
 }
 
-void ClientCrowd::Send(Client& client) const {
+void ClientCrowd::SendRequests(Client& client) {
+  if (client.sent == client.request.size()) {
+    client.request = m_form.make_request(m_made++);
+    client.sent = 0;
+  }
+  const ssize_t sent = send(client.socket, client.request.data() + client.sent,
+                            client.request.size() - client.sent, MSG_NOSIGNAL);
+  if (sent < 0) {
+    client.send_failed = errno != EAGAIN && errno != EINPROGRESS;
+    return;
+  }
+  client.sent += static_cast<std::size_t>(sent);
+}
+
+void ClientCrowd::Send(Client& client) {
+  if (m_form.make_request) {
+    SendRequests(client);
+    return;
+  }
   std::size_t left = TotalBytes();
   if (m_form.piece_bytes > 0) {
     left = client.sent < m_form.start.size() ? m_form.start.size() - client.sent
@@ -130,14 +150,29 @@
     End(client);
     return;
   }
-  m_refused += std::string_view(buffer.data(), static_cast<std::size_t>(size))
-                       .starts_with(kRefusal)
-                   ? 1
-                   : 0;
+  client.answers.append(buffer.data(), static_cast<std::size_t>(size));
+  ReadLines(client);
+}
+
+void ClientCrowd::ReadLines(Client& client) {
+  std::string_view rest = client.answers;
+  for (std::size_t end = rest.find("\r\n"); end != std::string_view::npos;
+       end = rest.find("\r\n")) {
+    const std::string_view line = rest.substr(0, end);
+    rest.remove_prefix(end + 2);
+    if (line.find(kStatusLine) != std::string_view::npos) {
+      client.in_refusal = line.find(kRefusal) != std::string_view::npos;
+      client.refused = client.refused || client.in_refusal;
+    } else if (client.in_refusal && line.starts_with(kAttemptId)) {
+      m_refused_ids.emplace_back(line.substr(kAttemptId.size()));
+    }
+  }
+  client.answers.erase(0, client.answers.size() - rest.size());
 }
 
 void ClientCrowd::End(Client& client) {
   ++m_ended;
+  m_refused += client.refused ? 1 : 0;
   close(client.socket);
   client = {.next = Clock::now() + kReconnectTime};
 }
--- a/tests/platform/client_crowd_program_test.cc
+++ b/tests/platform/client_crowd_program_test.cc
@@ -39,6 +39,8 @@
 #endif
 constexpr std::size_t kBodyLimit = 4U << 20U;
 constexpr std::size_t kDescriptors = 2870;
+// Descriptors that the platform reserves for files.
+constexpr std::size_t kFileDescriptors = 200;
 constexpr char kBounds[] = R"("revoke_ms": 5000, "grace_s": 2)";
 
 enum class Listener { kCallers, kReadiness, kPeers, kMetrics };
@@ -49,6 +51,7 @@
   std::size_t clients = 60;
   Listener listener = Listener::kCallers;
   std::size_t descriptors = kDescriptors;
+  StandinEndpoint endpoint{};
 };
 
 void PrintTo(const CrowdCase& crowd, std::ostream* stream) {
@@ -185,7 +188,7 @@
        500}};
 }
 
-class ClientCrowdTest : public testing::TestWithParam<CrowdCase> {
+class CrowdTest : public testing::Test {
  protected:
   std::string Settings(std::size_t megabytes, std::size_t descriptors) const {
     std::string settings = m_program.SettingsText(kBounds);
@@ -197,8 +200,12 @@
     return settings;
   }
 
-  void Start(std::size_t megabytes, std::size_t descriptors) {
-    m_standin = std::make_unique<PlatformStandin>(m_program.StoreAddress());
+  void Start(std::size_t megabytes,
+             std::size_t descriptors,
+             StandinEndpoint endpoint = {}) {
+    m_standin = std::make_unique<PlatformStandin>(
+        m_program.StoreAddress(), std::vector<StandinEntry>(),
+        std::vector<std::string>(), std::move(endpoint));
     m_program.WriteSettings(Settings(megabytes, descriptors));
     m_program.Start();
     ASSERT_TRUE(m_program.AwaitLog(" document-in-force ", 1, kLimit));
@@ -228,6 +235,7 @@
         m_most_bytes, m_program.ResidentBytes() + m_program.UnreadBytes());
     m_most_descriptors =
         std::max(m_most_descriptors, m_program.OpenDescriptors());
+    m_most_sockets = std::max(m_most_sockets, m_program.OpenSockets());
   }
 
   bool CallOnce(std::string_view id, std::size_t body_bytes) const {
@@ -266,9 +274,10 @@
   void ExpectWithinLimits(std::size_t descriptors) {
     EXPECT_TRUE(m_program.IsRunning());
     EXPECT_LE(m_most_descriptors, descriptors);
+    EXPECT_LE(m_most_sockets, descriptors - kFileDescriptors);
     RecordProperty("most_bytes", std::to_string(m_most_bytes));
     RecordProperty("peak_bytes", std::to_string(m_program.PeakResidentBytes()));
-    RecordProperty("most_descriptors", std::to_string(m_most_descriptors));
+    RecordProperty("most_sockets", std::to_string(m_most_sockets));
     RecordProperty("answered_beside", std::to_string(m_answered));
     if (kMemoryIsOurs) {
       EXPECT_LE(m_most_bytes, kMemory);
@@ -281,13 +290,18 @@
   Clock::time_point m_next_observation{};
   std::size_t m_most_bytes = 0;
   std::size_t m_most_descriptors = 0;
+  std::size_t m_most_sockets = 0;
   std::atomic<bool> m_ended = false;
   std::atomic<int> m_answered = 0;
 };
 
+class ClientCrowdTest : public CrowdTest,
+                        public testing::WithParamInterface<CrowdCase> {};
+
 TEST_P(ClientCrowdTest, StaysWithinItsLimitsAndServes) {
   const CrowdCase& crowd = GetParam();
-  ASSERT_NO_FATAL_FAILURE(Start(kMemoryMegabytes, crowd.descriptors));
+  ASSERT_NO_FATAL_FAILURE(
+      Start(kMemoryMegabytes, crowd.descriptors, crowd.endpoint));
   std::thread beside([this] { CallUntilEnd(); });
   ClientCrowd clients(Address(crowd.listener), crowd.form, crowd.clients);
   for (int round = 0; round < kRounds; ++round) {
@@ -440,6 +454,7 @@
   ClientCrowd clients(agent.PeersAddress(), crowd.form, crowd.clients);
   std::size_t most_bytes = 0;
   std::size_t most_descriptors = 0;
+  std::size_t most_sockets = 0;
   clients.Run(kRounds * kRound, [&] {
     const auto now = Clock::now();
     if (now >= m_next_observation) {
@@ -447,11 +462,13 @@
       most_bytes =
           std::max(most_bytes, agent.ResidentBytes() + agent.UnreadBytes());
       most_descriptors = std::max(most_descriptors, agent.OpenDescriptors());
+      most_sockets = std::max(most_sockets, agent.OpenSockets());
     }
   });
   RecordProperty("most_bytes", std::to_string(most_bytes));
   EXPECT_TRUE(agent.IsRunning());
   EXPECT_LE(most_descriptors, crowd.descriptors);
+  EXPECT_LE(most_sockets, crowd.descriptors - kFileDescriptors);
   if (kMemoryIsOurs) {
     EXPECT_LE(most_bytes, kAgentMegabytes * 1'000'000);
   }
--- a/tests/platform/running_program.cc
+++ b/tests/platform/running_program.cc
@@ -222,6 +222,22 @@
                      std::distance(begin(handles), end(handles)));
 }
 
+std::size_t RunningProgram::OpenSockets() const {
+  std::error_code error;
+  std::size_t sockets = 0;
+  for (const auto& handle : std::filesystem::directory_iterator(
+           "/proc/" + std::to_string(m_pid) + "/fd", error)) {
+    // One that was closed meanwhile has no target.
+    std::error_code closed;
+    sockets += std::filesystem::read_symlink(handle.path(), closed)
+                       .native()
+                       .starts_with("socket:")
+                   ? 1
+                   : 0;
+  }
+  return sockets;
+}
+
 std::string RunningProgram::ReadLog() const {
   std::ifstream file(m_directory + "/log");
   return {std::istreambuf_iterator<char>(file), {}};
--- a/tests/platform/running_program.h
+++ b/tests/platform/running_program.h
@@ -65,6 +65,7 @@
   // process has not read.
   std::size_t UnreadBytes() const;
   std::size_t OpenDescriptors() const;
+  std::size_t OpenSockets() const;
   // Returns how many records of the log contain `text`.
   std::size_t CountRecords(std::string_view text) const;
   std::size_t LogBytes() const { return ReadLog().size(); }
--- a/tests/serving/call_session_test.cc
+++ b/tests/serving/call_session_test.cc
@@ -18,6 +18,7 @@
 constexpr char kOk[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 struct PlainCodec {
+  static std::string_view AttemptId(const exchange::RequestHead&) { return {}; }
   static direct::CallerRequest DecodeRequest(const exchange::ReceivedRequest&) {
     return {};
   }
