direct: long ids of prompt parts are identified by their digest

Callers: 60 clients that send ordinary requests, each with a prompt part's id of 15 KB that no other has, took 145 MB of an entry's 112, and the memory stayed taken for ten minutes.

Cause: the entry remembers up to 8,192 parts that were answered, so that it knows which ones don't crash endpoints, and their ids had no limit but that of the head.

Change: an id of more than 64 bytes is replaced by a digest where the request is decoded, on all entries in the same way.

OwnLongPromptParts failed before (145 MB).

--- a/tests/direct/request_memory_test.cc
+++ b/tests/direct/request_memory_test.cc
@@ -5,6 +5,8 @@
 #include <ostream>
 #include <string>
 
+#include "radishrudder/direct/prompt_part.h"
+
 namespace radishrudder::direct {
 namespace {
 
@@ -49,5 +51,36 @@
                    3 * 15'000}),
     [](const auto& info) { return info.param.name; });
 
+struct PartCase {
+  const char* name;
+  std::string id;
+  bool is_kept;
+};
+
+void PrintTo(const PartCase& part, std::ostream* stream) {
+  *stream << part.name;
+}
+
+class PromptPartTest : public testing::TestWithParam<PartCase> {};
+
+TEST_P(PromptPartTest, IsIdentifiedByFewBytes) {
+  const std::string& id = GetParam().id;
+  const std::string part = IdentifyPromptPart(id);
+  EXPECT_EQ(part == id, GetParam().is_kept);
+  EXPECT_LE(part.size(), 64U);
+  EXPECT_EQ(IdentifyPromptPart(part), part);
+  EXPECT_NE(IdentifyPromptPart(id + "x"), part);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    PromptPartTest,
+    testing::Values(PartCase{"Empty", "", true},
+                    PartCase{"Short", "5c1e", true},
+                    PartCase{"Longest", std::string(64, 'a'), true},
+                    PartCase{"TooLong", std::string(65, 'a'), false},
+                    PartCase{"FarTooLong", std::string(16'000, 'a'), false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace radishrudder::direct
--- a/tests/platform/client_crowd_program_test.cc
+++ b/tests/platform/client_crowd_program_test.cc
@@ -89,6 +89,23 @@
           .repeated_bytes = kBodyLimit - 1};
 }
 
+// A number in six letters.
+std::string Letters(std::size_t number) {
+  constexpr std::size_t kAlphabet = 26;
+  std::string letters(6, 'a');
+  for (char& letter : letters) {
+    letter = static_cast<char>('a' + number % kAlphabet);
+    number /= kAlphabet;
+  }
+  return letters;
+}
+
+std::string OwnLongPromptPart(std::size_t number) {
+  constexpr std::size_t kIdBytes = 15'000;
+  return Line("/s/1") + "Radishrudder-Prompt-Prefix: " + Letters(number) +
+         std::string(kIdBytes, 'x') + ":1,b:1\r\n\r\n";
+}
+
 std::vector<CrowdCase> Cases() {
   constexpr std::size_t kFarOver = 12U << 20U;
   constexpr std::size_t kHeadBytes = 16000;
@@ -160,6 +177,7 @@
        {.start = Line("/n/1500") + "Radishrudder-Prompt-Prefix: " +
                  Block("a:1,").substr(0, kHeadBytes) + "b:1\r\n\r\n"},
        800},
+      {"OwnLongPromptParts", {.make_request = OwnLongPromptPart}},
       {"Trailers",
        {.start = Chunked("/s/1") + "4\r\nabcd\r\n0\r\n",
         .repeated = Block("A: b\r\n"),
