direct: forgetting the oldest prompt parts takes constant time

Callers: 60 clients whose requests list 1,700 prompt parts that no other request has made an entry answer one ordinary request in 17 s; 10 s after they had gone, it still answered none.

Cause: once 8,192 parts are remembered, each further one was followed by a search for the oldest: a fraction of a millisecond for each part, on the only thread.

Change: an eighth of the items is forgotten at once.

OwnPromptParts failed before (no answer within 10 s after the crowd).

--- a/source/radishrudder/direct/crash_suspects.cc
+++ b/source/radishrudder/direct/crash_suspects.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <utility>
+#include <vector>
 
 namespace radishrudder::direct {
 namespace {
@@ -19,12 +20,29 @@
 
 constexpr std::chrono::seconds kCleanupInterval{1};
 
+// Share of the items that are forgotten at once when there are too many, so
+// that an insertion takes constant time on average.
+constexpr std::size_t kForgottenDivisor = 8;
+
 template <typename Map, typename TimeOf>
 void ForgetOldest(Map& map, std::size_t maximum, TimeOf time_of) {
-  while (map.size() > maximum) {
-    map.erase(std::ranges::min_element(map, {}, [&time_of](const auto& item) {
-      return time_of(item.second);
-    }));
+  if (map.size() <= maximum) {
+    return;
+  }
+  const std::size_t forgotten =
+      map.size() - maximum + maximum / kForgottenDivisor;
+  std::vector<std::pair<kernel::Time, typename Map::iterator>> items;
+  items.reserve(map.size());
+  for (auto item = map.begin(); item != map.end(); ++item) {
+    items.emplace_back(time_of(item->second), item);
+  }
+  std::ranges::sort(items, {}, [](const auto& item) { return item.first; });
+  for (std::size_t i = 0; i < forgotten; ++i) {
+    // What is to be kept has the latest time.
+    if (items[i].first == kernel::Time::max() && map.size() <= maximum) {
+      return;
+    }
+    map.erase(items[i].second);
   }
 }
 
--- a/tests/direct/crash_suspects_test.cc
+++ b/tests/direct/crash_suspects_test.cc
@@ -195,5 +195,19 @@
   EXPECT_LE(m_suspects.Evidence(m_now).size(), 256U);
 }
 
+// Guards against a flood of parts of which too much is forgotten at once.
+TEST_F(CrashSuspectsTest, FloodOfPartsKeepsRecentAnswers) {
+  constexpr int kParts = 20000;
+  constexpr int kRecent = 7000;
+  for (int i = 0; i < kParts; ++i) {
+    AdvanceTime(milliseconds(1));
+    m_suspects.OnAnswered(m_now, Parts{"part" + std::to_string(i)});
+  }
+  for (int i = kParts - kRecent; i < kParts; ++i) {
+    m_suspects.OnBroken(Parts{"part" + std::to_string(i)}, Sighting("i-1/1"));
+  }
+  EXPECT_TRUE(m_suspects.Evidence(m_now).empty());
+}
+
 }  // namespace
 }  // namespace radishrudder::direct
--- a/tests/platform/client_crowd_program_test.cc
+++ b/tests/platform/client_crowd_program_test.cc
@@ -100,6 +100,16 @@
   return letters;
 }
 
+// A head of 16 KB whose prompt parts no other request has.
+std::string OwnPromptParts(std::size_t number) {
+  constexpr std::size_t kParts = 1700;
+  std::string request = Line("/s/1") + "Radishrudder-Prompt-Prefix: ";
+  for (std::size_t part = 0; part < kParts; ++part) {
+    request += Letters(number * kParts + part) + ":1,";
+  }
+  return request + "b:1\r\n\r\n";
+}
+
 std::string OwnLongPromptPart(std::size_t number) {
   constexpr std::size_t kIdBytes = 15'000;
   return Line("/s/1") + "Radishrudder-Prompt-Prefix: " + Letters(number) +
@@ -177,6 +187,7 @@
        {.start = Line("/n/1500") + "Radishrudder-Prompt-Prefix: " +
                  Block("a:1,").substr(0, kHeadBytes) + "b:1\r\n\r\n"},
        800},
+      {"OwnPromptParts", {.make_request = OwnPromptParts}},
       {"OwnLongPromptParts", {.make_request = OwnLongPromptPart}},
       {"Trailers",
        {.start = Chunked("/s/1") + "4\r\nabcd\r\n0\r\n",
