exchange, serving: requests in progress count with their sockets to endpoints

Callers: 600 clients with a request in progress each made an entry open 406 sockets where its machine allows 300. Beyond that, the connections to endpoints and to the store fail: sound endpoints count as failed, and the configuration becomes stale.

Cause: only callers' connections were counted, up to two thirds of the sockets, and each of them may have a request at an endpoint. Idle connections to endpoints had a limit for each endpoint, 64, and none together.

Change: a request in progress takes a second socket of the account; if there is none, an idle connection ends for it, or it is refused. Idle connections to endpoints have a limit together.

RequestsInProgress failed before (406 of 300).

--- a/include/radishrudder/exchange/caller_server.h
+++ b/include/radishrudder/exchange/caller_server.h
@@ -56,8 +56,8 @@
   // Called each time that some of them have been written to the connection,
   // until the answer ends.
   virtual void OnWritten(std::function<void()> handler) = 0;
-  // Asks to hold this many bytes for the request in progress. Returns false
-  // if it has to be refused.
+  // Asks to hold this many bytes for the request in progress, and a connection
+  // to an endpoint. Returns false if it has to be refused.
   virtual bool HoldRequest(std::size_t bytes) = 0;
   // Takes note of bytes of the answer that are held elsewhere in this process.
   virtual void SetBuffered(std::size_t bytes) = 0;
--- a/include/radishrudder/exchange/endpoint_pool.h
+++ b/include/radishrudder/exchange/endpoint_pool.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -63,6 +64,8 @@
   // The end of an endpoint's idle timeout that is left unused.
   std::chrono::milliseconds idle_margin{1000};
   std::size_t maximum_idle = 64;  // Connections an address.
+  // Idle connections to all addresses together.
+  std::size_t maximum_total_idle = std::numeric_limits<std::size_t>::max();
   // Size of the system's receive buffer of a connection, which holds what is
   // not read while reading is paused; 0: the system's own choice.
   std::size_t receive_buffer_bytes = 0;
@@ -122,6 +125,10 @@
                                           AnswerListener& listener);
   // Gives up a reservation and closes its connection.
   void CancelReservation(ReservationId reservation);
+  // Takes effect with the next connection that becomes idle.
+  void SetMaximumTotalIdle(std::size_t connections) {
+    m_settings.maximum_total_idle = connections;
+  }
   // Closes idle connections that are too old, or all of one address.
   void CloseIdle(kernel::Time now);
   void Forget(std::string_view address);
@@ -135,6 +142,9 @@
   std::shared_ptr<Connection> TakeIdle(const std::string& address);
   void KeepIdle(const std::shared_ptr<Connection>& connection);
   void DropIdle(const Connection& connection);
+  // Closes the connection that becomes unusable first of those that have been
+  // idle for longest at each address.
+  void CloseOldestIdle();
   void OnDone(ExchangeId exchange);
   void OnReservation(ReservationId reservation, bool open);
 
@@ -152,6 +162,7 @@
   // By address, the most recently used last.
   std::map<std::string, std::deque<std::shared_ptr<Connection>>, std::less<>>
       m_idle;
+  std::size_t m_idle_count = 0;
 };
 
 }  // namespace radishrudder::exchange
--- a/include/radishrudder/exchange/memory_account.h
+++ b/include/radishrudder/exchange/memory_account.h
@@ -13,8 +13,9 @@
 struct MemoryLimits {
   // Bytes that all peers together may hold.
   std::size_t bytes = std::numeric_limits<std::size_t>::max();
-  // Connections that may be open at the same time.
-  std::size_t connections = std::numeric_limits<std::size_t>::max();
+  // Sockets that may be open at the same time: the connections of peers, and
+  // those that their requests in progress take.
+  std::size_t sockets = std::numeric_limits<std::size_t>::max();
 
   bool operator==(const MemoryLimits&) const = default;
 };
@@ -26,7 +27,7 @@
 };
 
 // What an account lacks.
-enum class Shortage { kMemory, kConnections };
+enum class Shortage { kMemory, kSockets };
 
 // What can be taken away from the peer of a connection without breaking a
 // promise.
@@ -41,8 +42,8 @@
  public:
   virtual ~MemoryHolder() = default;
   // Ends what the peer holds: with a refusal if it can still read one. After a
-  // shortage of connections, closes the connection in any case. The memory is
-  // free at the next turn of the event loop at the latest.
+  // shortage of sockets, closes the connection in any case. The memory is free
+  // at the next turn of the event loop at the latest.
   virtual void Revoke(kernel::Time now, Shortage shortage) = 0;
   virtual Revocable RevocablePart() const = 0;
 };
@@ -71,15 +72,21 @@
   std::size_t MaximumAnswerBytes() const;
   std::size_t BytesHeld() const { return m_bytes; }
   std::size_t Connections() const { return m_shares.size(); }
+  // Of connections, and of their requests in progress.
+  std::size_t Sockets() const { return m_sockets; }
   // Shares that were taken away, and askers that were refused.
   std::uint64_t Shortages() const { return m_shortages; }
   // Returns whether one more connection may be opened; closes another one for
   // it if need be.
-  bool AdmitConnection(kernel::Time now);
+  bool AdmitConnection(kernel::Time now) {
+    return MakeRoomForSocket(now, /*asker=*/nullptr);
+  }
 
  private:
   friend class MemoryShare;
 
+  bool MakeRoomForSocket(kernel::Time now, const MemoryShare* asker);
+
   // What an asker is granted at most; the rest is kept for small requests.
   std::size_t LimitFor(std::size_t bytes) const;
   bool MakeRoom(MemoryShare& asker,
@@ -94,6 +101,7 @@
 
   MemoryLimits m_limits;
   std::size_t m_bytes = 0;
+  std::size_t m_sockets = 0;
   std::uint64_t m_shortages = 0;
   std::set<MemoryShare*> m_shares;
 };
@@ -110,6 +118,11 @@
   // Asks to hold `bytes` in total. Returns false if the peer has to be refused;
   // the share is unchanged then.
   bool Request(std::size_t bytes, kernel::Time now);
+  // Asks for the socket of a request in progress, in addition to that of the
+  // connection. Returns false if the request has to be refused. Has no effect
+  // if there is one.
+  bool RequestSocket(kernel::Time now);
+  void ReleaseSocket();
   // Takes note of what is held already; others may have to end for it.
   void Set(std::size_t bytes, kernel::Time now);
   // Returns whether `more` bytes could be held in addition to the present ones.
@@ -136,6 +149,7 @@
   MemoryAccount& m_account;
   MemoryHolder& m_holder;
   std::size_t m_bytes = 0;
+  bool m_has_socket = false;      // Of a request in progress.
   std::size_t m_transferred = 0;  // Since the latest progress.
   bool m_closed = false;
   kernel::Time m_progress_at;
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -66,6 +66,9 @@
   std::uint16_t agents_port = 0;  // The same on all instances.
   // What callers may make this process hold, on all listeners together.
   exchange::MemoryLimits callers{.bytes = 128U << 20U};
+  // Connections to endpoints that are kept without a request.
+  std::size_t maximum_idle_connections =
+      exchange::PoolSettings().maximum_total_idle;
   // Time from SIGTERM until the platform kills the process.
   std::chrono::milliseconds stop_timeout{8000};
 };
@@ -82,7 +85,9 @@
         m_settings(std::move(settings)),
         m_core(m_settings.entry, kernel::Random(random.Next())),
         m_journal(m_settings.entry.name),
-        m_pool(context, {.receive_buffer_bytes = kReceiveBufferBytes}),
+        m_pool(context,
+               {.maximum_total_idle = m_settings.maximum_idle_connections,
+                .receive_buffer_bytes = kReceiveBufferBytes}),
         m_store_pool(context, {}),
         m_fetcher(context, m_store_pool),
         m_memory(m_settings.callers),
@@ -211,6 +216,9 @@
                  updated.entry.answer_memory, change);
     ApplySetting("caller-limits", current.callers, updated.callers, change);
     m_memory.SetLimits(current.callers);
+    ApplySetting("idle-connections", current.maximum_idle_connections,
+                 updated.maximum_idle_connections, change);
+    m_pool.SetMaximumTotalIdle(current.maximum_idle_connections);
     ApplySetting("stop-timeout", current.stop_timeout, updated.stop_timeout,
                  change);
     ApplySetting("peer-seeds", current.peer_seeds, updated.peer_seeds, change);
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -366,7 +366,7 @@
   bool HoldRequest(std::size_t bytes) {
     const std::size_t previous = std::exchange(m_request_bytes, bytes);
     const kernel::Time now = kernel::Now();
-    if (m_share.Request(HeldBytes(), now)) {
+    if (m_share.Request(HeldBytes(), now) && m_share.RequestSocket(now)) {
       return true;
     }
     m_request_bytes = previous;
@@ -466,6 +466,7 @@
     m_exchange.reset();
     m_gone = nullptr;
     m_written = nullptr;
+    m_share.ReleaseSocket();
     m_request_bytes = 0;
     m_buffered_bytes = 0;
     m_silent_since = kernel::Now();
--- a/source/radishrudder/exchange/endpoint_pool.cc
+++ b/source/radishrudder/exchange/endpoint_pool.cc
@@ -483,7 +483,7 @@
 
 void EndpointPool::CloseIdle(kernel::Time now) {
   for (auto entry = m_idle.begin(); entry != m_idle.end();) {
-    std::erase_if(entry->second, [now](const auto& connection) {
+    m_idle_count -= std::erase_if(entry->second, [now](const auto& connection) {
       const bool old = connection->UsableUntil() <= now;
       if (old) {
         connection->Close();
@@ -502,6 +502,7 @@
   for (const auto& connection : found->second) {
     connection->Close();
   }
+  m_idle_count -= found->second.size();
   m_idle.erase(found);
 }
 
@@ -515,6 +516,7 @@
   while (!found->second.empty()) {
     std::shared_ptr<Connection> connection = found->second.back();
     found->second.pop_back();
+    --m_idle_count;
     if (connection->IsOpen() && connection->UsableUntil() > now) {
       return connection;
     }
@@ -526,18 +528,39 @@
 void EndpointPool::KeepIdle(const std::shared_ptr<Connection>& connection) {
   auto& connections = m_idle[connection->Address()];
   connections.push_back(connection);
+  ++m_idle_count;
   if (connections.size() > m_settings.maximum_idle) {
     connections.front()->Close();
     connections.pop_front();
+    --m_idle_count;
   }
+  while (m_idle_count > m_settings.maximum_total_idle) {
+    CloseOldestIdle();
+  }
+}
+
+void EndpointPool::CloseOldestIdle() {
+  auto oldest = m_idle.end();
+  for (auto entry = m_idle.begin(); entry != m_idle.end(); ++entry) {
+    if (!entry->second.empty() &&
+        (oldest == m_idle.end() || entry->second.front()->UsableUntil() <
+                                       oldest->second.front()->UsableUntil())) {
+      oldest = entry;
+    }
+  }
+  const std::shared_ptr<Connection> connection = oldest->second.front();
+  oldest->second.pop_front();
+  --m_idle_count;
+  connection->Close();
 }
 
 void EndpointPool::DropIdle(const Connection& connection) {
   const auto found = m_idle.find(connection.Address());
   if (found != m_idle.end()) {
-    std::erase_if(found->second, [&connection](const auto& other) {
-      return other.get() == &connection;
-    });
+    m_idle_count -=
+        std::erase_if(found->second, [&connection](const auto& other) {
+          return other.get() == &connection;
+        });
   }
 }
 
--- a/source/radishrudder/exchange/memory_account.cc
+++ b/source/radishrudder/exchange/memory_account.cc
@@ -1,6 +1,7 @@
 #include "radishrudder/exchange/memory_account.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace radishrudder::exchange {
 namespace {
@@ -28,17 +29,18 @@
   return m_limits.bytes / kAnswerDivisor;
 }
 
-bool MemoryAccount::AdmitConnection(kernel::Time now) {
-  while (m_shares.size() >= m_limits.connections) {
+bool MemoryAccount::MakeRoomForSocket(kernel::Time now,
+                                      const MemoryShare* asker) {
+  while (m_sockets >= m_limits.sockets) {
     MemoryShare* victim =
-        FindHeaviest(now, /*except=*/nullptr, /*include_unstalled=*/false);
+        FindHeaviest(now, /*except=*/asker, /*include_unstalled=*/false);
     if (victim == nullptr) {
       ++m_shortages;
       return false;
     }
-    const std::size_t before = m_shares.size();
-    Revoke(*victim, now, Shortage::kConnections);
-    if (m_shares.size() >= before) {
+    const std::size_t before = m_sockets;
+    Revoke(*victim, now, Shortage::kSockets);
+    if (m_sockets >= before) {
       return false;
     }
   }
@@ -119,6 +121,7 @@
                          kernel::Time now)
     : m_account(account), m_holder(holder), m_progress_at(now) {
   m_account.m_shares.insert(this);
+  ++m_account.m_sockets;
 }
 
 MemoryShare::~MemoryShare() {
@@ -130,8 +133,26 @@
     return;
   }
   Assign(0);
+  ReleaseSocket();
   m_closed = true;
   m_account.m_shares.erase(this);
+  --m_account.m_sockets;
+}
+
+bool MemoryShare::RequestSocket(kernel::Time now) {
+  if (m_closed || m_has_socket) {
+    return true;
+  }
+  if (!m_account.MakeRoomForSocket(now, this)) {
+    return false;
+  }
+  m_has_socket = true;
+  ++m_account.m_sockets;
+  return true;
+}
+
+void MemoryShare::ReleaseSocket() {
+  m_account.m_sockets -= std::exchange(m_has_socket, false) ? 1 : 0;
 }
 
 bool MemoryShare::Request(std::size_t bytes, kernel::Time now) {
--- a/tests/exchange/memory_account_test.cc
+++ b/tests/exchange/memory_account_test.cc
@@ -26,7 +26,7 @@
 
   void Revoke(kernel::Time /*now*/, Shortage shortage) override {
     revoked = shortage;
-    if (shortage == Shortage::kConnections) {
+    if (shortage == Shortage::kSockets) {
       share.Close();
     }
   }
@@ -149,20 +149,45 @@
 }
 
 TEST(MemoryAccountTest, LongestIdleConnectionEndsForNewOne) {
-  MemoryAccount account({.connections = 2});
+  MemoryAccount account({.sockets = 2});
   Holder older(account, kStart);
   Holder newer(account, kStart + milliseconds(10000));
   const kernel::Time now = kStart + milliseconds(20000);
   older.share.Set(4096, now);
   newer.share.Set(4096, now);
   EXPECT_TRUE(account.AdmitConnection(now));
-  EXPECT_EQ(older.revoked, Shortage::kConnections);
+  EXPECT_EQ(older.revoked, Shortage::kSockets);
   EXPECT_FALSE(newer.revoked);
   const Holder third(account, now);
   newer.part = Revocable::kNothing;
   EXPECT_FALSE(account.AdmitConnection(now));
 }
 
+TEST(MemoryAccountTest, RequestsInProgressTakeSockets) {
+  MemoryAccount account({.sockets = 5});
+  Holder first(account, kStart);
+  Holder second(account, kStart);
+  Holder idle(account, kStart);
+  for (Holder* holder : {&first, &second}) {
+    holder->part = Revocable::kNothing;
+    holder->share.Set(4096, kStart);
+    EXPECT_TRUE(holder->share.RequestSocket(kStart));
+    EXPECT_TRUE(holder->share.RequestSocket(kStart));
+  }
+  EXPECT_EQ(account.Sockets(), 5U);
+  EXPECT_FALSE(idle.share.RequestSocket(kStart));
+  first.share.ReleaseSocket();
+  EXPECT_TRUE(idle.share.RequestSocket(kStart));
+  idle.share.ReleaseSocket();
+  idle.share.Set(4096, kStart);
+  EXPECT_TRUE(first.share.RequestSocket(kStart));
+  EXPECT_FALSE(idle.revoked);
+  EXPECT_TRUE(account.AdmitConnection(kStart));
+  EXPECT_EQ(idle.revoked, Shortage::kSockets);
+  second.share.Close();
+  EXPECT_EQ(account.Sockets(), 2U);
+}
+
 TEST(MemoryAccountTest, EnforcesSmallerLimits) {
   MemoryAccount account({.bytes = 8 * kMegabyte});
   Holder first(account, kStart);
--- a/tests/platform/client_crowd_program_test.cc
+++ b/tests/platform/client_crowd_program_test.cc
@@ -116,6 +116,11 @@
          std::string(kIdBytes, 'x') + ":1,b:1\r\n\r\n";
 }
 
+// An endpoint that takes more requests at a time than an entry can hold.
+StandinEndpoint LargeEndpoint() {
+  return {.slots = 4000, .service_members = R"(, "max_connections": 4000)"};
+}
+
 std::vector<CrowdCase> Cases() {
   constexpr std::size_t kFarOver = 12U << 20U;
   constexpr std::size_t kHeadBytes = 16000;
@@ -207,6 +212,12 @@
         .repeated = WithLength("/s/missing", 0),
         .repeated_bytes = 20'000 * WithLength("/s/missing", 0).size(),
         .reads = false}},
+      {"RequestsInProgress",
+       {.start = WithLength("/n/2000", 0)},
+       600,
+       Listener::kCallers,
+       500,
+       LargeEndpoint()},
       {"IdleConnections", {}, 600, Listener::kCallers, 500},
       {"IdleConnectionsAtReadiness", {}, 600, Listener::kReadiness, 500},
       {"IdleConnectionsAtPeers", {}, 600, Listener::kPeers, 500},
