exchange: the system's buffers of all connections fit into the memory together

Callers: 2,600 clients with a small part of a body each took 119 MB of an entry's 112, of which 54 were received and not read. 1,366 clients with a request in progress that send on behind it took 227 MB, most of it unread.

Cause: each connection could fill a receive buffer of 64 KB before the process read anything of it, which for 1,780 connections is more than the memory of the machine. What arrives behind a request in progress counted, but could not be ended.

Change: a connection begins with a receive buffer of 16 KB; it gets 64 KB when a large body or message is on its way, and the difference counts for its sender. A caller that sends on while its request is executed may be ended.

SmallBodiesOfManyClients and SmallRequestsBehindManyInProgress failed before (119 and 227 MB).

--- a/include/radishrudder/exchange/memory_account.h
+++ b/include/radishrudder/exchange/memory_account.h
@@ -23,6 +23,8 @@
 // Sizes of the system's buffers of a connection; 0: the system's own choice.
 struct BufferSizes {
   std::size_t receive = 0;
+  // Once a large message arrives; the additional bytes count for its sender.
+  std::size_t large_receive = 0;
   std::size_t send = 0;
 };
 
@@ -34,7 +36,9 @@
 enum class Revocable {
   kNothing,  // Its request is being executed.
   kStalled,  // An answer that it reads; only if it has stopped reading.
-  kAll       // Nothing of it has been executed, or everything is done.
+  // Nothing of it has been executed, or everything is done; or it sends on
+  // although its request is being executed.
+  kAll
 };
 
 // A connection whose peer makes this process hold memory.
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -67,6 +67,7 @@
       : m_server(server),
         m_socket(std::move(socket)),
         m_reader(MessageReader::Kind::kRequest),
+        m_receive_buffer_bytes(server.m_account.Buffers().receive),
         m_silent_since(kernel::Now()),
         m_share(server.m_account, *this, m_silent_since) {
     SetOptions(m_socket, kCallerSilence);
@@ -114,7 +115,8 @@
     if (HasUnsent()) {
       return Revocable::kStalled;
     }
-    return m_exchange ? Revocable::kNothing : Revocable::kAll;
+    return m_exchange && !m_read_deferred ? Revocable::kNothing
+                                          : Revocable::kAll;
   }
 
   void Revoke(kernel::Time now, Shortage shortage) override {
@@ -316,6 +318,9 @@
   // Prepares for the part of a request that has not arrived.
   void AwaitRest() {
     m_reader.ReserveBody();
+    if (m_reader.HeadComplete()) {
+      EnlargeReceiveBuffer();
+    }
     if (m_reader.HeadComplete() && !m_continued &&
         http::EqualNames(http::FindHeader(m_reader.Request().headers, "Expect"),
                          "100-continue")) {
@@ -324,6 +329,23 @@
     }
   }
 
+  // A large body arrives slowly through a small window.
+  void EnlargeReceiveBuffer() {
+    const BufferSizes sizes = m_server.m_account.Buffers();
+    if (m_receive_buffer_bytes >= sizes.large_receive ||
+        m_reader.AnnouncedBodyBytes().value_or(sizes.large_receive) <=
+            sizes.receive) {
+      return;
+    }
+    const std::size_t previous =
+        std::exchange(m_receive_buffer_bytes, sizes.large_receive);
+    if (m_share.Request(HeldBytes(), kernel::Now())) {
+      exchange::EnlargeReceiveBuffer(m_socket, sizes.large_receive);
+    } else {
+      m_receive_buffer_bytes = previous;
+    }
+  }
+
   void Dispatch(kernel::Time now) {
     const std::size_t head_bytes = m_reader.HeadMemory();
     ReceivedRequest request{m_reader.TakeRequest(), m_reader.TakeBody(),
@@ -351,10 +373,10 @@
                std::max<std::size_t>(m_reader.AnnouncedBodyBytes().value_or(0),
                                      m_reader.BodyMemory());
     }
-    if (m_read_deferred) {
-      bytes += m_server.m_account.Buffers().receive;
-    }
-    return bytes;
+    // What exceeds the first size counts in any case, the rest once it fills.
+    const std::size_t first = m_server.m_account.Buffers().receive;
+    return bytes + (m_receive_buffer_bytes - first) +
+           (m_read_deferred ? first : 0);
   }
 
   void UpdateShare(kernel::Time now) {
@@ -586,6 +608,7 @@
   std::size_t m_sent = 0;                      // Bytes of `m_sending`.
   std::size_t m_request_bytes = 0;             // Of the request in progress.
   std::size_t m_buffered_bytes = 0;            // Of its answer, held elsewhere.
+  std::size_t m_receive_buffer_bytes;          // Of the system; 0: not limited.
   std::shared_ptr<CallerExchange> m_exchange;  // The request in progress.
   std::function<void()> m_gone;
   std::function<void()> m_written;
--- a/source/radishrudder/exchange/frame_links.cc
+++ b/source/radishrudder/exchange/frame_links.cc
@@ -183,6 +183,7 @@
             return;
           }
           self->m_share.Restart(kernel::Now());
+          self->EnlargeReceiveBuffer(size);
           self->ReadFrame(size);
         });
   }
@@ -205,6 +206,20 @@
   }
 
  private:
+  // A large frame arrives slowly through a small window.
+  void EnlargeReceiveBuffer(std::size_t frame_bytes) {
+    const BufferSizes sizes = m_links.m_account.Buffers();
+    const std::size_t more = sizes.large_receive - sizes.receive;
+    if (m_link_bytes > kLinkBytes || frame_bytes <= sizes.receive ||
+        !m_share.Request(kLinkBytes + more, kernel::Now())) {
+      return;
+    }
+    m_link_bytes += more;
+    if (more > 0) {
+      exchange::EnlargeReceiveBuffer(m_socket, sizes.large_receive);
+    }
+  }
+
   // Reads the rest of a frame: `missing` bytes.
   void ReadFrame(std::size_t missing) {
     if (missing == 0) {
@@ -213,7 +228,7 @@
     }
     const std::size_t part = std::min(missing, kReadBytes);
     // The frame is assembled at its end, beside one block of it.
-    if (!m_share.Request(kLinkBytes + m_frame.AllocatedBytes() + 2 * part,
+    if (!m_share.Request(m_link_bytes + m_frame.AllocatedBytes() + 2 * part,
                          kernel::Now())) {
       Close();
       return;
@@ -242,7 +257,7 @@
     m_links.m_handler(frame);
     m_handling = false;
     if (!m_closed) {
-      m_share.Set(kLinkBytes, kernel::Now());
+      m_share.Set(m_link_bytes, kernel::Now());
       ReadLength();
     }
   }
@@ -252,6 +267,7 @@
   std::array<char, kLengthBytes> m_length{};
   std::string m_block;  // The part of the frame that is read now.
   ByteBlocks m_frame;   // What was read before.
+  std::size_t m_link_bytes = kLinkBytes;  // Without a message.
   bool m_closed = false;
   bool m_handling = false;
   MemoryShare m_share;
--- a/source/radishrudder/exchange/memory_account.cc
+++ b/source/radishrudder/exchange/memory_account.cc
@@ -17,7 +17,10 @@
 constexpr std::size_t kSmallBytes = 64U << 10U;
 constexpr std::size_t kSmallDivisor = 4;
 constexpr std::size_t kAnswerDivisor = 8;
-constexpr BufferSizes kBufferSizes{.receive = 64U << 10U, .send = 128U << 10U};
+// All connections together may fill the smaller ones before a byte is read.
+constexpr BufferSizes kBufferSizes{.receive = 16U << 10U,
+                                   .large_receive = 64U << 10U,
+                                   .send = 128U << 10U};
 
 }  // namespace
 
--- a/source/radishrudder/exchange/socket_options.cc
+++ b/source/radishrudder/exchange/socket_options.cc
@@ -92,4 +92,11 @@
             static_cast<int>(bytes));
 }
 
+void EnlargeReceiveBuffer(asio::ip::tcp::socket& socket, std::size_t bytes) {
+  SetReceiveBuffer(socket, bytes);
+  // Otherwise the window stays at what the first buffer allowed.
+  SetOption(socket.native_handle(), IPPROTO_TCP, TCP_WINDOW_CLAMP,
+            static_cast<int>(bytes));
+}
+
 }  // namespace radishrudder::exchange
--- a/source/radishrudder/exchange/socket_options.h
+++ b/source/radishrudder/exchange/socket_options.h
@@ -29,6 +29,9 @@
 // Limits the bytes that the system holds for the socket until they are read.
 void SetReceiveBuffer(asio::ip::tcp::socket& socket, std::size_t bytes);
 
+// The same for an open connection whose buffer was smaller so far.
+void EnlargeReceiveBuffer(asio::ip::tcp::socket& socket, std::size_t bytes);
+
 }  // namespace radishrudder::exchange
 
 #endif  // SOURCE_RADISHRUDDER_EXCHANGE_SOCKET_OPTIONS_H_
