tests: refusals are read and true, and answers that nobody reads

RefusalTest: each client whose request ends for memory reads its 503. RefusedRequestsAreNotExecuted: no request that was refused reaches an endpoint.

--- a/tests/platform/client_crowd_program_test.cc
+++ b/tests/platform/client_crowd_program_test.cc
@@ -217,6 +217,13 @@
         .repeated = WithLength("/s/missing", 0),
         .repeated_bytes = 20'000 * WithLength("/s/missing", 0).size(),
         .reads = false}},
+      {"UnreadAnswersAtMetrics",
+       {.start = "",
+        .repeated = "GET /metrics HTTP/1.1\r\nHost: h.example\r\n\r\n",
+        .repeated_bytes = 64U << 10U,
+        .reads = false},
+       800,
+       Listener::kMetrics},
       {"RequestsInProgress",
        {.start = WithLength("/n/2000", 0)},
        600,
@@ -375,6 +382,51 @@
                            return std::string(info.param.name);
                          });
 
+using RefusalTest = ClientCrowdTest;
+
+// A client whose request is ended for memory reads that it was refused.
+TEST_P(RefusalTest, IsRead) {
+  const CrowdCase& crowd = GetParam();
+  ASSERT_NO_FATAL_FAILURE(Start(kMemoryMegabytes, crowd.descriptors));
+  ClientCrowd clients(Address(crowd.listener), crowd.form, crowd.clients);
+  clients.Run(kRound, [] {});
+  EXPECT_GT(clients.Ended(), 0U);
+  EXPECT_EQ(clients.Refused(), clients.Ended());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Crowds,
+    RefusalTest,
+    testing::Values(CrowdCase{"OneByteShort", OneByteShort("/s/1")},
+                    CrowdCase{
+                        "LargeChunks",
+                        {.start = Chunked("/s/1"),
+                         .repeated = "10000\r\n" +
+                                     std::string(64U << 10U, 'x') + "\r\n",
+                         .repeated_bytes = 64 * ((64U << 10U) + 9)}}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// No request that was refused has been executed.
+TEST_F(CrowdTest, RefusedRequestsAreNotExecuted) {
+  constexpr std::size_t kBodyBytes = 1U << 20U;
+  constexpr std::size_t kClients = 100;
+  ASSERT_NO_FATAL_FAILURE(Start(kMemoryMegabytes, kDescriptors));
+  const ClientForm form{.make_request = [](std::size_t number) {
+    return "POST /n/200 HTTP/1.1\r\nHost: h.example\r\n"
+           "Radishrudder-Attempt-Id: own-" +
+           std::to_string(number) +
+           "\r\nRadishrudder-Deadline-Ms: 5000\r\nContent-Length: " +
+           std::to_string(kBodyBytes) + "\r\n\r\n" +
+           std::string(kBodyBytes, 'x');
+  }};
+  ClientCrowd clients(m_program.CallersAddress(), form, kClients);
+  clients.Run(kRound, [] {});
+  EXPECT_FALSE(clients.RefusedIds().empty());
+  for (const std::string& id : clients.RefusedIds()) {
+    EXPECT_EQ(m_standin->Runs(id), 0) << id;
+  }
+}
+
 using CalmTest = ClientCrowdTest;
 
 // A single request with the largest body is answered on the smallest machine.
