tests: parts of messages at the daemons' port for other processes

2,000 connections with 64 KB of a message that is never completed make radishrudder-entry take 224 MB of 128. The memory is gRPC's: a quota of 32 MB for the server did not limit it in a trial (278 and 346 MB), since connections are accepted all the same.

--- a/tests/platform/client_crowd_program_test.cc
+++ b/tests/platform/client_crowd_program_test.cc
@@ -618,18 +618,21 @@
                          std::string("--instances=") + kUnusedUrl});
   daemon.AddArgument(Flag("port", daemon.CallersAddress()));
   daemon.AddArgument(Flag("admin-port", daemon.ReadinessAddress()));
+  daemon.AddArgument(Flag("peer-port", daemon.PeersAddress()));
   daemon.Start();
   ASSERT_TRUE(daemon.AwaitLog("listening ", 1, kLimit));
-  ClientCrowd clients(crowd.listener == Listener::kReadiness
-                          ? daemon.ReadinessAddress()
-                          : daemon.CallersAddress(),
-                      crowd.form, crowd.clients);
+  ClientCrowd clients(
+      crowd.listener == Listener::kReadiness ? daemon.ReadinessAddress()
+      : crowd.listener == Listener::kPeers   ? daemon.PeersAddress()
+                                             : daemon.CallersAddress(),
+      crowd.form, crowd.clients);
   std::size_t most_bytes = 0;
   clients.Run(kRound, [&] {
     most_bytes =
         std::max(most_bytes, daemon.ResidentBytes() + daemon.UnreadBytes());
   });
   RecordProperty("most_bytes", std::to_string(most_bytes));
+  RecordProperty("peak_bytes", std::to_string(daemon.PeakResidentBytes()));
   EXPECT_TRUE(daemon.IsRunning());
   if (kMemoryIsOurs) {
     EXPECT_LE(most_bytes, kDaemonMemory);
@@ -647,6 +650,49 @@
           .repeated_bytes = kDaemonBodyLimit - 1};
 }
 
+// One frame of HTTP/2.
+std::string Frame(char type,
+                  char flags,
+                  char stream,
+                  std::string_view payload) {
+  const std::size_t size = payload.size();
+  std::string frame = {static_cast<char>(size >> 16U),
+                       static_cast<char>(size >> 8U),
+                       static_cast<char>(size),
+                       type,
+                       flags,
+                       0,
+                       0,
+                       0,
+                       stream};
+  return frame.append(payload);
+}
+
+// A message between daemons that is not whole, of as many bytes as may be sent
+// before the receiver asks for more.
+ClientForm PartOfPeerMessage() {
+  constexpr char kData = 0;
+  constexpr char kHeaders = 1;
+  constexpr char kSettings = 4;
+  constexpr char kEndOfHeaders = 4;
+  constexpr std::size_t kFrameBytes = 16'000;
+  const auto text = [](std::string_view value) {
+    return static_cast<char>(value.size()) + std::string(value);
+  };
+  // The first bytes are indices of HPACK's static table.
+  const std::string headers =
+      "\x83\x86\x04" + text("/radishrudder.wire.Peer/Exchange") + "\x01" +
+      text("h.example") + "\x0f\x10" + text("application/grpc") +
+      std::string(1, '\0') + text("te") + text("trailers");
+  const std::string length("\0\0\x7f\xff\xff", 5);
+  return {.start = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" +
+                   Frame(kSettings, 0, 0, "") +
+                   Frame(kHeaders, kEndOfHeaders, 1, headers) +
+                   Frame(kData, 0, 1, length),
+          .repeated = Frame(kData, 0, 1, std::string(kFrameBytes, 'x')),
+          .repeated_bytes = 4 * (kFrameBytes + 9)};
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Crowds,
     DaemonCrowdTest,
@@ -660,7 +706,9 @@
                     CrowdCase{"AnnouncedFarOverTheLimit",
                               {.start = WithLength("/draft", 1U << 30U),
                                .repeated = Block("x"),
-                               .repeated_bytes = std::size_t{12U << 20U}}}),
+                               .repeated_bytes = std::size_t{12U << 20U}}},
+                    CrowdCase{"PartsOfPeerMessages", PartOfPeerMessage(), 2000,
+                              Listener::kPeers}),
     [](const auto& info) { return std::string(info.param.name); });
 
 }  // namespace
