direct: a newer configuration of another entry is forgotten after its latest report

Cause: what a peer tells counts for ten seconds, from its first report on; the same report later changed nothing.

Change: each report begins the time anew. A peer tells only of the configuration that it uses itself, so the time still ends ten seconds after the last one does.

SupersededTest/StillInForceElsewhere failed before.

--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -122,6 +122,8 @@
     known = {
         .version = version, .in_force_since = in_force_since, .told_at = now};
     m_state->ComparePeerConfiguration(now);
+  } else if (version == known.version) {
+    known.told_at = now;
   }
 }
 
--- a/tests/direct/entry_admission_test.cc
+++ b/tests/direct/entry_admission_test.cc
@@ -367,6 +367,8 @@
   milliseconds later;            // When the request comes.
   std::uint64_t read_meanwhile;  // From the store; 0: nothing.
   int status;
+  // When the other entry tells of it once more; 0: it does not.
+  milliseconds told_again_after{0};
 };
 
 class SupersededTest : public EntryFixture,
@@ -379,7 +381,12 @@
   Start(Route(RouteKind::kNonIdempotent, false));
   m_entry.OnPeerConfiguration(m_now, GetParam().version,
                               m_now - GetParam().in_force_for);
-  AdvanceTime(GetParam().later);
+  if (GetParam().told_again_after > milliseconds(0)) {
+    AdvanceTime(GetParam().told_again_after);
+    m_entry.OnPeerConfiguration(m_now, GetParam().version,
+                                m_now - GetParam().in_force_for);
+  }
+  AdvanceTime(GetParam().later - GetParam().told_again_after);
   m_entry.OnConfigurationConfirmed(m_boot);
   if (GetParam().read_meanwhile > 0) {
     m_entry.OnConfiguration(
@@ -394,18 +401,22 @@
 INSTANTIATE_TEST_SUITE_P(
     All,
     SupersededTest,
-    testing::Values(SupersededCase{"InForceElsewhere", 9, milliseconds(30000),
-                                   milliseconds(0), 0, 503},
-                    SupersededCase{"JustRead", 9, milliseconds(100),
-                                   milliseconds(200), 0, 0},
-                    SupersededCase{"OverdueHere", 9, milliseconds(100),
-                                   milliseconds(1600), 0, 503},
-                    SupersededCase{"ReadMeanwhile", 9, milliseconds(30000),
-                                   milliseconds(1600), 9, 0},
-                    SupersededCase{"Same", 1, milliseconds(30000),
-                                   milliseconds(0), 0, 0},
-                    SupersededCase{"NeverWrittenAgain", 9, milliseconds(30000),
-                                   milliseconds(10100), 0, 0}),
+    testing::Values(
+        SupersededCase{"InForceElsewhere", 9, milliseconds(30000),
+                       milliseconds(0), 0, 503},
+        SupersededCase{"JustRead", 9, milliseconds(100), milliseconds(200), 0,
+                       0},
+        SupersededCase{"OverdueHere", 9, milliseconds(100), milliseconds(1600),
+                       0, 503},
+        SupersededCase{"ReadMeanwhile", 9, milliseconds(30000),
+                       milliseconds(1600), 9, 0},
+        SupersededCase{"Same", 1, milliseconds(30000), milliseconds(0), 0, 0},
+        SupersededCase{"NeverWrittenAgain", 9, milliseconds(30000),
+                       milliseconds(10100), 0, 0},
+        SupersededCase{"StillInForceElsewhere", 9, milliseconds(30000),
+                       milliseconds(15000), 0, 503, milliseconds(8000)},
+        SupersededCase{"NotInForceElsewhereAnyMore", 9, milliseconds(30000),
+                       milliseconds(18100), 0, 0, milliseconds(8000)}),
     [](const auto& test) { return std::string(test.param.name); });
 
 }  // namespace
