dissemination, direct: the first era of the store may be 0

Cause: era 0 meant that none had been seen, so the step to 1 was taken for the first era, and the watches went on from revisions of the store before the drill. The list of endpoints and the evacuations had the same rule.

Change: an era is new if anything has been read before it. A store that begins to name its era is read once more.

StoreEraTest/FromZero and FromZeroAndHistoryGone, FirstEraTest and EvacuatedCallsTest.FirstEraMayBeZero failed before.

--- a/include/radishrudder/direct/endpoint_list.h
+++ b/include/radishrudder/direct/endpoint_list.h
@@ -117,7 +117,7 @@
   std::map<std::string, TrackedEndpoint, std::less<>> m_endpoints;
   // By id, so that an older update does not add them again.
   std::map<std::string, Removal, std::less<>> m_removed;
-  std::uint64_t m_era = 0;  // Of the latest snapshot; 0: none.
+  std::optional<std::uint64_t> m_era{};  // Of the latest snapshot.
   // When the store answered last; nothing: not yet.
   std::optional<kernel::Time> m_answered_at;
   // When it answered a request for the list last.
--- a/include/radishrudder/direct/evacuations.h
+++ b/include/radishrudder/direct/evacuations.h
@@ -57,7 +57,7 @@
   std::map<std::string, Evacuation, std::less<>> m_evacuated;
   // Revisions at which evacuations were taken back, in the present era.
   std::map<std::string, std::uint64_t, std::less<>> m_taken_back;
-  std::uint64_t m_era = 0;
+  std::optional<std::uint64_t> m_era{};  // Of the latest snapshot.
 };
 
 }  // namespace radishrudder::direct
--- a/include/radishrudder/dissemination/store_reader.h
+++ b/include/radishrudder/dissemination/store_reader.h
@@ -169,7 +169,7 @@
   std::optional<kernel::BootTime> m_complete_at;
   std::vector<StoreItem> m_read_items;  // From the pages read so far.
   std::uint64_t m_revision = 0;
-  std::uint64_t m_era = 0;  // The latest one seen; 0: none.
+  std::uint64_t m_era = 0;  // The latest one seen; 0: the first one, or none.
   std::uint32_t m_consecutive_failures = 0;
   kernel::Time m_failing_since{};   // Valid if requests are failing.
   kernel::Duration m_failed_for{};  // Before the latest response.
--- a/source/radishrudder/direct/endpoint_list.cc
+++ b/source/radishrudder/direct/endpoint_list.cc
@@ -135,8 +135,8 @@
                               const std::vector<ListedEndpoint>& endpoints,
                               std::uint64_t revision,
                               std::uint64_t era) {
-  const bool new_era = m_era != 0 && era > m_era;
-  m_era = std::max(m_era, era);
+  const bool new_era = m_era && era > *m_era;
+  m_era = std::max(m_era.value_or(0), era);
   bool changed = false;
   std::set<std::string_view> present;
   for (const ListedEndpoint& endpoint : endpoints) {
--- a/source/radishrudder/direct/evacuations.cc
+++ b/source/radishrudder/direct/evacuations.cc
@@ -17,7 +17,7 @@
     std::span<const EvacuationItem> items,
     std::uint64_t era) {
   std::vector<EvacuationChange> changes;
-  const bool new_era = era > m_era && m_era != 0;
+  const bool new_era = m_era && era > *m_era;
   if (era != m_era) {
     // Revisions of another era can't be compared.
     m_taken_back.clear();
--- a/source/radishrudder/dissemination/store_reader.cc
+++ b/source/radishrudder/dissemination/store_reader.cc
@@ -135,11 +135,12 @@
     return false;
   }
   const std::uint64_t previous = std::exchange(m_era, era);
-  if (previous == 0) {
-    return true;
+  const bool nothing_read = m_phase == Phase::kReading && m_read_items.empty();
+  // A store may count its eras from 0.
+  if (previous > 0 || !nothing_read) {
+    m_outputs.emplace_back(StoreEraChanged{previous, era});
   }
-  m_outputs.emplace_back(StoreEraChanged{previous, era});
-  if (m_phase == Phase::kReading && m_read_items.empty()) {
+  if (nothing_read) {
     return true;
   }
   // What has been read belongs to the previous era, as do the revisions.
--- a/tests/direct/endpoint_list_era_test.cc
+++ b/tests/direct/endpoint_list_era_test.cc
@@ -130,5 +130,25 @@
                     State::kReady, State::kReady}),
     [](const auto& test) { return std::string(test.param.name); });
 
+class FirstEraTest : public testing::Test {
+ protected:
+  EndpointList m_list{EndpointListSettings{}};
+  kernel::Time m_now{std::chrono::hours(1)};
+};
+
+// Guards against a store that counts its eras from 0: the step to 1 is a new
+// era like any other.
+TEST_F(FirstEraTest, EndpointThatTheCopyLacksIsKept) {
+  m_list.OnSnapshot(m_now, {MakeEndpoint(100, 0)}, 100, 0);
+  m_list.OnSnapshot(m_now, {}, 50, 1);
+  EXPECT_NE(m_list.Find("a"), nullptr);
+}
+
+TEST_F(FirstEraTest, EndpointThatIsGoneInTheSameEraIsRemoved) {
+  m_list.OnSnapshot(m_now, {MakeEndpoint(100, 0)}, 100, 0);
+  m_list.OnSnapshot(m_now, {}, 101, 0);
+  EXPECT_EQ(m_list.Find("a"), nullptr);
+}
+
 }  // namespace
 }  // namespace radishrudder::direct
--- a/tests/direct/evacuations_test.cc
+++ b/tests/direct/evacuations_test.cc
@@ -332,5 +332,16 @@
   CallAt("1");
 }
 
+TEST_F(EvacuatedCallsTest, FirstEraMayBeZero) {
+  StartIn(RouteKind::kNonIdempotent);
+  const EvacuationItem item{"a", 3};
+  m_entry.OnEvacuations(m_now, {&item, 1}, 0);
+  m_entry.OnEvacuations(m_now, {}, 1);
+  AdvanceTime(milliseconds(9900));
+  m_entry.OnConfigurationConfirmed(m_boot);
+  Call();
+  EXPECT_EQ(Selected(), "3");
+}
+
 }  // namespace
 }  // namespace radishrudder::direct
--- a/tests/dissemination/store_reader_test.cc
+++ b/tests/dissemination/store_reader_test.cc
@@ -182,10 +182,11 @@
 
 struct EraCase {
   const char* name;
-  std::uint64_t era;  // Of the response to a watch in era 4.
+  std::uint64_t era;  // Of the response to a watch.
   bool history_gone;
   bool reads_again;
   bool counts_as_failed;
+  std::uint64_t first_era = 4;  // Of what was read before it.
 };
 
 class StoreEraTest : public StoreReaderTest,
@@ -196,7 +197,8 @@
 // era misses what was written since.
 TEST_P(StoreEraTest, NewEraIsReadWholeAndAnEarlierOneIsNotApplied) {
   ASSERT_TRUE(TickAndTakeRequest<ReadPage>());
-  m_reader.OnPage(m_now, {{"k", "v", 50, false}}, false, 50, 4);
+  m_reader.OnPage(m_now, {{"k", "v", 50, false}}, false, 50,
+                  GetParam().first_era);
   ASSERT_TRUE(TickAndTakeRequest<WatchChanges>());
   if (GetParam().history_gone) {
     m_reader.OnHistoryDiscarded(m_now, GetParam().era);
@@ -212,7 +214,7 @@
     new_era = new_era || std::holds_alternative<StoreEraChanged>(output);
   }
   EXPECT_EQ(failed, GetParam().counts_as_failed);
-  EXPECT_EQ(new_era, GetParam().era > 4);
+  EXPECT_EQ(new_era, GetParam().era > GetParam().first_era);
   EXPECT_EQ(changes, !GetParam().reads_again && !GetParam().counts_as_failed);
   AdvanceTime(milliseconds(500));
   if (!GetParam().reads_again) {
@@ -221,11 +223,11 @@
   }
   ASSERT_TRUE(TickAndTakeRequest<ReadPage>());
   // The copy is older: its revisions are lower.
-  m_reader.OnPage(m_now, {{"k", "u", 30, false}}, false, 41, 5);
+  m_reader.OnPage(m_now, {{"k", "u", 30, false}}, false, 41, GetParam().era);
   const auto snapshot = TakeLast<PrefixSnapshot>();
   ASSERT_TRUE(snapshot);
-  EXPECT_EQ(snapshot->era, 5U);
-  EXPECT_EQ(snapshot->items.front().era, 5U);
+  EXPECT_EQ(snapshot->era, GetParam().era);
+  EXPECT_EQ(snapshot->items.front().era, GetParam().era);
   EXPECT_EQ(TickAndTakeRequest<WatchChanges>()->revision, 41U);
 }
 
@@ -236,7 +238,10 @@
                     EraCase{"Unnamed", 0, false, false, false},
                     EraCase{"New", 5, false, true, false},
                     EraCase{"NewAndHistoryGone", 5, true, true, false},
-                    EraCase{"Earlier", 3, false, false, true}),
+                    EraCase{"Earlier", 3, false, false, true},
+                    EraCase{"FromZero", 1, false, true, false, 0},
+                    EraCase{"FromZeroAndHistoryGone", 1, true, true, false, 0},
+                    EraCase{"NeverNamed", 0, false, false, false, 0}),
     [](const auto& test) { return std::string(test.param.name); });
 
 // Guards against a snapshot whose pages belong to two eras.
