--- a/tests/platform/client_crowd_program_test.cc
+++ b/tests/platform/client_crowd_program_test.cc
@@ -43,7 +43,9 @@
 constexpr std::size_t kFileDescriptors = 200;
 constexpr char kBounds[] = R"("revoke_ms": 5000, "grace_s": 2)";
 
-enum class Listener { kCallers, kReadiness, kPeers, kMetrics };
+// Entries tell each other what they know at `kControl`, agents and daemons send
+// each other messages at `kPeers`.
+enum class Listener { kCallers, kReadiness, kControl, kPeers, kMetrics };
 
 struct CrowdCase {
   const char* name;
@@ -170,7 +172,7 @@
       {"BehindRequestInProgress", behind},
       {"OneByteShortAtReadiness", OneByteShort("/ready"), 60,
        Listener::kReadiness},
-      {"OneByteShortAtPeers", OneByteShort("/peers"), 60, Listener::kPeers},
+      {"OneByteShortAtPeers", OneByteShort("/peers"), 60, Listener::kControl},
       {"OneByteShortAtMetrics", OneByteShort("/metrics"), 60,
        Listener::kMetrics},
       {"SmallHeaders",
@@ -240,7 +242,7 @@
        LargeEndpoint()},
       {"IdleConnections", {}, 600, Listener::kCallers, 500},
       {"IdleConnectionsAtReadiness", {}, 600, Listener::kReadiness, 500},
-      {"IdleConnectionsAtPeers", {}, 600, Listener::kPeers, 500},
+      {"IdleConnectionsAtPeers", {}, 600, Listener::kControl, 500},
       {"HeadsWithoutEnd",
        {.start = Line("/s/1")},
        600,
@@ -271,18 +273,24 @@
     ASSERT_TRUE(m_program.AwaitLog(" document-in-force ", 1, kLimit));
   }
 
-  std::string Address(Listener listener) const {
+  static std::string AddressOf(const RunningProgram& program,
+                               Listener listener) {
     switch (listener) {
       case Listener::kReadiness:
-        return m_program.ReadinessAddress();
+        return program.ReadinessAddress();
+      case Listener::kControl:
+        return program.ControlAddress();
       case Listener::kPeers:
-        return m_program.ControlAddress();
+        return program.PeersAddress();
       case Listener::kMetrics:
-        return m_program.MetricsAddress();
+        return program.MetricsAddress();
       case Listener::kCallers:
         break;
     }
-    return m_program.CallersAddress();
+    return program.CallersAddress();
+  }
+  std::string Address(Listener listener) const {
+    return AddressOf(m_program, listener);
   }
 
   void Observe() {
@@ -621,11 +629,8 @@
   daemon.AddArgument(Flag("peer-port", daemon.PeersAddress()));
   daemon.Start();
   ASSERT_TRUE(daemon.AwaitLog("listening ", 1, kLimit));
-  ClientCrowd clients(
-      crowd.listener == Listener::kReadiness ? daemon.ReadinessAddress()
-      : crowd.listener == Listener::kPeers   ? daemon.PeersAddress()
-                                             : daemon.CallersAddress(),
-      crowd.form, crowd.clients);
+  ClientCrowd clients(AddressOf(daemon, crowd.listener), crowd.form,
+                      crowd.clients);
   std::size_t most_bytes = 0;
   clients.Run(kRound, [&] {
     most_bytes =
