--- a/source/radishrudder/direct/request_memory.cc
+++ b/source/radishrudder/direct/request_memory.cc
@@ -1,6 +1,7 @@
 #include "radishrudder/direct/request_memory.h"
 
 #include <string>
+#include <string_view>
 
 namespace radishrudder::direct {
 namespace {
@@ -10,6 +11,7 @@
 // The head that is sent is a string that grows to up to this many times its
 // size.
 constexpr std::size_t kStringGrowth = 2;
+constexpr std::string_view kHeaderSeparators = ": \r\n";
 
 std::size_t HeapBytes(const std::string& text) {
   static const std::size_t inline_capacity = std::string().capacity();
@@ -31,7 +33,8 @@
   std::size_t sent_bytes = request.target.size() + request.host.size();
   for (const http::Header& header : request.forwarded_headers) {
     bytes += HeapBytes(header.name) + HeapBytes(header.value);
-    sent_bytes += header.name.size() + header.value.size() + 4;
+    sent_bytes +=
+        header.name.size() + header.value.size() + kHeaderSeparators.size();
   }
   for (const std::string& part : request.prompt_parts) {
     bytes += HeapBytes(part);
