platform, http: an entry keeps 64 parts of a prompt

Cause: each part of each request was kept, compared and remembered, however many there are.

Change: parts beyond the 64th are left out of the evidence of crashes; a request that shares them shares the ones before as well, and a repeated request is recognised by its digest. Header names of different lengths are told apart first.

PromptPartsTest failed before for more than 64 parts and long ids.

--- a/source/radishrudder/http/header.cc
+++ b/source/radishrudder/http/header.cc
@@ -55,7 +55,9 @@
 }  // namespace
 
 bool EqualNames(std::string_view first, std::string_view second) {
-  return std::ranges::equal(first, second, {}, LowerCase, LowerCase);
+  // Most names differ in length.
+  return first.size() == second.size() &&
+         std::ranges::equal(first, second, {}, LowerCase, LowerCase);
 }
 
 std::string_view FindHeader(const std::vector<Header>& headers,
--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -45,6 +45,54 @@
                   .prompt_parts.empty());
 }
 
+struct PromptCase {
+  const char* name;
+  std::string header;
+  std::size_t parts;  // That are kept.
+  std::string first{};
+};
+
+void PrintTo(const PromptCase& prompt, std::ostream* stream) {
+  *stream << prompt.name;
+}
+
+class PromptPartsTest : public testing::TestWithParam<PromptCase> {};
+
+// Guards against requests that hold far more memory than their bytes.
+TEST_P(PromptPartsTest, KeepsAFewOfAFewBytes) {
+  const std::vector<std::string> parts =
+      CallCodec::DecodeRequest(
+          Received({{"Radishrudder-Prompt-Prefix", GetParam().header}}))
+          .prompt_parts;
+  ASSERT_EQ(parts.size(), GetParam().parts);
+  if (!parts.empty()) {
+    EXPECT_EQ(parts.front().substr(0, 5), GetParam().first);
+    EXPECT_LE(parts.front().size(), 64U);
+  }
+}
+
+std::string ManyParts(std::size_t count) {
+  std::string header;
+  for (std::size_t part = 0; part < count; ++part) {
+    header += std::to_string(10'000 + part) + ":1,";
+  }
+  return header + "own:1";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    PromptPartsTest,
+    testing::Values(PromptCase{"None", "", 0},
+                    PromptCase{"OnlyItsOwn", "5c1e:800", 0},
+                    PromptCase{"WithoutTokens", "abcde,own", 1, "abcde"},
+                    PromptCase{"Spaces", " abcde:1 , own:1", 1, "abcde"},
+                    PromptCase{"Most", ManyParts(64), 64, "10000"},
+                    PromptCase{"TooMany", ManyParts(65), 64, "10000"},
+                    PromptCase{"FarTooMany", ManyParts(2000), 64, "10000"},
+                    PromptCase{"LongId", std::string(15'000, 'x') + ":1,own:1",
+                               1, "part:"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 struct ForwardCase {
   const char* name;
   http::Header header;
