--- a/tests/direct/request_memory_test.cc
+++ b/tests/direct/request_memory_test.cc
@@ -41,14 +41,14 @@
             4000 * (sizeof(http::Header) + 5)},
         MemoryCase{"LargeHeader",
                    {.forwarded_headers = {{"a", std::string(16'000, 'x')}}},
-                   2 * 16'000},
+                   32'000},
         MemoryCase{"PromptParts",
                    {.prompt_parts = std::vector<std::string>(4000, "a")},
                    4000 * sizeof(std::string)},
         MemoryCase{"LongPath",
                    {.target = std::string(15'000, 'x'),
                     .path = std::string(15'000, 'x')},
-                   3 * 15'000}),
+                   45'000}),
     [](const auto& info) { return info.param.name; });
 
 struct PartCase {
--- a/tests/exchange/caller_server_test.cc
+++ b/tests/exchange/caller_server_test.cc
@@ -314,7 +314,7 @@
 TEST_P(RequestMemoryTest, IsHeldWithinTheLimit) {
   MemoryAccount account({.bytes = 1U << 20U});
   CallerServer server(m_context, account,
-                      [this](ReceivedRequest /*request*/,
+                      [this](const ReceivedRequest& /*request*/,
                              std::shared_ptr<CallerExchange> exchange) {
                         m_exchanges.push_back(std::move(exchange));
                       });
--- a/tests/platform/client_crowd_program_test.cc
+++ b/tests/platform/client_crowd_program_test.cc
@@ -405,13 +405,13 @@
 INSTANTIATE_TEST_SUITE_P(
     Crowds,
     RefusalTest,
-    testing::Values(CrowdCase{"OneByteShort", OneByteShort("/s/1")},
-                    CrowdCase{
-                        "LargeChunks",
-                        {.start = Chunked("/s/1"),
-                         .repeated = "10000\r\n" +
-                                     std::string(64U << 10U, 'x') + "\r\n",
-                         .repeated_bytes = 64 * ((64U << 10U) + 9)}}),
+    testing::Values(
+        CrowdCase{"OneByteShort", OneByteShort("/s/1")},
+        CrowdCase{
+            "LargeChunks",
+            {.start = Chunked("/s/1"),
+             .repeated = "10000\r\n" + std::string(64U << 10U, 'x') + "\r\n",
+             .repeated_bytes = std::size_t{64} * ((64U << 10U) + 9)}}),
     [](const auto& info) { return std::string(info.param.name); });
 
 // No request that was refused has been executed.
