--- a/review/common-2/drill.h
+++ b/review/common-2/drill.h
@@ -996,25 +996,22 @@
   std::vector<std::thread> m_threads;
 };
 
-// What the command line and the environment of a case say.
+// What the command line of a drill says.
 struct DrillSettings {
-  std::string folder{};     // Of the case; takes record.txt.
-  std::string temporary{};  // For settings and logs.
+  std::string temporary{};  // Folder for settings and logs.
   bool trouble = true;
 };
 
 inline DrillSettings ParseDrill(int argc, char** argv) {
-  if (argc != 3) {
-    std::cerr << "usage: " << argv[0] << " CASE-FOLDER TEMPORARY-FOLDER\n";
+  if (argc != 4) {
+    std::cerr << "usage: " << argv[0]
+              << " RECORD-FILE TEMPORARY-FOLDER TROUBLE\n";
     std::exit(kNotRun);
   }
   std::signal(SIGPIPE, SIG_IGN);
-  const char* trouble = std::getenv("TROUBLE");
-  DrillSettings settings{argv[1], argv[2],
-                         trouble == nullptr || std::string(trouble) != "0"};
-  TheRecord().Open(settings.folder + "/record.txt");
+  TheRecord().Open(argv[1]);
   Now();
-  return settings;
+  return {argv[2], std::string(argv[3]) != "0"};
 }
 
 // Ends the drill. Threads of stand-ins may still run, so nothing is destroyed.
