serving: log callers that leave, and delays of the process

The hypotheses on requests that are sent on after their callers have left could not be told apart: the entry counted callers that left and logged nothing of them.

516 caller-left says at which stage the call was, how long ago its request was sent, how many bytes of it the endpoint's machine has not acknowledged (a link) and how many bytes of further requests were read behind it (reading that stopped). 111 process-delayed and radishrudder_process_delay_seconds say when the process was late for its work. The counter radishrudder_callers_gone_total has the service and the stage.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -142,9 +142,13 @@
 struct AbortResponse {
   CallId call = 0;
 };
+// How far a call had come when its caller left.
+enum class CallStage { kWaiting, kConnecting, kSent, kAnswering };
+std::string_view ToText(CallStage stage);
+
 // Outcome of an attempt or a call, for the log and the metrics.
 struct CallRecord {
-  enum class Kind { kAttemptFailed, kAttemptRefused, kEnded };
+  enum class Kind { kAttemptFailed, kAttemptRefused, kEnded, kCallerLeft };
   Kind kind = Kind::kEnded;
   CallId call = 0;
   std::string attempt_id{};
@@ -158,6 +162,10 @@
   std::chrono::milliseconds configuration_age{0};
   std::uint32_t rank = 0;               // 0 is the most urgent.
   std::chrono::milliseconds waited{0};  // For a place at an endpoint.
+  // Of a call whose caller left: its stage, and the time since the attempt in
+  // progress was sent.
+  CallStage stage = CallStage::kWaiting;
+  std::chrono::milliseconds sent_for{0};
   std::string detail{};
   std::uint64_t events = 0;  // Passed on to the caller.
   std::vector<std::string> prompt_parts{};
--- a/include/radishrudder/exchange/caller_server.h
+++ b/include/radishrudder/exchange/caller_server.h
@@ -51,6 +51,8 @@
   virtual void Abort() = 0;
   // Called at most once, when the caller leaves before the answer ended.
   virtual void OnDisconnected(std::function<void()> handler) = 0;
+  // Bytes behind the request that have been read from the caller.
+  virtual std::size_t BytesBehind() const = 0;
   // Bytes of answers that wait in this process for the caller to read.
   virtual std::size_t BytesWaiting() const = 0;
   // Called each time that some of them have been written to the connection,
--- a/include/radishrudder/exchange/endpoint_pool.h
+++ b/include/radishrudder/exchange/endpoint_pool.h
@@ -102,6 +102,9 @@
                    std::string bytes,
                    bool head_only,
                    AnswerListener& listener);
+  // Bytes of an exchange's request that the endpoint's system has not
+  // acknowledged; 0 if the exchange is done.
+  std::size_t UnacknowledgedBytes(ExchangeId exchange) const;
   // Closes the connection of an exchange that is not done.
   void Cancel(ExchangeId exchange);
   // Stops reading the answer of an exchange, which the peer notices as a slow
--- a/include/radishrudder/logging/events.h
+++ b/include/radishrudder/logging/events.h
@@ -82,6 +82,10 @@
     110, Level::kWarning, "peers-ended",
     "Callers or other peers held as much memory or as many connections as they "
     "may: some were refused or closed."};
+inline constexpr Event kProcessDelayed{
+    111, Level::kWarning, "process-delayed",
+    "The process did not get to its work for a while: it was busy, or the "
+    "machine stood still."};
 inline constexpr Event kDocumentInForce{
     201, Level::kInfo, "document-in-force",
     "A revision of a document took effect."};
@@ -189,6 +193,9 @@
 inline constexpr Event kCallCut{
     515, Level::kWarning, "call-cut",
     "A call was in progress when a planned stop ended and was cut."};
+inline constexpr Event kCallerLeft{
+    516, Level::kInfo, "caller-left",
+    "The connection of a caller ended before its call did."};
 inline constexpr Event kOrderSent{601, Level::kInfo, "order-sent",
                                   "The agent sent its endpoint an order."};
 inline constexpr Event kOrderRefused{602, Level::kWarning, "order-refused",
--- a/include/radishrudder/serving/call_journal.h
+++ b/include/radishrudder/serving/call_journal.h
@@ -17,6 +17,13 @@
 
 namespace radishrudder::serving {
 
+// What the connections of a call showed when its caller left.
+struct CallerConnections {
+  std::size_t bytes_behind = 0;  // Of the caller's further requests.
+  // Of the request, on the connection to the endpoint.
+  std::size_t unacknowledged_bytes = 0;
+};
+
 // Logs the outcomes of calls and attempts and counts them in metrics. The log
 // is bounded under load: only a sample of the successes is logged, and lines
 // beyond a maximum rate are suppressed and counted.
@@ -30,6 +37,12 @@
   void RecordCut(kernel::Time now,
                  const direct::CallRecord& record,
                  std::chrono::milliseconds after_stop);
+  // A call whose caller left before it ended.
+  void RecordCallerLeft(kernel::Time now,
+                        const direct::CallRecord& record,
+                        const CallerConnections& connections);
+  // The process did not get to its work for this long.
+  void RecordDelay(std::chrono::milliseconds delay);
   void RecordPause(kernel::Time now, const direct::EndpointPaused& pause);
   void RecordLeaving(kernel::Time now, const direct::EndpointLeaves& leaves);
   void RecordLimit(kernel::Time now, const direct::EndpointLimited& limit);
@@ -43,9 +56,6 @@
   void RecordCallerMemory(const exchange::MemoryAccount& account);
   void LogFindings(const kernel::Findings& findings);
   void CountStoreEra() { m_metrics.Count("radishrudder_store_eras_total", {}); }
-  void CountCallerDisconnected() {
-    m_metrics.Count("radishrudder_callers_gone_total", {});
-  }
   std::string MetricsText() const { return m_metrics.PrometheusText(); }
 
  private:
--- a/include/radishrudder/serving/call_session.h
+++ b/include/radishrudder/serving/call_session.h
@@ -47,7 +47,7 @@
         m_request(std::move(request)),
         m_caller(std::move(caller)) {}
 
-  exchange::CallerExchange& Caller() { return *m_caller; }
+  exchange::CallerExchange& Caller() const { return *m_caller; }
   const direct::CallerRequest& Request() const { return *m_request; }
 
   void Send(exchange::EndpointPool& pool, const direct::SendAttempt& attempt) {
@@ -62,6 +62,11 @@
                m_request->method == "HEAD", *this);
   }
   void Cancel(exchange::EndpointPool& pool) { pool.Cancel(m_exchange); }
+  // Bytes of the attempt in progress that the endpoint's system has not
+  // acknowledged.
+  std::size_t UnacknowledgedBytes(const exchange::EndpointPool& pool) const {
+    return pool.UnacknowledgedBytes(m_exchange);
+  }
   // Lets the endpoint wait until the caller has read more of the answer.
   void PauseReading(exchange::EndpointPool& pool) {
     m_paused = true;
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -332,7 +332,6 @@
       return;
     }
     caller->OnDisconnected([this, id] {
-      m_journal.CountCallerDisconnected();
       m_core.OnCallerDisconnected(kernel::Now(), id);
       TakeOutputs();
       m_sessions.erase(id);
@@ -450,7 +449,20 @@
     }
   }
   void Execute(direct::CallRecord& output) {
-    m_journal.Record(kernel::Now(), output);
+    if (output.kind == direct::CallRecord::Kind::kCallerLeft) {
+      RecordCallerLeft(output);
+    } else {
+      m_journal.Record(kernel::Now(), output);
+    }
+  }
+  // Precedes the end of the attempt in progress.
+  void RecordCallerLeft(const direct::CallRecord& record) {
+    CallerConnections connections;
+    if (const Session* session = Find(record.call)) {
+      connections.bytes_behind = session->Caller().BytesBehind();
+      connections.unacknowledged_bytes = session->UnacknowledgedBytes(m_pool);
+    }
+    m_journal.RecordCallerLeft(kernel::Now(), record, connections);
   }
   void Execute(direct::RequestBlocked& output) {
     logging::Log(logging::kRequestBlocked, {{"instance", m_settings.entry.name},
@@ -851,6 +863,11 @@
 
   void Tick() {
     const kernel::Time now = kernel::Now();
+    if (m_tick_due) {
+      m_journal.RecordDelay(
+          std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                                *m_tick_due));
+    }
     m_core.OnEntryCount(m_peers.KnownPeers() + 1);
     m_core.OnTick(now);
     TakeOutputs();
@@ -879,6 +896,7 @@
       return;
     }
     m_tick.expires_after(kTickInterval);
+    m_tick_due = m_tick.expiry();
     m_tick.async_wait([this](std::error_code error) {
       if (!error) {
         Tick();
@@ -1001,6 +1019,7 @@
   asio::steady_timer m_tick;
   kernel::Random m_random;
   kernel::Time m_next_maintenance{};
+  std::optional<kernel::Time> m_tick_due;
   std::optional<kernel::Time> m_stop_started;
   kernel::Time m_stop_ends_at{};         // If a stop has started.
   std::uint64_t m_received_in_stop = 0;  // Requests.
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -86,6 +86,20 @@
   return "none";
 }
 
+std::string_view ToText(CallStage stage) {
+  switch (stage) {
+    case CallStage::kWaiting:
+      return "waiting";
+    case CallStage::kConnecting:
+      return "connecting";
+    case CallStage::kSent:
+      return "sent";
+    case CallStage::kAnswering:
+      return "answering";
+  }
+  return "waiting";
+}
+
 Entry::Entry(EntrySettings settings, kernel::Random random)
     : m_state(std::make_unique<State>(std::move(settings), random)) {}
 
@@ -262,6 +276,7 @@
   if (call == nullptr) {
     return;
   }
+  m_state->RecordCallerLeft(now, *call);
   if (call->attempt) {
     m_state->Emit(CancelAttempt{id});
     if (call->attempt->sent) {
--- a/source/radishrudder/direct/entry_attempts.cc
+++ b/source/radishrudder/direct/entry_attempts.cc
@@ -164,6 +164,19 @@
   Emit(std::move(record));
 }
 
+void Entry::State::RecordCallerLeft(kernel::Time now, const Call& call) {
+  CallRecord record = MakeRecord(now, call);
+  record.kind = CallRecord::Kind::kCallerLeft;
+  if (call.attempt && call.attempt->sent) {
+    record.stage =
+        call.response_started ? CallStage::kAnswering : CallStage::kSent;
+    record.sent_for = ToMilliseconds(now - call.attempt->sent_at);
+  } else if (call.attempt) {
+    record.stage = CallStage::kConnecting;
+  }
+  Emit(std::move(record));
+}
+
 const std::string& Entry::State::DigestOf(Call& call) {
   if (call.digest.empty()) {
     call.digest = RequestDigest(*call.request, call.workspace);
@@ -540,6 +553,7 @@
     return;
   }
   call->attempt->sent = true;
+  call->attempt->sent_at = now;
   ++call->attempts;
   m_state->Pool(call->service)
       .OnSent(now, m_state->RunOf(*call->attempt), m_state->ViewOf(now, *call));
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -28,6 +28,7 @@
   bool sent = false;                // Bytes may have been sent.
   std::uint64_t model_version = 0;  // Of the endpoint when it was selected.
   kernel::Time started{};
+  kernel::Time sent_at{};
   kernel::Duration first_byte{};
   // Start of the attempt, or arrival of the last complete event.
   kernel::Time last_progress{};
@@ -208,6 +209,7 @@
                      CallRecord::Kind kind,
                      int status,
                      Reason reason);
+  void RecordCallerLeft(kernel::Time now, const Call& call);
   // `available_after`: time until an endpoint is expected to take calls.
   std::chrono::milliseconds RetryAfter(Reason reason,
                                        kernel::Duration available_after = {});
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -192,6 +192,10 @@
         connection->m_gone = std::move(handler);
       }
     }
+    std::size_t BytesBehind() const override {
+      const auto connection = m_connection.lock();
+      return connection ? connection->m_incoming.size() : 0;
+    }
     std::size_t BytesWaiting() const override {
       const auto connection = m_connection.lock();
       return connection ? connection->UnsentBytes() : 0;
--- a/source/radishrudder/exchange/endpoint_pool.cc
+++ b/source/radishrudder/exchange/endpoint_pool.cc
@@ -88,6 +88,10 @@
     });
   }
 
+  std::size_t UnacknowledgedRequestBytes() {
+    return m_open ? exchange::UnacknowledgedBytes(m_socket) : 0;
+  }
+
   void PauseReading() { m_paused = true; }
   void ResumeReading() {
     m_paused = false;
@@ -399,6 +403,12 @@
   connection->Start(exchange, std::move(request), head_only, listener);
 }
 
+std::size_t EndpointPool::UnacknowledgedBytes(ExchangeId exchange) const {
+  const auto found = m_active.find(exchange);
+  return found == m_active.end() ? 0
+                                 : found->second->UnacknowledgedRequestBytes();
+}
+
 void EndpointPool::Cancel(ExchangeId exchange) {
   const auto found = m_active.find(exchange);
   if (found == m_active.end()) {
--- a/source/radishrudder/exchange/socket_options.cc
+++ b/source/radishrudder/exchange/socket_options.cc
@@ -1,7 +1,9 @@
 #include "source/radishrudder/exchange/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <charconv>
@@ -99,4 +101,11 @@
             static_cast<int>(bytes));
 }
 
+std::size_t UnacknowledgedBytes(asio::ip::tcp::socket& socket) {
+  int bytes = 0;
+  return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0
+             ? static_cast<std::size_t>(bytes)
+             : 0;
+}
+
 }  // namespace radishrudder::exchange
--- a/source/radishrudder/serving/call_journal.cc
+++ b/source/radishrudder/serving/call_journal.cc
@@ -16,6 +16,8 @@
 // One of this many successes is logged.
 constexpr std::uint64_t kSuccessSampleInterval = 64;
 constexpr int kFirstError = 400;
+// Delays of the process from here on are logged.
+constexpr std::chrono::milliseconds kLoggedDelay{250};
 
 const logging::Event& EventOf(const direct::CallRecord& record) {
   switch (record.kind) {
@@ -23,6 +25,8 @@
       return logging::kAttemptFailed;
     case direct::CallRecord::Kind::kAttemptRefused:
       return logging::kAttemptRefused;
+    case direct::CallRecord::Kind::kCallerLeft:
+      return logging::kCallerLeft;
     case direct::CallRecord::Kind::kEnded:
       break;
   }
@@ -89,6 +93,41 @@
                  std::to_string(std::exchange(m_suppressed_lines, 0))}});
 }
 
+void CallJournal::RecordCallerLeft(kernel::Time now,
+                                   const direct::CallRecord& record,
+                                   const CallerConnections& connections) {
+  const std::string stage(direct::ToText(record.stage));
+  m_metrics.Count("radishrudder_callers_gone_total",
+                  {{"service", record.service}, {"stage", stage}});
+  if (!TryTakeLine(now)) {
+    return;
+  }
+  logging::Log(logging::kCallerLeft,
+               {{"id", record.attempt_id},
+                {"route", record.route},
+                {"service", record.service},
+                {"endpoint", record.endpoint},
+                {"stage", stage},
+                {"attempts", std::to_string(record.attempts)},
+                {"elapsed_ms", std::to_string(record.elapsed.count())},
+                {"sent_ms", std::to_string(record.sent_for.count())},
+                {"unacknowledged_bytes",
+                 std::to_string(connections.unacknowledged_bytes)},
+                {"bytes_behind", std::to_string(connections.bytes_behind)},
+                {"lines_left_out",
+                 std::to_string(std::exchange(m_suppressed_lines, 0))}});
+}
+
+void CallJournal::RecordDelay(std::chrono::milliseconds delay) {
+  m_metrics.Observe("radishrudder_process_delay_seconds", {},
+                    std::chrono::duration<double>(delay).count());
+  if (delay >= kLoggedDelay) {
+    logging::Log(logging::kProcessDelayed,
+                 {{"instance", m_instance},
+                  {"delay_ms", std::to_string(delay.count())}});
+  }
+}
+
 void CallJournal::RecordPause(kernel::Time now,
                               const direct::EndpointPaused& pause) {
   m_metrics.Count("radishrudder_endpoint_pauses_total",
--- a/tests/serving/call_journal_test.cc
+++ b/tests/serving/call_journal_test.cc
@@ -2,8 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <string>
 
+#include "radishrudder/kernel/boot_time.h"
+
 namespace radishrudder::serving {
 namespace {
 
@@ -43,6 +46,31 @@
   EXPECT_TRUE(HasLine(journal, "radishrudder_data_centres_evacuated 0"));
 }
 
+// Guards against departures of callers of which nobody can tell whether their
+// requests were sent on.
+TEST(CallJournalTest, CountsCallersThatLeftByStage) {
+  CallJournal journal("n-1");
+  direct::CallRecord record{.kind = direct::CallRecord::Kind::kCallerLeft};
+  record.service = "draft";
+  for (const direct::CallStage stage :
+       {direct::CallStage::kWaiting, direct::CallStage::kSent,
+        direct::CallStage::kSent}) {
+    record.stage = stage;
+    journal.RecordCallerLeft(kernel::Now(), record, {});
+  }
+  const std::string name = "radishrudder_callers_gone_total";
+  EXPECT_TRUE(
+      HasLine(journal, name + R"({service="draft",stage="waiting"} 1)"));
+  EXPECT_TRUE(HasLine(journal, name + R"({service="draft",stage="sent"} 2)"));
+}
+
+// Guards against delays of the process that no metric shows.
+TEST(CallJournalTest, ObservesDelaysOfTheProcess) {
+  CallJournal journal("n-1");
+  journal.RecordDelay(std::chrono::milliseconds(1500));
+  EXPECT_TRUE(HasLine(journal, "radishrudder_process_delay_seconds_sum 1.5"));
+}
+
 // Guards against an error of 0 before there is an answer to compare with.
 TEST(CallJournalTest, MetricsHaveNoErrorWithoutAnswers) {
   CallJournal journal("n-1");
