--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -33,6 +33,7 @@
 // More than the buffers of two sockets hold.
 constexpr std::size_t kLargeBytes = 32U << 20U;
 constexpr std::size_t kMediumBytes = 4U << 20U;
+constexpr int kUnavailable = 503;
 constexpr std::size_t kPrefixSize = 3;  // Of a route, such as "/t/".
 
 std::string FreeAddress(asio::io_context& context, const std::string& ip) {
@@ -313,7 +314,11 @@
   head.headers.push_back(
       {std::string(kAttemptId),
        std::string(http::FindHeader(request.head.headers, kAttemptId))});
-  NoteRun(head.headers.back().value);
+  const std::string attempt_id = head.headers.back().value;
+  const auto note_ended = [this, attempt_id, run = NoteRun(attempt_id)] {
+    NoteRunEnded(attempt_id, run);
+  };
+  caller->OnDisconnected(note_ended);
   if (!m_endpoint_settings.load_header.empty()) {
     head.headers.push_back(
         {"Radishrudder-Instance-Load", m_endpoint_settings.load_header});
@@ -325,51 +330,79 @@
   if (target.starts_with("/t/") || target.starts_with("/u/")) {
     head.headers.push_back({"Content-Type", "text/event-stream"});
     caller->Begin(head);
-    StreamEvents(caller, /*event=*/1, kernel::Now() + time());
+    StreamEvents(caller, /*event=*/1, kernel::Now() + time(), note_ended);
     return;
   }
+  if (target.ends_with("?refuse")) {
+    head.status = kUnavailable;
+    head.headers.push_back({"Radishrudder-Not-Executed", "1"});
+  }
   ReplyLater(target.starts_with("/n/") ? time() : kServiceTime, caller,
              std::move(head),
              target.ends_with("?large") ? std::string(kLargeBytes, 'x')
              : target.ends_with("?4MB") ? std::string(kMediumBytes, 'x')
-                                        : std::string("done"));
+                                        : std::string("done"),
+             note_ended);
 }
 
-void PlatformStandin::NoteRun(const std::string& attempt_id) {
+std::size_t PlatformStandin::NoteRun(const std::string& attempt_id) {
   const std::lock_guard lock(m_runs_mutex);
-  ++m_runs[attempt_id];
+  std::vector<StandinRun>& runs = m_runs[attempt_id];
+  runs.push_back({.began = std::chrono::steady_clock::now()});
+  return runs.size() - 1;
 }
 
-int PlatformStandin::Runs(const std::string& attempt_id) const {
+void PlatformStandin::NoteRunEnded(const std::string& attempt_id,
+                                   std::size_t run) {
+  const std::lock_guard lock(m_runs_mutex);
+  std::optional<std::chrono::steady_clock::time_point>& ended =
+      m_runs[attempt_id][run].ended;
+  ended = ended.value_or(std::chrono::steady_clock::now());
+}
+
+std::vector<StandinRun> PlatformStandin::RunsOf(
+    const std::string& attempt_id) const {
   const std::lock_guard lock(m_runs_mutex);
   const auto found = m_runs.find(attempt_id);
-  return found == m_runs.end() ? 0 : found->second;
+  return found == m_runs.end() ? std::vector<StandinRun>() : found->second;
+}
+
+int PlatformStandin::Runs(const std::string& attempt_id) const {
+  return static_cast<int>(RunsOf(attempt_id).size());
 }
 
 void PlatformStandin::StreamEvents(const Exchange& caller,
                                    int event,
-                                   kernel::Time end) {
+                                   kernel::Time end,
+                                   const std::function<void()>& done) {
   caller->Write("id: " + std::to_string(event) + "\ndata: x\n\n");
   const kernel::Time now = kernel::Now();
   if (now >= end) {
     caller->Finish();
+    done();
     return;
   }
   const auto timer = std::make_shared<asio::steady_timer>(
       m_context, std::min<kernel::Duration>(end - now, kEventInterval));
-  timer->async_wait([this, timer, caller, event, end](std::error_code) {
-    StreamEvents(caller, event + 1, end);
+  timer->async_wait([this, timer, caller, event, end, done](std::error_code) {
+    StreamEvents(caller, event + 1, end, done);
   });
 }
 
 void PlatformStandin::ReplyLater(milliseconds delay,
                                  const Exchange& caller,
                                  exchange::AnswerHead head,
-                                 std::string body) {
+                                 std::string body,
+                                 std::function<void()> done) {
   const auto timer = std::make_shared<asio::steady_timer>(m_context, delay);
-  timer->async_wait(
-      [timer, caller, head = std::move(head),
-       body = std::move(body)](std::error_code) { caller->Reply(head, body); });
+  timer->async_wait([timer, caller, head = std::move(head),
+                     body = std::move(body),
+                     done = std::move(done)](std::error_code) {
+    caller->Reply(head, body);
+    if (done) {
+      done();
+    }
+  });
 }
 
 StandinCaller::~StandinCaller() {
--- a/tests/platform/platform_standin.h
+++ b/tests/platform/platform_standin.h
@@ -5,9 +5,11 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -46,11 +48,19 @@
   kNoAnswer
 };
 
+// One execution of a call by the stand-in's endpoint.
+struct StandinRun {
+  std::chrono::steady_clock::time_point began{};
+  // When the endpoint answered, or noticed that the connection had ended.
+  std::optional<std::chrono::steady_clock::time_point> ended{};
+};
+
 // The platform's store with one configuration and one endpoint, and this
 // endpoint, on a thread of their own. Calls of /s/ are plain; a call of /t/MS
 // is answered with a stream of events that takes MS milliseconds. Calls of
 // /n/MS, answered after this time, and streams of /u/MS may not be repeated.
-// The answer to /n/MS?large is of 32 MB, that to /n/MS?4MB of 4 MB.
+// The answer to /n/MS?large is of 32 MB, that to /n/MS?4MB of 4 MB;
+// /n/MS?refuse is refused as not executed.
 class PlatformStandin {
  public:
   // `more_entries`: other entries of the store. `watch_bodies`: bodies of the
@@ -74,6 +84,7 @@
   const std::string& EndpointAddress() const { return m_endpoint_address; }
   // How often the endpoint has begun to run the call with this id.
   int Runs(const std::string& attempt_id) const;
+  std::vector<StandinRun> RunsOf(const std::string& attempt_id) const;
 
  private:
   using Exchange = std::shared_ptr<exchange::CallerExchange>;
@@ -98,12 +109,19 @@
                    const Exchange& caller);
   void AnswerCall(const exchange::ReceivedRequest& request,
                   const Exchange& caller);
-  void NoteRun(const std::string& attempt_id);
-  void StreamEvents(const Exchange& caller, int event, kernel::Time end);
+  // Returns the number of the run among those of the attempt.
+  std::size_t NoteRun(const std::string& attempt_id);
+  void NoteRunEnded(const std::string& attempt_id, std::size_t run);
+  // `done` is called after the answer's end, also if the caller has gone.
+  void StreamEvents(const Exchange& caller,
+                    int event,
+                    kernel::Time end,
+                    const std::function<void()>& done);
   void ReplyLater(std::chrono::milliseconds delay,
                   const Exchange& caller,
                   exchange::AnswerHead head,
-                  std::string body);
+                  std::string body,
+                  std::function<void()> done = nullptr);
 
   asio::io_context m_context{1};
   exchange::CallerServer m_store;
@@ -121,7 +139,7 @@
   std::uint64_t m_revision = 9;
   std::vector<Change> m_changes;
   mutable std::mutex m_runs_mutex;
-  std::map<std::string, int> m_runs;  // By attempt id.
+  std::map<std::string, std::vector<StandinRun>> m_runs;  // By attempt id.
   std::thread m_thread;
 };
 
