exchange, serving: ask whether the caller is still there before sending on

What callers saw: endpoints worked for callers that had left.

Cause: that a caller has left was learned only by reading its connection on. Its end stands behind the request, so a process that reads late sends the request first; and nothing is read while over 16 KB wait behind a request in progress.

Change: CallSession asks the caller's connection for its end, read or not, right before any request is written to an endpoint: the first attempt, one that waited for a place or for a connection, and each further one pass there. What waits behind a request is read up to 256 KB while half of the memory is free, since the end cannot arrive while a receive buffer is full.

Why it works: the system marks the end of a connection as it arrives, before what stands in front of it is read (POLLRDHUP).

--- a/include/radishrudder/exchange/caller_server.h
+++ b/include/radishrudder/exchange/caller_server.h
@@ -51,6 +51,11 @@
   virtual void Abort() = 0;
   // Called at most once, when the caller leaves before the answer ended.
   virtual void OnDisconnected(std::function<void()> handler) = 0;
+  // Ends the exchange, as if the caller's end had been read, if the caller has
+  // ended the connection. Returns whether it has. What a caller sent before it
+  // left is read before its end, so that a request must not be sent on without
+  // asking.
+  virtual bool EndIfCallerLeft() = 0;
   // Bytes behind the request that have been read from the caller.
   virtual std::size_t BytesBehind() const = 0;
   // Bytes of answers that wait in this process for the caller to read.
@@ -112,7 +117,8 @@
   // Refuses requests of which only a part has arrived. `make_answer` returns
   // the answer to what has been read of one; its body is left out.
   void RefuseIncomplete(const MakeRefusal& make_answer);
-  // Applies the time limits; to be called a few times a second.
+  // Applies the time limits, and looks for the end of connections that are not
+  // read at present; to be called a few times a second.
   void CheckTimes(kernel::Time now);
   std::size_t Connections() const { return m_connections.size(); }
   // Connections on which bytes arrived after the last response was sent; the
--- a/include/radishrudder/exchange/memory_account.h
+++ b/include/radishrudder/exchange/memory_account.h
@@ -75,6 +75,10 @@
   // Bytes that one peer's answer may take while its reading is awaited.
   std::size_t MaximumAnswerBytes() const;
   std::size_t BytesHeld() const { return m_bytes; }
+  // Whether so many bytes more would leave half of the memory free.
+  bool HasSpare(std::size_t bytes) const {
+    return m_bytes + bytes <= m_limits.bytes / 2;
+  }
   std::size_t Connections() const { return m_shares.size(); }
   // Of connections, and of their requests in progress.
   std::size_t Sockets() const { return m_sockets; }
--- a/include/radishrudder/serving/call_session.h
+++ b/include/radishrudder/serving/call_session.h
@@ -80,6 +80,10 @@
 
   void OnSending() override {
     Process& process = m_process;
+    const std::shared_ptr<exchange::CallerExchange> caller = m_caller;
+    if (caller->EndIfCallerLeft()) {
+      return;  // The process has ended the call.
+    }
     process.Core().OnSending(kernel::Now(), m_id);
     process.TakeOutputs();
   }
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -26,8 +26,11 @@
 
 // What a connection takes without a request.
 constexpr std::size_t kConnectionBytes = 8U << 10U;
-// Bytes behind a request in progress that are read before its answer ends.
+// Bytes behind a request in progress that are read before its answer ends: the
+// first in any case, the second while most of the memory is free. The end of a
+// connection arrives behind all that its caller has sent.
 constexpr std::size_t kReadAheadBytes = 16U << 10U;
+constexpr std::size_t kMaximumReadAheadBytes = 256U << 10U;
 // What an answer may grow by until it is asked for again.
 constexpr std::size_t kAnswerStepBytes = 16U << 10U;
 
@@ -97,9 +100,21 @@
       Refuse({kRequestTimeout, {}});
     } else if (IsIdle() && now - m_silent_since >= limits.idle_timeout) {
       Close();
+    } else if (m_read_deferred) {
+      CloseIfPeerEnded();
     }
   }
 
+  // Closes the connection if its caller has ended it, whether or not that has
+  // been read. Returns whether it has.
+  bool CloseIfPeerEnded() {
+    if (!HasPeerEnded(m_socket)) {
+      return false;
+    }
+    Close();
+    return true;
+  }
+
   // Whether a part of a request has been read.
   bool IsIncomplete() const { return m_begun && !m_exchange; }
 
@@ -115,8 +130,9 @@
     if (HasUnsent()) {
       return Revocable::kStalled;
     }
-    return m_exchange && !m_read_deferred ? Revocable::kNothing
-                                          : Revocable::kAll;
+    return m_exchange && m_incoming.size() < kReadAheadBytes
+               ? Revocable::kNothing
+               : Revocable::kAll;
   }
 
   void Revoke(kernel::Time now, Shortage shortage) override {
@@ -192,6 +208,10 @@
         connection->m_gone = std::move(handler);
       }
     }
+    bool EndIfCallerLeft() override {
+      const auto connection = Current();
+      return connection && connection->CloseIfPeerEnded();
+    }
     std::size_t BytesBehind() const override {
       const auto connection = m_connection.lock();
       return connection ? connection->m_incoming.size() : 0;
@@ -238,7 +258,7 @@
   };
 
   void Read() {
-    if (IsAnswering() && m_incoming.size() >= kReadAheadBytes) {
+    if (IsAnswering() && !MayReadAhead()) {
       m_read_deferred = true;
       return;
     }
@@ -268,6 +288,12 @@
         });
   }
 
+  bool MayReadAhead() const {
+    return m_incoming.size() < kReadAheadBytes ||
+           (m_incoming.size() < kMaximumReadAheadBytes &&
+            m_server.m_account.HasSpare(kMaximumReadAheadBytes));
+  }
+
   // Whether the rest of a request that has begun takes too long to arrive.
   bool IsRequestTooSlow(kernel::Time now) const {
     const CallerLimits& limits = m_server.m_limits;
--- a/source/radishrudder/exchange/socket_options.cc
+++ b/source/radishrudder/exchange/socket_options.cc
@@ -3,6 +3,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -101,6 +102,19 @@
             static_cast<int>(bytes));
 }
 
+bool HasPeerEnded(asio::ip::tcp::socket& socket) {
+  pollfd state{
+      .fd = socket.native_handle(), .events = POLLIN | POLLRDHUP, .revents = 0};
+  if (poll(&state, 1, 0) <= 0) {
+    return false;
+  }
+  if ((state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+    return true;
+  }
+  char byte = 0;
+  return recv(state.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 std::size_t UnacknowledgedBytes(asio::ip::tcp::socket& socket) {
   int bytes = 0;
   return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0
--- a/source/radishrudder/exchange/socket_options.h
+++ b/source/radishrudder/exchange/socket_options.h
@@ -32,6 +32,10 @@
 // The same for an open connection whose buffer was smaller so far.
 void EnlargeReceiveBuffer(asio::ip::tcp::socket& socket, std::size_t bytes);
 
+// Returns whether the peer has ended the connection, in order or by a reset,
+// also if there are bytes before the end that have not been read.
+bool HasPeerEnded(asio::ip::tcp::socket& socket);
+
 // Returns the bytes that were written and that the peer's system has not
 // acknowledged; 0 if that is not known.
 std::size_t UnacknowledgedBytes(asio::ip::tcp::socket& socket);
--- a/tests/exchange/caller_server_test.cc
+++ b/tests/exchange/caller_server_test.cc
@@ -105,6 +105,68 @@
             "3\r\ntwo\r\n0\r\n\r\n");
 }
 
+// Guards against a request that is sent on although the end of its caller's
+// connection has arrived behind it.
+TEST_F(ServerTest, TellsThatCallerLeftBeforeItsEndIsRead) {
+  Write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  EXPECT_FALSE(m_exchanges[0]->EndIfCallerLeft());
+  Write("GET /3 HTTP/1.1\r\n\r\n");
+  m_client.close();
+  bool gone = false;
+  m_exchanges[0]->OnDisconnected([&gone] { gone = true; });
+  EXPECT_TRUE(m_exchanges[0]->EndIfCallerLeft());
+  EXPECT_TRUE(gone);
+  EXPECT_EQ(m_server.Connections(), 0U);
+}
+
+struct BehindCase {
+  const char* name;
+  std::size_t bytes;
+  bool reset;
+};
+
+class BehindTest : public ServerTest,
+                   public testing::WithParamInterface<BehindCase> {};
+
+// Guards against a caller that is not seen to leave since nothing of its
+// connection is read while much waits behind its request in progress.
+TEST_P(BehindTest, CallerIsSeenToLeave) {
+  Write("GET /1 HTTP/1.1\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  bool gone = false;
+  m_exchanges[0]->OnDisconnected([&gone] { gone = true; });
+  const std::string behind(GetParam().bytes, 'x');
+  std::error_code full;
+  std::size_t sent = 0;
+  while (sent < behind.size() && !full) {
+    sent += m_client.write_some(asio::buffer(behind) + sent, full);
+    m_context.restart();
+    m_context.poll();
+  }
+  EXPECT_FALSE(gone);
+  if (GetParam().reset) {
+    m_client.set_option(asio::socket_base::linger(true, 0));
+  }
+  m_client.close();
+  EXPECT_TRUE(PollUntil([&] {
+    m_server.CheckTimes(kernel::Now());
+    return gone;
+  }));
+  EXPECT_EQ(m_requests.size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    BehindTest,
+    testing::Values(BehindCase{"Nothing", 0, false},
+                    BehindCase{"Kilobytes", 48000, false},
+                    BehindCase{"KilobytesReset", 48000, true},
+                    BehindCase{"Hundreds", 200000, false},
+                    BehindCase{"MoreThanIsRead", 400000, false},
+                    BehindCase{"MoreThanIsReadReset", 400000, true}),
+    [](const auto& info) { return info.param.name; });
+
 // An answer that is broken off must not look complete.
 TEST_F(ServerTest, AbortEndsWithoutTheLastChunk) {
   Write("GET / HTTP/1.1\r\n\r\n");
