http: one place decides what is a response, and when it is complete

Statuses beyond 599 and versions that do not exist were passed on, as was a head with a blank in or before a field's name or a line that goes on; with status 000, 099 or 20 the caller waited to its deadline.

Cause: each reader had rules of its own, those of its parser library. The library is lenient with heads. The error of the write was only used to not keep the connection, and the read behind it saw a plain end, which completes a body without a length.

Change: http::ResponseHeadCheck and http::CompletesResponse decide it for all: MessageReader (answers of endpoints, of the store, the origin and peers) and ClientTransfer (the daemons). A body that the connection's end ends is complete only if the connection ended in order and the whole request was written before. Two lengths, a length with chunks, and transfer codings other than chunks are refused by both; the daemons' client took them. It now also takes a response whose length is reached before the request is written.

--- a/include/radishrudder/exchange/message_reader.h
+++ b/include/radishrudder/exchange/message_reader.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "radishrudder/http/header.h"
+#include "radishrudder/http/response_rules.h"
 
 namespace radishrudder::exchange {
 
@@ -57,8 +58,8 @@
   // answers a HEAD request.
   void Reset(bool head_only = false);
   ReadProgress Feed(std::string_view bytes);
-  // The connection ended in order. Returns kComplete if that ends the body.
-  ReadState OnEnd();
+  // The connection ended. Returns kComplete if that ends the body.
+  ReadState OnEnd(const http::ConnectionEnd& end = {});
 
   bool HeadComplete() const;
   const RequestHead& Request() const;
--- a/source/radishrudder/exchange/endpoint_pool.cc
+++ b/source/radishrudder/exchange/endpoint_pool.cc
@@ -188,13 +188,10 @@
     asio::async_write(
         m_socket, parts,
         [self = shared_from_this()](std::error_code error, std::size_t) {
-          self->m_writing = false;
           self->m_request = {};
-          if (error && self->m_listener != nullptr) {
-            // An answer may have come before the connection broke: the read
-            // decides.
-            self->m_keep = false;
-          }
+          // An answer may have come before the connection broke: the read
+          // decides. The request stays unwritten.
+          self->m_writing = static_cast<bool>(error);
         });
   }
 
@@ -317,8 +314,9 @@
 
   void OnBroken(bool in_order) {
     const auto self = shared_from_this();
-    if (in_order && !m_foreign && m_head_taken &&
-        m_reader.OnEnd() == ReadState::kComplete) {
+    if (!m_foreign && m_head_taken &&
+        m_reader.OnEnd({.in_order = in_order, .request_written = !m_writing}) ==
+            ReadState::kComplete) {
       if (HandOver()) {
         m_keep = false;
         Finish(false);
@@ -352,7 +350,7 @@
   ReservationId m_reservation = 0;  // 0: not reserved.
   AnswerListener* m_listener = nullptr;
   bool m_open = false;
-  bool m_writing = false;
+  bool m_writing = false;  // The request is not written whole.
   bool m_head_only = false;
   bool m_head_taken = false;
   bool m_foreign = false;
--- a/source/radishrudder/exchange/message_reader.cc
+++ b/source/radishrudder/exchange/message_reader.cc
@@ -9,8 +9,6 @@
 namespace radishrudder::exchange {
 namespace {
 
-constexpr int kFirstFinalStatus = 200;
-constexpr int kSwitchingProtocols = 101;
 // Bytes of a response's head and of the interim responses before it. The parser
 // itself allows 80 KiB for each of them.
 constexpr std::size_t kMaximumResponseHeadBytes = 256U << 10U;
@@ -82,7 +80,7 @@
     if (parser->content_length != kUnknownLength && !state.response.chunked) {
       state.response.length = parser->content_length;
     }
-    state.interim = state.response.status < kFirstFinalStatus;
+    state.interim = http::IsInterim(state.response.status);
     state.head_complete = !state.interim;
     return state.head_only && !state.interim ? kNoBody : 0;
   }
@@ -123,6 +121,7 @@
 
   Kind kind;
   http_parser parser{};
+  http::ResponseHeadCheck head;  // Of a response.
   RequestHead request;
   ResponseHead response;
   ByteBlocks body;
@@ -149,6 +148,7 @@
   http_parser_init(&state.parser,
                    state.kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   state.parser.data = &state;
+  state.head.Reset();
   Free(state.request.target);
   state.request = {};
   state.response = {};
@@ -167,6 +167,9 @@
 ReadProgress MessageReader::Feed(std::string_view bytes) {
   State& state = *m_state;
   ReadProgress progress;
+  if (state.kind == Kind::kResponse) {
+    state.malformed |= state.head.Feed(bytes) == http::HeadState::kMalformed;
+  }
   if (!state.complete && !state.malformed) {
     const bool head_was_complete = state.head_complete;
     progress.consumed = http_parser_execute(&state.parser, &State::Callbacks(),
@@ -175,14 +178,12 @@
       state.head_bytes += progress.consumed - state.body.Size();
     }
     const http_errno error = HTTP_PARSER_ERRNO(&state.parser);
-    const bool switched = state.kind == Kind::kResponse &&
-                          state.parser.status_code == kSwitchingProtocols;
     // The parser limits each head, but not the number of interim responses.
     const bool head_too_large = state.kind == Kind::kResponse &&
                                 !state.head_complete &&
                                 state.head_bytes > kMaximumResponseHeadBytes;
     state.malformed =
-        switched || head_too_large || (error != HPE_OK && error != HPE_PAUSED);
+        head_too_large || (error != HPE_OK && error != HPE_PAUSED);
   }
   if (state.malformed) {
     progress.state = ReadState::kMalformed;
@@ -194,12 +195,13 @@
   return progress;
 }
 
-ReadState MessageReader::OnEnd() {
+ReadState MessageReader::OnEnd(const http::ConnectionEnd& end) {
   State& state = *m_state;
   if (state.complete) {
     return ReadState::kComplete;
   }
-  if (!state.head_complete || state.malformed) {
+  if (!state.head_complete || state.malformed ||
+      !http::CompletesResponse(end)) {
     return ReadState::kMalformed;
   }
   http_parser_execute(&state.parser, &State::Callbacks(), nullptr, 0);
--- a/source/radishrudder/http/client_transfer.cc
+++ b/source/radishrudder/http/client_transfer.cc
@@ -10,11 +10,11 @@
 namespace radishrudder::http {
 namespace {
 
-constexpr int kFirstFinalStatus = 200;
 // Of the heads of an answer and of the interim answers before it, and of
 // trailers.
 constexpr std::size_t kMaximumHeadBytes = 256U << 10U;
 constexpr std::string_view kWhitespace = " \t\r\n";
+constexpr std::string_view kStatusLineStart = "HTTP/";
 
 // Sets an option of the right type; only a lack of memory can make it fail.
 template <typename Value>
@@ -33,18 +33,6 @@
   return text.substr(first, last - first + 1);
 }
 
-// Parses "HTTP/1.1 200 OK".
-int ParseStatusLine(std::string_view line) {
-  const auto space = line.find(' ');
-  if (space == std::string_view::npos) {
-    return 0;
-  }
-  const std::string_view rest = line.substr(space + 1);
-  int status = 0;
-  std::from_chars(rest.data(), rest.data() + rest.size(), status);
-  return status;
-}
-
 // libcurl sends a request again by itself if a kept connection breaks before
 // the answer begins. Only these methods allow that.
 bool MayBeSentAgain(std::string_view method) {
@@ -140,22 +128,28 @@
     m_too_large = true;
     return false;
   }
-  if (line.starts_with("HTTP/")) {
-    m_status = ParseStatusLine(line);
+  if (m_head.State() == HeadState::kComplete) {
+    return true;  // Trailers are read and left out.
+  }
+  switch (m_head.Feed(line)) {
+    case HeadState::kMalformed:
+      return false;
+    case HeadState::kComplete:
+      if (m_handlers.on_head) {
+        m_handlers.on_head(m_head.Status(), std::exchange(m_headers, {}));
+      }
+      return true;
+    case HeadState::kIncomplete:
+      break;
+  }
+  // After the empty line that ends an interim response, the next head begins.
+  const auto colon = line.find(':');
+  if (Trim(line).empty()) {
     m_headers.clear();
-    return true;
-  }
-  if (const auto colon = line.find(':'); colon != std::string_view::npos) {
+  } else if (!line.starts_with(kStatusLineStart) &&
+             colon != std::string_view::npos) {
     m_headers.push_back({std::string(Trim(line.substr(0, colon))),
                          std::string(Trim(line.substr(colon + 1)))});
-    return true;
-  }
-  if (!Trim(line).empty() || m_status < kFirstFinalStatus) {
-    return true;
-  }
-  m_head_complete = true;
-  if (m_handlers.on_head) {
-    m_handlers.on_head(m_status, std::exchange(m_headers, {}));
   }
   return true;
 }
@@ -172,22 +166,42 @@
   return true;
 }
 
+bool ClientTransfer::IsComplete(CURLcode code) const {
+  if (m_head.State() != HeadState::kComplete) {
+    return false;  // libcurl takes some heads that end early for whole ones.
+  }
+  const bool has_body = m_request.method != "HEAD";
+  if (has_body && m_head.End() == BodyEnd::kConnectionEnd) {
+    curl_off_t written = 0;
+    curl_easy_getinfo(m_easy.get(), CURLINFO_SIZE_UPLOAD_T, &written);
+    return CompletesResponse(
+        {.in_order = code == CURLE_OK,
+         .request_written =
+             static_cast<std::size_t>(written) == m_request.body.size()});
+  }
+  // A response may be whole before the request is written.
+  return code == CURLE_OK || (code == CURLE_SEND_ERROR && has_body &&
+                              m_head.StatedLength() == m_body_bytes);
+}
+
 std::error_code ClientTransfer::ErrorOf(CURLcode code) const {
   if (m_too_large) {
     return std::make_error_code(std::errc::message_size);
   }
+  if (m_head.State() == HeadState::kMalformed) {
+    return std::make_error_code(std::errc::bad_message);
+  }
   long system_error = 0;
   curl_easy_getinfo(m_easy.get(), CURLINFO_OS_ERRNO, &system_error);
   return TranslateCurlError(code, system_error);
 }
 
 void ClientTransfer::Finish(CURLcode code) {
-  // libcurl takes a connection that closes within the head for the end of a
-  // response without a body.
-  if (code == CURLE_OK && !m_head_complete) {
-    code = CURLE_RECV_ERROR;
+  if (IsComplete(code)) {
+    FinishWith({});
+  } else {
+    FinishWith(ErrorOf(code == CURLE_OK ? CURLE_RECV_ERROR : code));
   }
-  FinishWith(ErrorOf(code));
 }
 
 void ClientTransfer::FinishWith(std::error_code error) {
@@ -195,7 +209,7 @@
   m_handlers = {};
   if (on_done) {
     on_done({.error = error,
-             .status = m_status,
+             .status = m_head.Status(),
              .may_have_been_sent = m_connected});
   }
 }
--- a/source/radishrudder/http/client_transfer.h
+++ b/source/radishrudder/http/client_transfer.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "radishrudder/http/client.h"
+#include "radishrudder/http/response_rules.h"
 
 namespace radishrudder::http {
 
@@ -37,9 +38,11 @@
   void ConfigureMethod();
   void ConfigureHeaders();
   void AddHeaderLine(const std::string& line);
-  // Returns false if the head is too large.
+  // Returns false if the head is too large or malformed.
   bool TakeHeaderLine(std::string_view line);
   bool TakeData(std::string_view data);
+  // Whether the response is whole, at the end that libcurl gave.
+  bool IsComplete(CURLcode code) const;
   std::error_code ErrorOf(CURLcode code) const;
 
   static std::size_t OnHeader(char* data,
@@ -61,8 +64,7 @@
   std::unique_ptr<CURL, CloseEasy> m_easy;
   std::unique_ptr<curl_slist, FreeList> m_header_lines;
   std::vector<Header> m_headers;
-  int m_status = 0;
-  bool m_head_complete = false;  // Of the final response.
+  ResponseHeadCheck m_head;
   std::size_t m_body_bytes = 0;
   std::size_t m_head_bytes = 0;
   bool m_connected = false;
