exchange: reset a connection whose answer without framing is broken off

What callers saw: an answer to an HTTP/1.0 request has neither length nor chunks and ends with its connection.

Such a connection is reset now.

ServerTest.AbortOfAnswerWithoutFramingResets failed before: end of file instead of a reset. AnswerWithoutFramingEndsInOrder passed before.

--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -159,6 +159,10 @@
     }
     const auto self = shared_from_this();
     std::error_code ignored;
+    if (m_exchange && m_ends_with_connection) {
+      // An end in order would complete the answer.
+      m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     m_socket.close(ignored);
     m_share.Close();
     m_server.m_connections.erase(self);
@@ -487,6 +491,7 @@
     std::string text;
     if (!m_chunked_ok) {
       m_keep = false;
+      m_ends_with_connection = true;
     }
     AppendHead(head, text);
     if (m_chunked_ok) {
@@ -651,9 +656,10 @@
   bool m_chunked_ok = true;
   bool m_head_only = false;
   bool m_writing = false;
-  bool m_ending = false;         // Close once everything is written.
-  bool m_refusing = false;       // A request was refused unread.
-  bool m_dropping = false;       // Bytes arrived that are not read.
+  bool m_ends_with_connection = false;  // The answer, which has begun.
+  bool m_ending = false;                // Close once everything is written.
+  bool m_refusing = false;              // A request was refused unread.
+  bool m_dropping = false;              // Bytes arrived that are not read.
   bool m_read_deferred = false;  // The next read begins after the answer.
   bool m_revoked = false;        // The connection is about to be closed.
   MemoryShare m_share;
--- a/tests/exchange/caller_server_test.cc
+++ b/tests/exchange/caller_server_test.cc
@@ -186,6 +186,31 @@
   EXPECT_EQ(m_server.Connections(), 0U);
 }
 
+// Guards against the same where the answer has no framing, as for HTTP/1.0: only
+// a reset tells its caller that the end is not the answer's.
+TEST_F(ServerTest, AbortOfAnswerWithoutFramingResets) {
+  Write("GET / HTTP/1.0\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  m_exchanges[0]->Begin({200, {}});
+  m_exchanges[0]->Write("part");
+  ReadUntil("part");
+  m_exchanges[0]->Abort();
+  ReadUntil("never");
+  EXPECT_EQ(m_end, asio::error::connection_reset);
+}
+
+// Guards against a whole answer that is reset.
+TEST_F(ServerTest, AnswerWithoutFramingEndsInOrder) {
+  Write("GET / HTTP/1.0\r\n\r\n");
+  RunUntil([this] { return m_requests.size() == 1; });
+  m_exchanges[0]->Begin({200, {}});
+  m_exchanges[0]->Write("whole");
+  m_exchanges[0]->Finish();
+  ReadUntil("never");
+  EXPECT_TRUE(m_received.ends_with("\r\n\r\nwhole"));
+  EXPECT_EQ(m_end, asio::error::eof);
+}
+
 // Guards against a caller whose request is still arriving when the process
 // ends, and who learns only from the cut connection that it was not taken.
 TEST_F(ServerTest, RefusesRequestsThatAreIncomplete) {
--- a/tests/http/response_forms.cc
+++ b/tests/http/response_forms.cc
@@ -202,10 +202,13 @@
          {std::pair<std::string, std::string>{"", "HTTP/1.1 200 OK"},
           {"Error", "HTTP/1.1 500 Internal Server Error"},
           {"Version10", "HTTP/1.0 200 OK"}}) {
-      forms.push_back({.name = "Early" + status + "WithoutLength" + name,
-                       .bytes = line + "\r\n@own\r\n" + part,
-                       .ending = ending,
-                       .reading = Reading::kHead});
+      ResponseForm form{.name = "Early" + status,
+                        .bytes = line,
+                        .ending = ending,
+                        .reading = Reading::kHead};
+      form.name.append("WithoutLength").append(name);
+      form.bytes.append("\r\n@own\r\n").append(part);
+      forms.push_back(std::move(form));
     }
     forms.push_back(
         {.name = "EarlyEventStream" + name,
