http, daemon: notice callers that leave while nothing is read

What callers saw: the daemons' entry went on with calls of callers that had left, if further requests stood behind the one in progress.

Change: the server looks for the end of connections with unfinished answers every 250 ms, tells the answer and closes the connection. A call of which the caller has left before it begins is not started.

--- a/include/radishrudder/http/server.h
+++ b/include/radishrudder/http/server.h
@@ -40,6 +40,9 @@
   virtual void Abort() = 0;
   // Calls `handler` once if the caller goes before the answer is finished.
   virtual void OnGone(std::function<void()> handler) = 0;
+  // Whether the caller has ended its connection, also if that has not been
+  // read. False if the memory of callers has no limit.
+  virtual bool HasCallerLeft() = 0;
 };
 
 // Called on one of the server's threads: must not block.
--- a/source/radishrudder/daemon/entry_daemon.cc
+++ b/source/radishrudder/daemon/entry_daemon.cc
@@ -292,6 +292,11 @@
 
   void StartCall(calls::CallRequest request,
                  const std::shared_ptr<http::Responder>& responder) {
+    // A daemon that reads late has the end of the connection behind the request.
+    if (responder->HasCallerLeft()) {
+      responder->Abort();
+      return;
+    }
     const calls::CallId call = ++m_last_call;
     CallShard& shard = ShardOf(request.service);
     Caller caller;
--- a/source/radishrudder/exchange/caller_server.cc
+++ b/source/radishrudder/exchange/caller_server.cc
@@ -108,7 +108,7 @@
   // Closes the connection if its caller has ended it, whether or not that has
   // been read. Returns whether it has.
   bool CloseIfPeerEnded() {
-    if (!HasPeerEnded(m_socket)) {
+    if (!HasPeerEnded(m_socket.native_handle())) {
       return false;
     }
     Close();
--- a/source/radishrudder/exchange/socket_options.cc
+++ b/source/radishrudder/exchange/socket_options.cc
@@ -102,9 +102,9 @@
             static_cast<int>(bytes));
 }
 
-bool HasPeerEnded(asio::ip::tcp::socket& socket) {
+bool HasPeerEnded(int socket) {
   // Errors and resets are reported in any case.
-  pollfd state{.fd = socket.native_handle(), .events = POLLRDHUP, .revents = 0};
+  pollfd state{.fd = socket, .events = POLLRDHUP, .revents = 0};
   return poll(&state, 1, 0) > 0;
 }
 
--- a/source/radishrudder/exchange/socket_options.h
+++ b/source/radishrudder/exchange/socket_options.h
@@ -34,7 +34,7 @@
 
 // Returns whether the peer has ended the connection, in order or by a reset,
 // also if there are bytes before the end that have not been read.
-bool HasPeerEnded(asio::ip::tcp::socket& socket);
+bool HasPeerEnded(int socket);
 
 // Returns the bytes that were written and that the peer's system has not
 // acknowledged; 0 if that is not known.
--- a/source/radishrudder/http/connection_share.cc
+++ b/source/radishrudder/http/connection_share.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "radishrudder/kernel/boot_time.h"
+#include "source/radishrudder/exchange/socket_options.h"
 
 namespace radishrudder::http {
 namespace {
@@ -130,6 +131,11 @@
   Update(now);
 }
 
+bool ConnectionShare::HasCallerLeft() {
+  const std::lock_guard lock(m_memory->Internals().mutex);
+  return m_socket < 0 || exchange::HasPeerEnded(m_socket);
+}
+
 void ConnectionShare::Detach() {
   ConnectionMemory::State& state = m_memory->Internals();
   const std::lock_guard lock(state.mutex);
--- a/source/radishrudder/http/connection_share.h
+++ b/source/radishrudder/http/connection_share.h
@@ -35,6 +35,8 @@
   // Bytes of an answer wait to be written, and have been written.
   void OnQueued(std::size_t bytes);
   void OnWritten(std::size_t bytes);
+  // Whether the caller has ended the connection, read or not, or the server.
+  bool HasCallerLeft();
   // The socket is about to be closed.
   void Detach();
 
--- a/source/radishrudder/http/connection_table.cc
+++ b/source/radishrudder/http/connection_table.cc
@@ -41,6 +41,23 @@
   }
 }
 
+void ConnectionTable::CheckAll() {
+  for (Shard& shard : m_shards) {
+    Listeners listeners;
+    {
+      const std::lock_guard lock(shard.mutex);
+      for (const auto& [connection, known] : shard.connections) {
+        listeners.insert(listeners.end(), known.begin(), known.end());
+      }
+    }
+    for (const auto& listener : listeners) {
+      if (const auto answer = listener.lock()) {
+        answer->CheckConnection();
+      }
+    }
+  }
+}
+
 ConnectionTable::Shard& ConnectionTable::ShardOf(ConnectionId connection) {
   return m_shards[connection % kShards];
 }
--- a/source/radishrudder/http/connection_table.h
+++ b/source/radishrudder/http/connection_table.h
@@ -15,6 +15,8 @@
  public:
   virtual ~GoneListener() = default;
   virtual void OnConnectionClosed() = 0;
+  // Looks whether the peer has ended the connection.
+  virtual void CheckConnection() = 0;
 };
 
 // Unfinished answers by connection. Thread-safe: connections are spread over
@@ -30,6 +32,8 @@
   void Close(ConnectionId connection);
   // Does so for every connection.
   void CloseAll();
+  // Lets each unfinished answer look for the end of its connection.
+  void CheckAll();
 
  private:
   using Listeners = std::vector<std::weak_ptr<GoneListener>>;
--- a/source/radishrudder/http/server.cc
+++ b/source/radishrudder/http/server.cc
@@ -25,6 +25,8 @@
 constexpr std::size_t kReadBufferBytes = 16U << 10U;
 constexpr std::chrono::hours kConnectionLimit{1};
 constexpr std::chrono::seconds kFlushLimit{2};
+// Between two looks for the end of connections that are not read at present.
+constexpr std::chrono::milliseconds kCheckInterval{250};
 
 // Counts finished answers whose bytes are not yet written.
 class FlushCounter {
@@ -98,6 +100,7 @@
   HeldRequest& operator=(const HeldRequest&) = delete;
 
   void OnQueued(std::size_t bytes) { m_share->OnQueued(bytes); }
+  bool HasCallerLeft() { return m_share->HasCallerLeft(); }
 
  private:
   std::shared_ptr<ConnectionShare> m_share;
@@ -174,6 +177,20 @@
     });
   }
 
+  bool HasCallerLeft() override { return m_held && m_held->HasCallerLeft(); }
+
+  void CheckConnection() override {
+    if (!HasCallerLeft()) {
+      return;
+    }
+    Run([this] {
+      m_gone = true;
+      TellIfGone();
+      // RESTinio may read nothing at present, and would keep the connection.
+      DoAbort();
+    });
+  }
+
   void OnConnectionClosed() override {
     Run([this] {
       m_gone = true;
@@ -369,9 +386,20 @@
     return result;
   }
 
+  void CheckConnectionsLater() {
+    check_timer->expires_after(kCheckInterval);
+    check_timer->async_wait([this](std::error_code error) {
+      if (!error) {
+        shared->connections.CheckAll();
+        CheckConnectionsLater();
+      }
+    });
+  }
+
   ServerSettings settings;
   Handler handler;
   std::shared_ptr<Shared> shared = std::make_shared<Shared>();
+  std::optional<asio::steady_timer> check_timer;
   std::unique_ptr<RestinioServer> server;
   std::vector<std::thread> threads;
   std::uint16_t port = 0;
@@ -401,6 +429,8 @@
     // Asio's own category does not compare with std::errc.
     return {error.code().value(), std::system_category()};
   }
+  state.check_timer.emplace(state.shared->context);
+  state.CheckConnectionsLater();
   for (std::size_t i = 0; i < state.settings.threads; ++i) {
     state.threads.emplace_back([&state] { state.shared->context.run(); });
   }
@@ -435,6 +465,7 @@
     const std::unique_lock lock(state.shared->stop_mutex);
     state.shared->stopped = true;
   }
+  state.check_timer.reset();
   // Runs what was posted before, for it holds the answers.
   state.shared->context.restart();
   state.shared->context.poll();
