--- a/source/radishrudder/daemon/entry_daemon.cc
+++ b/source/radishrudder/daemon/entry_daemon.cc
@@ -292,7 +292,7 @@
 
   void StartCall(calls::CallRequest request,
                  const std::shared_ptr<http::Responder>& responder) {
-    // A daemon that reads late has the end of the connection behind the request.
+    // Read late, the request may have the end of its connection behind it.
     if (responder->HasCallerLeft()) {
       responder->Abort();
       return;
