tests: the stand-in outlives the ends of runs that it notes

The servers of the stand-in close their connections when they are destroyed and tell the runs in progress that their caller has left. Since that is noted in m_runs, which was declared behind the servers and thus destroyed before them. It is declared before them now. The entry process registers such a handler as well; it ends with quick_exit and does not destroy its servers.

--- a/tests/platform/platform_standin.h
+++ b/tests/platform/platform_standin.h
@@ -123,6 +123,9 @@
                   std::string body,
                   std::function<void()> done = nullptr);
 
+  // The servers note the ends of runs until they are destroyed.
+  mutable std::mutex m_runs_mutex;
+  std::map<std::string, std::vector<StandinRun>> m_runs;  // By attempt id.
   asio::io_context m_context{1};
   exchange::CallerServer m_store;
   exchange::CallerServer m_endpoint;
@@ -138,8 +141,6 @@
   std::vector<Exchange> m_unanswered;
   std::uint64_t m_revision = 9;
   std::vector<Change> m_changes;
-  mutable std::mutex m_runs_mutex;
-  std::map<std::string, std::vector<StandinRun>> m_runs;  // By attempt id.
   std::thread m_thread;
 };
 
