--- a/review/common-3/kit.h
+++ b/review/common-3/kit.h
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -597,7 +598,8 @@
     const std::string log = m_directory + "/log.txt";
     m_pid = fork();
     if (m_pid == 0) {
-      setpgid(0, 0);
+      // It ends with the case, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int handle =
           open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
       dup2(handle, 1);
