--- a/review/common-3/kit.h
+++ b/review/common-3/kit.h
@@ -717,22 +717,22 @@
 
 struct Options {
   std::string root;    // Of the repository.
-  std::string folder;  // Of the case.
+  std::string record;  // File of the record.
   std::string work;    // Temporary.
   bool trouble = true;
 };
 
-// ARGV: root, folder of the case, temporary folder.
+// ARGV: root, file of the record, temporary folder.
 inline Options Begin(int argc, char** argv) {
   signal(SIGPIPE, SIG_IGN);
   if (argc < 4) {
-    std::cerr << "usage: ROOT FOLDER TEMPORARY\n";
+    std::cerr << "usage: ROOT RECORD TEMPORARY\n";
     _exit(2);
   }
   Options options{argv[1], argv[2], argv[3]};
   const char* const trouble = getenv("TROUBLE");
   options.trouble = trouble == nullptr || std::string(trouble) != "0";
-  record.Open(options.folder + "/record.txt");
+  record.Open(options.record);
   record.Line("trouble %s", options.trouble ? "yes" : "no");
   return options;
 }
