configuration: an empty list of tenants does not open all routes

Cause: one value, an empty vector, stood for "defines no workspaces" and for "none is left". What the decoder could not read it left out, so null, an object, a text or a list of other elements did the same. An empty key was held by whoever sent none, and a tenant without a usable name had its requests sent without the tenant.

Configuration::defines_workspaces says whether keys are required; it is set as soon as the member is there. Empty keys belong to nobody, and the keys of a workspace whose name can't be told to endpoints are not accepted. The check and the comparison say what the entries do. The record document-in-force says how many workspaces there are and whether keys are required, which it did not.

--- a/include/radishrudder/direct/configuration.h
+++ b/include/radishrudder/direct/configuration.h
@@ -108,7 +108,14 @@
   std::vector<RouteRule> routes{};
   std::vector<ServiceRule> services{};
   std::vector<WorkspaceRule> workspaces{};
+  // Whether workspaces are defined, even if none of them is left or readable.
+  bool defines_workspaces = false;
   CallerLimits caller_limits{};
+
+  // Whether calls need the key of a workspace, unless their route is exempt.
+  bool RequiresKeys() const {
+    return defines_workspaces || !workspaces.empty();
+  }
 };
 
 // Returns a Host header in lower case and without its port.
@@ -127,13 +134,13 @@
   // `host` is the Host header as received: case and port are ignored.
   const RouteRule* FindRoute(std::string_view host,
                              std::string_view path) const;
-  // Returns the workspace that owns a key, or null.
+  // Returns the workspace that owns a key, or null. Nobody owns an empty key.
   const WorkspaceRule* FindWorkspace(std::string_view key) const;
   const WorkspaceRule* FindWorkspaceByName(std::string_view name) const;
   const ServiceRule* FindService(std::string_view name) const;
   // Whether a route or a workspace allows only some regions.
   bool LimitsRegions() const;
-  bool RequiresKeys() const { return !m_configuration.workspaces.empty(); }
+  bool RequiresKeys() const { return m_configuration.RequiresKeys(); }
 
  private:
   bool m_has_configuration = false;
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -579,17 +579,25 @@
     auto configuration = Platform::DecodeConfiguration(item.value, findings);
     const bool readable = configuration.has_value();
     if (readable) {
-      const std::uint64_t version = configuration->version;
-      const bool in_force =
-          m_core.OnConfiguration(kernel::Now(), std::move(*configuration));
-      if (in_force) {
+      const std::string version = std::to_string(configuration->version);
+      const std::string revision = std::to_string(item.revision);
+      if (m_core.OnConfiguration(kernel::Now(), std::move(*configuration))) {
         ApplyBounds();
+        const direct::Configuration& current =
+            m_core.Configurations().Current();
+        logging::Log(
+            logging::kDocumentInForce,
+            {{"key", item.key},
+             {"version", version},
+             {"revision", revision},
+             {"routes", std::to_string(current.routes.size())},
+             {"workspaces", std::to_string(current.workspaces.size())},
+             {"keys", current.RequiresKeys() ? "required" : "not-required"}});
+      } else {
+        logging::Log(
+            logging::kOldVersionIgnored,
+            {{"key", item.key}, {"version", version}, {"revision", revision}});
       }
-      logging::Log(
-          in_force ? logging::kDocumentInForce : logging::kOldVersionIgnored,
-          {{"key", item.key},
-           {"version", std::to_string(version)},
-           {"revision", std::to_string(item.revision)}});
     }
     m_journal.LogFindings(findings);
     return readable;
--- a/source/radishrudder/direct/configuration.cc
+++ b/source/radishrudder/direct/configuration.cc
@@ -34,7 +34,9 @@
   }
   for (std::size_t i = 0; i < m_configuration.workspaces.size(); ++i) {
     for (const std::string& key : m_configuration.workspaces[i].keys) {
-      m_by_key.emplace(key, i);
+      if (!key.empty()) {
+        m_by_key.emplace(key, i);
+      }
     }
   }
   for (std::size_t i = 0; i < m_configuration.services.size(); ++i) {
--- a/source/radishrudder/direct/configuration_check.cc
+++ b/source/radishrudder/direct/configuration_check.cc
@@ -238,7 +238,11 @@
   if (candidate.workspaces.empty()) {
     const bool lost = context.in_force && !context.in_force->workspaces.empty();
     const kernel::Place place = PlaceOf("workspaces");
-    const char* text = "there are none: every call is served without a key";
+    const char* text =
+        candidate.RequiresKeys()
+            ? "there are none: every call is rejected with 401, unless its "
+              "route is exempt"
+            : "they are not defined: every call is served without a key";
     if (lost) {
       findings.Error(place, text, "the workspaces in force");
     } else {
--- a/source/radishrudder/direct/configuration_diff.cc
+++ b/source/radishrudder/direct/configuration_diff.cc
@@ -206,22 +206,29 @@
                  "limit");
 }
 
-// The workspace of each key of the candidate.
-using Owners = std::map<std::string_view, std::string_view>;
+// Whom the candidate serves.
+struct Owners {
+  bool keys_required = false;
+  // The workspace of each key.
+  std::map<std::string_view, std::string_view> by_key{};
+};
 
 Owners OwnersOfKeys(const Configuration& configuration) {
-  Owners owners;
+  Owners owners{.keys_required = configuration.RequiresKeys()};
   for (const WorkspaceRule& workspace : configuration.workspaces) {
     for (const std::string& key : workspace.keys) {
-      owners.emplace(key, workspace.name);
+      owners.by_key.emplace(key, workspace.name);
     }
   }
   return owners;
 }
 
 std::string EffectOfRemoval(std::string_view key, const Owners& owners) {
-  const auto found = owners.find(key);
-  return found == owners.end()
+  if (!owners.keys_required) {
+    return "calls with this key are served without a workspace";
+  }
+  const auto found = owners.by_key.find(key);
+  return found == owners.by_key.end()
              ? "calls with this key are rejected with 401 within the "
                "revocation limit"
              : "calls with this key are served as workspace \"" +
@@ -334,15 +341,14 @@
   }
 }
 
-// Keys are required as soon as there is a workspace.
 void CompareKeyRequirement(const Configuration& before,
                            const Configuration& after,
                            Changes& changes) {
-  if (before.workspaces.empty() != after.workspaces.empty()) {
+  if (before.RequiresKeys() != after.RequiresKeys()) {
     changes.push_back({ChangeKind::kChanged, "workspaces", "",
-                       after.workspaces.empty()
-                           ? "calls without a key are served"
-                           : "calls without a key are rejected with 401"});
+                       after.RequiresKeys()
+                           ? "calls without a key are rejected with 401"
+                           : "calls without a key are served"});
   }
 }
 
@@ -362,8 +368,10 @@
                in_force.services, candidate.services, CompareService, changes);
   CompareLists(
       {"workspace", "calls with its keys are served",
-       "calls with its keys are rejected with 401 within the "
-       "revocation limit, unless another workspace has the key"},
+       owners.keys_required
+           ? "calls with its keys are rejected with 401 within the "
+             "revocation limit, unless another workspace has the key"
+           : "calls with its keys are served without a workspace"},
       in_force.workspaces, candidate.workspaces,
       [&owners](const std::string& name, const WorkspaceRule& before,
                 const WorkspaceRule& after, Changes& found) {
--- a/tests/direct/configuration_check_test.cc
+++ b/tests/direct/configuration_check_test.cc
@@ -237,6 +237,19 @@
         CheckCase{"LostWorkspaces",
                   [](auto& candidate, auto&) { candidate.workspaces.clear(); },
                   kError, "workspaces", "without a key", "in force"},
+        CheckCase{"NoWorkspaceLeft",
+                  [](auto& candidate, auto& context) {
+                    candidate.workspaces.clear();
+                    candidate.defines_workspaces = true;
+                    context.in_force.reset();
+                  },
+                  kWarning, "workspaces", "rejected with 401", "at least one"},
+        CheckCase{"LastWorkspaceRemoved",
+                  [](auto& candidate, auto&) {
+                    candidate.workspaces.clear();
+                    candidate.defines_workspaces = true;
+                  },
+                  kError, "workspaces", "rejected with 401", "in force"},
         CheckCase{"SameVersion",
                   [](auto& candidate, auto&) { candidate.version = 6; }, kError,
                   "version", "ignore the configuration", "more than 6"},
--- a/tests/direct/configuration_diff_test.cc
+++ b/tests/direct/configuration_diff_test.cc
@@ -251,8 +251,22 @@
   candidate.workspaces.clear();
   const auto changes = CompareConfigurations(ValidConfiguration(), candidate);
   ASSERT_EQ(changes.size(), 3U);
+  EXPECT_EQ(changes[0].effect,
+            "calls with its keys are served without a workspace");
   EXPECT_EQ(changes[2].effect, "calls without a key are served");
 }
 
+// Guards against announcing that keys are no longer required when only the last
+// workspaces are removed.
+TEST(ConfigurationDiffTest, SaysThatKeysOfRemovedWorkspacesAreRejected) {
+  Configuration candidate = ValidConfiguration();
+  candidate.workspaces.clear();
+  candidate.defines_workspaces = true;
+  const auto changes = CompareConfigurations(ValidConfiguration(), candidate);
+  ASSERT_EQ(changes.size(), 2U);
+  EXPECT_NE(changes[0].effect.find("rejected with 401"), std::string::npos);
+  EXPECT_NE(changes[1].effect.find("rejected with 401"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace radishrudder::direct
--- a/tests/direct/entry_admission_test.cc
+++ b/tests/direct/entry_admission_test.cc
@@ -42,6 +42,50 @@
                     Denial{"PrefixIsWholeSegments", "key-1", "/ab", 404}),
     [](const auto& info) { return info.param.name; });
 
+struct LimitCase {
+  const char* name;
+  void (*change)(Configuration& configuration);
+  const char* key;
+  int status;  // 0: served.
+};
+
+void PrintTo(const LimitCase& limit, std::ostream* stream) {
+  *stream << limit.name;
+}
+
+class LimitTest : public EntryFixture,
+                  public testing::WithParamInterface<LimitCase> {};
+
+// Guards against an entry that takes the end of the last workspace or an empty
+// key for the absence of a limit.
+TEST_P(LimitTest, IsKeptInOddForms) {
+  RouteRule route = Route(RouteKind::kIdempotent, false);
+  Start(route);
+  Configuration next = MakeConfiguration(2, route);
+  GetParam().change(next);
+  m_entry.OnConfiguration(m_now, std::move(next));
+  Call(GetParam().key);
+  EXPECT_EQ(ResponseStatus(), GetParam().status);
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(),
+            GetParam().status == 0 ? 1U : 0U);
+}
+
+void RemoveLastWorkspace(Configuration& configuration) {
+  configuration.workspaces.clear();
+  configuration.defines_workspaces = true;
+}
+void HoldEmptyKey(Configuration& configuration) {
+  configuration.workspaces[0].keys = {""};
+}
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    LimitTest,
+    testing::Values(
+        LimitCase{"LastWorkspaceRemoved", RemoveLastWorkspace, "key-1", 401},
+        LimitCase{"LastWorkspaceRemovedNoKey", RemoveLastWorkspace, "", 401},
+        LimitCase{"EmptyKey", HoldEmptyKey, "", 401}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 class LateDenialTest : public EntryFixture,
                        public testing::WithParamInterface<Denial> {};
 
--- /dev/null
+++ b/tests/platform/access_forms.cc
@@ -0,0 +1,156 @@
+#include "tests/platform/access_forms.h"
+
+#include <ostream>
+#include <utility>
+
+namespace radishrudder::platform {
+namespace {
+
+// A route to the service "plain"; `members` replace or follow its own ones, as
+// the last one of a name counts.
+std::string Route(std::string_view prefix, std::string_view members) {
+  return R"({"name": "r)" + std::string(prefix) +
+         R"(", "host": "h.example", "prefix": ")" + std::string(prefix) +
+         R"(", "kind": "idempotent", "service": "plain", "max_attempts": 2,)"
+         R"("timeout_ms": 5000)" +
+         std::string(members) + "}";
+}
+
+// The holder of the new key; `members` as of a route.
+std::string Workspace(std::string_view members) {
+  return R"({"name": "new", "api_keys": ["key-new"])" + std::string(members) +
+         "}";
+}
+
+std::string Workspaces(std::string_view value) {
+  return R"(, "tenants": )" + std::string(value);
+}
+
+AccessForm OfWorkspaces(std::string name, std::string_view value) {
+  return {std::move(name), Route("/s/", ""), Workspaces(value)};
+}
+
+// A workspace in which a member of the old key's holder has another value.
+AccessForm OfOldWorkspace(std::string name, std::string_view members) {
+  return OfWorkspaces(std::move(name),
+                      R"([{"name": "old", "api_keys": ["key-old"])" +
+                          std::string(members) + "}]");
+}
+
+AccessForm ServedToNewKey(AccessForm form, bool valid) {
+  form.access = Access::kHolderOfNewKey;
+  form.valid = valid;
+  return form;
+}
+
+AccessForm Valid(AccessForm form, Access access) {
+  form.access = access;
+  form.valid = true;
+  return form;
+}
+
+void AddWorkspaceForms(std::vector<AccessForm>& forms) {
+  forms.push_back(
+      Valid({"WorkspacesAbsent", Route("/s/", ""), ""}, Access::kEverybody));
+  // An error only in comparison with the configuration in force.
+  forms.push_back(
+      Valid(OfWorkspaces("WorkspacesEmpty", "[]"), Access::kNobody));
+  const std::pair<const char*, const char*> kinds[] = {
+      {"Null", "null"},       {"EmptyObject", "{}"}, {"Text", R"("key-old")"},
+      {"EmptyText", R"("")"}, {"Zero", "0"},         {"False", "false"},
+      {"True", "true"}};
+  for (const auto& [name, value] : kinds) {
+    forms.push_back(OfWorkspaces(std::string("Workspaces") + name, value));
+  }
+  forms.push_back(OfWorkspaces("WorkspacesObject",
+                               R"({"name": "old", "api_keys": ["key-old"]})"));
+  const std::pair<const char*, const char*> elements[] = {
+      {"Null", "null"},         {"Number", "7"},
+      {"Text", R"("key-old")"}, {"Keys", R"(["key-old"])"},
+      {"EmptyObject", "{}"},    {"EmptyList", "[]"}};
+  for (const auto& [name, value] : elements) {
+    const std::string element(value);
+    forms.push_back(
+        OfWorkspaces(std::string("ElementOnly") + name, "[" + element + "]"));
+    forms.push_back(
+        ServedToNewKey(OfWorkspaces(std::string("ElementBeside") + name,
+                                    "[" + element + ", " + Workspace("") + "]"),
+                       false));
+  }
+}
+
+void AddKeyForms(std::vector<AccessForm>& forms) {
+  forms.push_back(Valid(OfWorkspaces("KeysAbsent", R"([{"name": "old"}])"),
+                        Access::kNobody));
+  forms.push_back(Valid(OfOldWorkspace("KeysEmpty", R"(, "api_keys": [])"),
+                        Access::kNobody));
+  const std::pair<const char*, const char*> kinds[] = {
+      {"Null", "null"},
+      {"Text", R"("key-old")"},
+      {"EmptyText", R"("")"},
+      {"Object", R"({"key": "key-old"})"},
+      {"Number", "7"},
+      {"OneEmpty", R"([""])"},
+      {"OneNull", "[null]"},
+      {"OneNumber", "[7]"},
+      {"Nested", R"([["key-old"]])"}};
+  for (const auto& [name, value] : kinds) {
+    forms.push_back(OfOldWorkspace(std::string("Keys") + name,
+                                   R"(, "api_keys": )" + std::string(value)));
+  }
+  const std::pair<const char*, const char*> partly[] = {
+      {"Empty", R"(["", "key-new"])"}, {"Null", R"([null, "key-new"])"}};
+  for (const auto& [name, value] : partly) {
+    forms.push_back(ServedToNewKey(
+        OfWorkspaces(
+            std::string("KeysBeside") + name,
+            "[" + Workspace(R"(, "api_keys": )" + std::string(value)) + "]"),
+        false));
+  }
+}
+
+// Without the name, endpoints can't be told whose call it is.
+void AddNameForms(std::vector<AccessForm>& forms) {
+  forms.push_back(OfWorkspaces("NameAbsent", R"([{"api_keys": ["key-old"]}])"));
+  const std::pair<const char*, const char*> kinds[] = {
+      {"Null", "null"},
+      {"Empty", R"("")"},
+      {"Number", "7"},
+      {"List", R"(["old"])"},
+      {"Blank", R"(" ")"},
+      {"LineBreak", R"("old\r\nX: y")"},
+      {"ZeroByte", R"("o\u0000")"}};
+  for (const auto& [name, value] : kinds) {
+    forms.push_back(OfOldWorkspace(std::string("Name") + name,
+                                   R"(, "name": )" + std::string(value)));
+  }
+}
+
+}  // namespace
+
+void PrintTo(const AccessForm& form, std::ostream* stream) {
+  *stream << form.name;
+}
+
+std::string ConfigurationText(std::string_view version,
+                              const AccessForm& form) {
+  return R"({"version": )" + std::string(version) + R"(, "routes": [)" +
+         form.routes +
+         R"(], "services": [{"name": "plain", "max_connections": 64}],)"
+         R"("limits": {})" +
+         form.members + "}";
+}
+
+AccessForm FormInForce() {
+  return OfOldWorkspace("InForce", "");
+}
+
+std::vector<AccessForm> AccessForms() {
+  std::vector<AccessForm> forms;
+  AddWorkspaceForms(forms);
+  AddKeyForms(forms);
+  AddNameForms(forms);
+  return forms;
+}
+
+}  // namespace radishrudder::platform
