configuration: a route that can't be read keeps its paths

Callers saw: a route with an unreadable kind, service or split was left out, so that its paths fell to a route with a shorter prefix, which may need no key or allow other regions. A prefix that was null, a number or empty matched every path of the host.

Cause: as with the keys, what can't be read counted as absent.

Such a route is in force as unreadable: its calls are rejected with 503 and the reason unreadable-route. Without a prefix it covers what no other route of its host does. Calls in progress keep the lists that they had. A route without a host has no effect. DecodesRoutesServicesAndLimits expected the route to be left out; it now expects it to be there and unreadable.

--- a/include/radishrudder/direct/call.h
+++ b/include/radishrudder/direct/call.h
@@ -78,6 +78,7 @@
   kNoConfiguration,     // No configuration has been read yet.
   kStaleConfiguration,  // Too old: keys may have been revoked since.
   kNoRoute,
+  kUnreadableRoute,  // Its route is in the configuration, but can't be read.
   kNoKey,
   kUnknownKey,
   kNoEndpoint,     // No known endpoint may take the call.
--- a/include/radishrudder/direct/configuration.h
+++ b/include/radishrudder/direct/configuration.h
@@ -42,6 +42,8 @@
   std::vector<WeightedService> services{};        // At least one.
   // Regions whose endpoints may take the calls; empty: all.
   std::vector<std::string> allowed_regions{};
+  // False: only the host and the prefix are known, so its calls are rejected.
+  bool readable = true;
 
   // Whether a call may be retried after an attempt that may have been executed.
   bool IsRepeatable() const {
@@ -131,6 +133,7 @@
   const Configuration& Current() const { return m_configuration; }
 
   // Returns the route of that host with the longest prefix of `path`, or null.
+  // Of two with the same prefix, one that is not readable comes first.
   // `host` is the Host header as received: case and port are ignored.
   const RouteRule* FindRoute(std::string_view host,
                              std::string_view path) const;
--- a/source/radishrudder/direct/configuration.cc
+++ b/source/radishrudder/direct/configuration.cc
@@ -29,7 +29,8 @@
   }
   for (auto& [host, indices] : m_by_host) {
     std::ranges::stable_sort(indices, [&routes](std::size_t a, std::size_t b) {
-      return routes[a].prefix.size() > routes[b].prefix.size();
+      return std::pair(routes[a].prefix.size(), !routes[a].readable) >
+             std::pair(routes[b].prefix.size(), !routes[b].readable);
     });
   }
   for (std::size_t i = 0; i < m_configuration.workspaces.size(); ++i) {
--- a/source/radishrudder/direct/configuration_check.cc
+++ b/source/radishrudder/direct/configuration_check.cc
@@ -183,6 +183,22 @@
   }
 }
 
+// Checks what depends on members that a route must have.
+void CheckReadableRoute(const RouteRule& route,
+                        const Configuration& candidate,
+                        const CheckContext& context,
+                        std::map<std::string, std::string>& seen,
+                        kernel::Findings& findings) {
+  CheckMatching(route, seen, findings);
+  CheckServices(route, candidate, findings);
+  CheckTimes(route, findings);
+  CheckRegions(PlaceOf(route), route.allowed_regions, context, findings);
+  CheckAttempts(route, context, findings);
+  for (const WorkspaceRule& workspace : candidate.workspaces) {
+    CheckPair(route, workspace, findings);
+  }
+}
+
 void CheckRoutes(const Configuration& candidate,
                  const CheckContext& context,
                  kernel::Findings& findings) {
@@ -197,13 +213,13 @@
       findings.Error(PlaceOf(route), "is defined twice",
                      "one definition of each name");
     }
-    CheckMatching(route, seen, findings);
-    CheckServices(route, candidate, findings);
-    CheckTimes(route, findings);
-    CheckRegions(PlaceOf(route), route.allowed_regions, context, findings);
-    CheckAttempts(route, context, findings);
-    for (const WorkspaceRule& workspace : candidate.workspaces) {
-      CheckPair(route, workspace, findings);
+    if (route.readable) {
+      CheckReadableRoute(route, candidate, context, seen, findings);
+    } else {
+      findings.Error(PlaceOf(route),
+                     "can't be read: calls below " + route.host + route.prefix +
+                         " are rejected with 503",
+                     "a route with all its members");
     }
   }
 }
--- a/source/radishrudder/direct/configuration_diff.cc
+++ b/source/radishrudder/direct/configuration_diff.cc
@@ -105,6 +105,12 @@
                   const RouteRule& after,
                   Changes& changes) {
   FieldComparison fields(Subject("route", name), changes);
+  fields.Compare(
+      "readable", before.readable, after.readable,
+      after.readable ? "calls are served" : "calls are rejected with 503");
+  if (!before.readable || !after.readable) {
+    return;
+  }
   fields.Compare("host", before.host, after.host,
                  "calls to the old host no longer use this route");
   fields.Compare("prefix", before.prefix, after.prefix,
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -46,6 +46,8 @@
       return "stale-configuration";
     case Reason::kNoRoute:
       return "no-route";
+    case Reason::kUnreadableRoute:
+      return "unreadable-route";
     case Reason::kNoKey:
       return "no-key";
     case Reason::kUnknownKey:
@@ -234,6 +236,10 @@
       return;
     }
   }
+  if (!route->readable) {
+    state.Refuse(now, request, id, kUnavailable, Reason::kUnreadableRoute);
+    return;
+  }
   Call call;
   call.id = id;
   call.route = *route;
--- a/source/radishrudder/direct/entry_placement.cc
+++ b/source/radishrudder/direct/entry_placement.cc
@@ -95,7 +95,7 @@
   for (auto& [id, call] : calls) {
     const RouteRule* route =
         configurations.FindRoute(call.request->host, call.request->path);
-    if (route != nullptr) {
+    if (route != nullptr && route->readable) {
       call.route.allowed_regions = route->allowed_regions;
     }
     const WorkspaceRule* workspace =
--- a/tests/direct/allowed_regions_test.cc
+++ b/tests/direct/allowed_regions_test.cc
@@ -184,22 +184,28 @@
 }
 
 // Guards against a call losing its limits because its workspace or its route is
-// gone from the configuration while it is in progress.
+// gone from the configuration, or can't be read, while it is in progress.
 TEST_F(RegionsTest, CallKeepsTheLastListsOfWhatWasRemoved) {
-  for (const bool remove_route : {false, true}) {
-    SCOPED_TRACE(remove_route);
+  enum class Change { kRemoveWorkspace, kRemoveRoute, kMakeRouteUnreadable };
+  for (const Change change : {Change::kRemoveWorkspace, Change::kRemoveRoute,
+                              Change::kMakeRouteUnreadable}) {
+    SCOPED_TRACE(static_cast<int>(change));
     StartRegions();
     Publish({"b", "c"}, {"a", "b"});
     const CallId call = Call();
     EXPECT_EQ(DataCentreOf(Selected()), "b1");
     Publish({"b", "c"}, {"a", "c"});
     Configuration next = MakeConfiguration(++m_version, m_route);
-    if (remove_route) {
-      next.routes[0].prefix = "/other/";
+    if (change == Change::kRemoveWorkspace) {
+      next.workspaces[0].name = "south";
+    } else {
       next.routes[0].allowed_regions.clear();
       next.workspaces[0].allowed_regions = {"a", "c"};
-    } else {
-      next.workspaces[0].name = "south";
+      if (change == Change::kRemoveRoute) {
+        next.routes[0].prefix = "/other/";
+      } else {
+        next.routes[0].readable = false;
+      }
     }
     m_entry.OnConfiguration(m_now, std::move(next));
     m_entry.OnSending(m_now, call);
--- a/tests/direct/configuration_check_test.cc
+++ b/tests/direct/configuration_check_test.cc
@@ -250,6 +250,12 @@
                     candidate.defines_workspaces = true;
                   },
                   kError, "workspaces", "rejected with 401", "in force"},
+        CheckCase{"UnreadableRoute",
+                  [](auto& candidate, auto&) {
+                    candidate.routes[1].readable = false;
+                  },
+                  kError, "route \"r-2\"", "rejected with 503",
+                  "all its members"},
         CheckCase{"SameVersion",
                   [](auto& candidate, auto&) { candidate.version = 6; }, kError,
                   "version", "ignore the configuration", "more than 6"},
--- a/tests/direct/configuration_diff_test.cc
+++ b/tests/direct/configuration_diff_test.cc
@@ -117,7 +117,11 @@
                      changed.routes[1].allowed_regions = {"eu", "us"};
                    },
                    kChanged, "route \"r-2\"",
-                   "allowed regions: all -> [eu, us]", "503"}),
+                   "allowed regions: all -> [eu, us]", "503"},
+        ChangeCase{"Unreadable",
+                   [](auto& changed) { changed.routes[1].readable = false; },
+                   kChanged, "route \"r-2\"", "readable: true -> false",
+                   "503"}),
     [](const auto& info) { return std::string(info.param.name); });
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/direct/entry_admission_test.cc
+++ b/tests/direct/entry_admission_test.cc
@@ -56,8 +56,8 @@
 class LimitTest : public EntryFixture,
                   public testing::WithParamInterface<LimitCase> {};
 
-// Guards against an entry that takes the end of the last workspace or an empty
-// key for the absence of a limit.
+// Guards against an entry that takes the end of the last workspace, an empty
+// key or a route that can't be read for the absence of a limit.
 TEST_P(LimitTest, IsKeptInOddForms) {
   RouteRule route = Route(RouteKind::kIdempotent, false);
   Start(route);
@@ -77,13 +77,37 @@
 void HoldEmptyKey(Configuration& configuration) {
   configuration.workspaces[0].keys = {""};
 }
+void MakeRouteUnreadable(Configuration& configuration) {
+  configuration.routes[0].readable = false;
+}
+// Beside a shorter prefix that needs no key, of which the last one counts.
+void MakeRouteBesideExemptUnreadable(Configuration& configuration) {
+  RouteRule exempt = configuration.routes[0];
+  exempt.name = "exempt";
+  exempt.prefix = "/";
+  exempt.key_exempt = true;
+  configuration.routes.push_back(exempt);
+  configuration.routes[0].readable = false;
+}
+void HideExemptRoute(Configuration& configuration) {
+  configuration.routes[0].key_exempt = true;
+  configuration.routes.push_back(configuration.routes[0]);
+  configuration.routes[1].readable = false;
+}
+
 INSTANTIATE_TEST_SUITE_P(
     All,
     LimitTest,
     testing::Values(
         LimitCase{"LastWorkspaceRemoved", RemoveLastWorkspace, "key-1", 401},
         LimitCase{"LastWorkspaceRemovedNoKey", RemoveLastWorkspace, "", 401},
-        LimitCase{"EmptyKey", HoldEmptyKey, "", 401}),
+        LimitCase{"EmptyKey", HoldEmptyKey, "", 401},
+        LimitCase{"UnreadableRoute", MakeRouteUnreadable, "key-1", 503},
+        LimitCase{"UnreadableRouteUnknownKey", MakeRouteUnreadable, "key-2",
+                  401},
+        LimitCase{"UnreadableBesideExempt", MakeRouteBesideExemptUnreadable,
+                  "key-1", 503},
+        LimitCase{"UnreadableOfTheSamePrefix", HideExemptRoute, "key-1", 503}),
     [](const auto& info) { return std::string(info.param.name); });
 
 class LateDenialTest : public EntryFixture,
--- a/tests/platform/access_forms.cc
+++ b/tests/platform/access_forms.cc
@@ -37,6 +37,18 @@
                           std::string(members) + "}]");
 }
 
+AccessForm OfRoute(std::string name, std::string_view members) {
+  return {std::move(name), Route("/s/", members),
+          Workspaces("[" + Workspace("") + "]")};
+}
+
+// The route beside one without limits that has a shorter prefix.
+AccessForm BesideExempt(std::string name, std::string_view members) {
+  return {std::move(name),
+          Route("/s/", members) + ", " + Route("/", R"(, "auth_exempt": true)"),
+          Workspaces("[" + Workspace("") + "]")};
+}
+
 AccessForm ServedToNewKey(AccessForm form, bool valid) {
   form.access = Access::kHolderOfNewKey;
   form.valid = valid;
@@ -126,6 +138,49 @@
   }
 }
 
+void AddRouteForms(std::vector<AccessForm>& forms) {
+  forms.push_back(
+      Valid(OfRoute("Exempt", R"(, "auth_exempt": true)"), Access::kEverybody));
+  forms.push_back(ServedToNewKey(OfRoute("NotExempt", ""), true));
+  const std::pair<const char*, const char*> exempt[] = {{"Null", "null"},
+                                                        {"Text", R"("true")"},
+                                                        {"One", "1"},
+                                                        {"EmptyList", "[]"},
+                                                        {"EmptyObject", "{}"}};
+  for (const auto& [name, value] : exempt) {
+    forms.push_back(ServedToNewKey(
+        OfRoute(std::string("Exempt") + name,
+                R"(, "auth_exempt": )" + std::string(value)),
+        // A member that is null counts as missing here, which is no error.
+        std::string_view(value) == "null"));
+  }
+  const std::pair<const char*, const char*> members[] = {
+      {"KindNull", R"(, "kind": null)"},
+      {"KindNumber", R"(, "kind": 7)"},
+      {"KindUnknown", R"(, "kind": "odd")"},
+      {"ServiceNull", R"(, "service": null)"},
+      {"ServiceNumber", R"(, "service": 7)"},
+      {"ServiceEmpty", R"(, "service": "")"},
+      {"SplitEmpty", R"(, "service": null, "traffic_split": [])"},
+      {"SplitText", R"(, "service": null, "traffic_split": "plain")"},
+      {"PrefixNull", R"(, "prefix": null)"},
+      {"PrefixNumber", R"(, "prefix": 7)"},
+      {"PrefixEmpty", R"(, "prefix": "")"},
+      {"PrefixWithoutSlash", R"(, "prefix": "s")"}};
+  for (const auto& [name, value] : members) {
+    forms.push_back(OfRoute(std::string("RouteOnly") + name,
+                            R"(, "auth_exempt": true)" + std::string(value)));
+    forms.push_back(BesideExempt(std::string("RouteBeside") + name, value));
+  }
+  const std::pair<const char*, const char*> hosts[] = {
+      {"Null", "null"}, {"Number", "7"}, {"Empty", R"("")"}, {"List", "[]"}};
+  for (const auto& [name, value] : hosts) {
+    forms.push_back(
+        OfRoute(std::string("Host") + name,
+                R"(, "auth_exempt": true, "host": )" + std::string(value)));
+  }
+}
+
 }  // namespace
 
 void PrintTo(const AccessForm& form, std::ostream* stream) {
@@ -150,6 +205,7 @@
   AddWorkspaceForms(forms);
   AddKeyForms(forms);
   AddNameForms(forms);
+  AddRouteForms(forms);
   return forms;
 }
 
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -29,7 +29,7 @@
   const auto configuration = DecodeConfiguration(kConfiguration, findings);
   ASSERT_TRUE(configuration);
   EXPECT_EQ(configuration->version, 7U);
-  ASSERT_EQ(configuration->routes.size(), 2U);
+  ASSERT_EQ(configuration->routes.size(), 3U);
   const direct::RouteRule& stream = configuration->routes[0];
   EXPECT_EQ(stream.kind, direct::RouteKind::kStream);
   EXPECT_TRUE(stream.IsRepeatable());
@@ -44,7 +44,12 @@
   EXPECT_EQ(configuration->caller_limits.head_bytes, 100U);
   EXPECT_EQ(configuration->caller_limits.idle_timeout,
             std::chrono::milliseconds(2500));
-  // The route of an unknown kind is skipped and reported with its position.
+  EXPECT_TRUE(stream.readable);
+  EXPECT_TRUE(configuration->routes[1].readable);
+  // The route of an unknown kind is reported with its position. It keeps its
+  // paths.
+  EXPECT_FALSE(configuration->routes[2].readable);
+  EXPECT_EQ(configuration->routes[2].prefix, "/c/");
   ASSERT_EQ(findings.Items().size(), 1U);
   EXPECT_EQ(findings.Items()[0].place.pointer, "/routes/2/kind");
 }
