configuration: null is no list of all regions, and no highest priority

allowed_regions that was null allowed all regions, and a priority that could not be read counted as the highest. Both now have the most limited value, no region and the lowest priority. A region without characters is a finding too. An empty list still allows all regions: the platform's example of a configuration has one on every route and tenant.

RegionsTest/Null expected null to allow all regions; an empty text or an object allowed none already, and null is as little a list as they are. It now expects that no region is allowed, with two findings.

--- a/source/radishrudder/direct/configuration_diff.cc
+++ b/source/radishrudder/direct/configuration_diff.cc
@@ -60,7 +60,10 @@
   for (const std::string& region : regions) {
     text += (text.empty() ? "" : ", ") + region;
   }
-  return regions.empty() ? "all" : "[" + text + "]";
+  if (regions.empty()) {
+    return "all";
+  }
+  return text.empty() ? "none" : "[" + text + "]";
 }
 
 std::string Text(const std::vector<WeightedService>& services) {
--- a/tests/direct/configuration_diff_test.cc
+++ b/tests/direct/configuration_diff_test.cc
@@ -118,6 +118,10 @@
                    },
                    kChanged, "route \"r-2\"",
                    "allowed regions: all -> [eu, us]", "503"},
+        ChangeCase{
+            "NoRegion",
+            [](auto& changed) { changed.routes[1].allowed_regions = {""}; },
+            kChanged, "route \"r-2\"", "allowed regions: all -> none", "503"},
         ChangeCase{"Unreadable",
                    [](auto& changed) { changed.routes[1].readable = false; },
                    kChanged, "route \"r-2\"", "readable: true -> false",
--- a/tests/platform/access_forms.cc
+++ b/tests/platform/access_forms.cc
@@ -49,6 +49,17 @@
           Workspaces("[" + Workspace("") + "]")};
 }
 
+AccessForm OfRouteRegions(std::string name, std::string_view value) {
+  return OfRoute(std::move(name) + "OfRoute",
+                 R"(, "allowed_regions": )" + std::string(value));
+}
+
+AccessForm OfWorkspaceRegions(std::string name, std::string_view value) {
+  return OfWorkspaces(
+      std::move(name) + "OfWorkspace",
+      "[" + Workspace(R"(, "allowed_regions": )" + std::string(value)) + "]");
+}
+
 AccessForm ServedToNewKey(AccessForm form, bool valid) {
   form.access = Access::kHolderOfNewKey;
   form.valid = valid;
@@ -181,6 +192,31 @@
   }
 }
 
+void AddRegionForms(std::vector<AccessForm>& forms) {
+  const std::pair<const char*, const char*> allowing[] = {
+      // The platform publishes an empty list where all regions are allowed.
+      {"Empty", "[]"},
+      {"Own", R"(["a"])"},
+      {"Two", R"(["elsewhere", "a"])"}};
+  for (const auto& [name, value] : allowing) {
+    const std::string regions = "Regions" + std::string(name);
+    forms.push_back(ServedToNewKey(OfRouteRegions(regions, value), true));
+    forms.push_back(ServedToNewKey(OfWorkspaceRegions(regions, value), true));
+  }
+  const std::pair<const char*, const char*> kinds[] = {
+      {"Null", "null"},          {"EmptyObject", "{}"},
+      {"Number", "7"},           {"False", "false"},
+      {"EmptyText", R"("")"},    {"Text", R"("a")"},
+      {"OneNumber", "[7]"},      {"OneNull", "[null]"},
+      {"Nested", R"([["a"]])"},  {"OneEmpty", R"([""])"},
+      {"Partly", R"(["a", 7])"}, {"Object", R"({"a": true})"}};
+  for (const auto& [name, value] : kinds) {
+    const std::string regions = "Regions" + std::string(name);
+    forms.push_back(OfRouteRegions(regions, value));
+    forms.push_back(OfWorkspaceRegions(regions, value));
+  }
+}
+
 }  // namespace
 
 void PrintTo(const AccessForm& form, std::ostream* stream) {
@@ -206,6 +242,7 @@
   AddKeyForms(forms);
   AddNameForms(forms);
   AddRouteForms(forms);
+  AddRegionForms(forms);
   return forms;
 }
 
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -92,7 +92,7 @@
     RegionsTest,
     testing::Values(
         RegionsCase{"Absent", "", {}, 0},
-        RegionsCase{"Null", R"(,"allowed_regions":null)", {}, 0},
+        RegionsCase{"Null", R"(,"allowed_regions":null)", {""}, 2},
         RegionsCase{"Empty", R"(,"allowed_regions":[])", {}, 0},
         RegionsCase{"Two", R"(,"allowed_regions":["a","b"])", {"a", "b"}, 0},
         RegionsCase{"Text", R"(,"allowed_regions":"a")", {""}, 2},
@@ -101,6 +101,48 @@
         RegionsCase{"Nested", R"(,"allowed_regions":[["a"]])", {""}, 2}),
     [](const auto& test) { return test.param.name; });
 
+struct PriorityCase {
+  const char* name;
+  const char* member;
+  std::uint32_t of_route;
+  std::optional<std::uint32_t> of_workspace;
+  std::size_t findings;
+};
+
+class PriorityTest : public testing::TestWithParam<PriorityCase> {};
+
+// Guards against a priority that can't be read counting as the highest.
+TEST_P(PriorityTest, IsTheLowestIfItCanNotBeRead) {
+  const std::string text =
+      R"({"version": 1, "routes": [{"name": "r", "host": "h.example",
+          "prefix": "/a/", "kind": "idempotent", "service": "s")" +
+      std::string(GetParam().member) + R"(}], "services": [{"name": "s"}],
+          "tenants": [{"name": "t", "api_keys": ["k"])" +
+      GetParam().member + "}]}";
+  kernel::Findings findings;
+  const auto configuration = DecodeConfiguration(text, findings);
+  ASSERT_TRUE(configuration);
+  EXPECT_EQ(configuration->routes.at(0).priority, GetParam().of_route);
+  EXPECT_EQ(configuration->workspaces.at(0).priority, GetParam().of_workspace);
+  EXPECT_EQ(findings.Items().size(), GetParam().findings);
+}
+
+constexpr std::uint32_t kLowest = 0xFFFFFFFF;
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    PriorityTest,
+    testing::Values(
+        PriorityCase{"Absent", "", 0, std::nullopt, 0},
+        PriorityCase{"Highest", R"(,"priority":0)", 0, 0, 0},
+        PriorityCase{"Third", R"(,"priority":3)", 3, 3, 0},
+        PriorityCase{"Null", R"(,"priority":null)", kLowest, kLowest, 2},
+        PriorityCase{"Text", R"(,"priority":"0")", kLowest, kLowest, 2},
+        PriorityCase{"Negative", R"(,"priority":-1)", kLowest, kLowest, 2},
+        PriorityCase{"Huge", R"(,"priority":1e300)", kLowest, kLowest, 2},
+        PriorityCase{"List", R"(,"priority":[])", kLowest, kLowest, 2}),
+    [](const auto& test) { return test.param.name; });
+
 struct ColdRuleCase {
   const char* name;
   const char* fields;
