entry: an unreadable configuration ends the confirmation of the one before

Callers saw: after a configuration that is no JSON object, or whose version is no whole number, the keys of the one before were accepted for good, although it may have taken them away.

Cause: each answer of the store confirmed the configuration in force, also when the newest one in it could not be read.

The newest configuration now has to be readable for that. After the usual time, requests with keys get 503 (stale-configuration), which is true and lets callers return, until a readable one arrives.

--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -507,7 +507,10 @@
                       changes->failed_for);
     } else if (const auto* confirmed =
                    std::get_if<dissemination::PrefixConfirmed>(&output)) {
-      m_core.OnConfigurationConfirmed(confirmed->requested_at);
+      // One that can't be read may take keys away.
+      if (m_configuration_readable) {
+        m_core.OnConfigurationConfirmed(confirmed->requested_at);
+      }
       m_peers.OnStoreRead(kernel::ToTime(confirmed->complete_at));
     } else if (const auto* answered =
                    std::get_if<dissemination::StoreAnswered>(&output)) {
@@ -553,14 +556,7 @@
   void OnOperatorItems(std::span<const dissemination::StoreItem> items,
                        std::optional<kernel::BootTime> absent_at,
                        kernel::Duration store_failed_for) {
-    // Reading a large configuration takes time, so those that a later one of
-    // the same response replaces are left out.
-    for (auto item = items.rbegin(); item != items.rend(); ++item) {
-      if (!item->removed && Platform::IsConfiguration(item->key) &&
-          OnConfigurationItem(*item)) {
-        break;
-      }
-    }
+    ReadNewestConfiguration(items);
     for (const dissemination::StoreItem& item : items) {
       if (item.removed || !Platform::IsVersion(item.key)) {
         continue;
@@ -573,6 +569,25 @@
     }
   }
 
+  // Reading a large configuration takes time, so those that a later one of the
+  // same response replaces are left out.
+  void ReadNewestConfiguration(
+      std::span<const dissemination::StoreItem> items) {
+    bool is_newest = true;
+    for (auto item = items.rbegin(); item != items.rend(); ++item) {
+      if (item->removed || !Platform::IsConfiguration(item->key)) {
+        continue;
+      }
+      const bool readable = OnConfigurationItem(*item);
+      if (std::exchange(is_newest, false)) {
+        m_configuration_readable = readable;
+      }
+      if (readable) {
+        return;
+      }
+    }
+  }
+
   // Returns whether the configuration could be read.
   bool OnConfigurationItem(const dissemination::StoreItem& item) {
     kernel::Findings findings;
@@ -1033,6 +1048,8 @@
   std::uint64_t m_received_in_stop = 0;  // Requests.
   direct::CallId m_last_call = 0;
   bool m_ready = false;
+  // Of the newest configuration in the store.
+  bool m_configuration_readable = true;
 };
 
 }  // namespace radishrudder::serving
--- a/tests/platform/access_forms.cc
+++ b/tests/platform/access_forms.cc
@@ -223,6 +223,10 @@
   *stream << form.name;
 }
 
+void PrintTo(const UnreadableText& unreadable, std::ostream* stream) {
+  *stream << unreadable.name;
+}
+
 std::string ConfigurationText(std::string_view version,
                               const AccessForm& form) {
   return R"({"version": )" + std::string(version) + R"(, "routes": [)" +
@@ -246,4 +250,24 @@
   return forms;
 }
 
+std::vector<UnreadableText> UnreadableTexts() {
+  std::vector<UnreadableText> texts = {
+      {"Empty", ""},
+      {"Null", "null"},
+      {"List", "[]"},
+      {"EmptyObject", "{}"},
+      {"CutOff", R"({"version": 8, "tenants": [)"}};
+  const AccessForm open{"", Route("/s/", ""), ""};
+  const std::pair<const char*, const char*> versions[] = {{"Null", "null"},
+                                                          {"Text", R"("8")"},
+                                                          {"Fraction", "8.5"},
+                                                          {"Negative", "-8"},
+                                                          {"List", "[8]"}};
+  for (const auto& [name, version] : versions) {
+    texts.push_back(
+        {std::string("Version") + name, ConfigurationText(version, open)});
+  }
+  return texts;
+}
+
 }  // namespace radishrudder::platform
--- a/tests/platform/access_forms.h
+++ b/tests/platform/access_forms.h
@@ -35,6 +35,16 @@
 // Forms of a configuration that can be read, at least in part.
 std::vector<AccessForm> AccessForms();
 
+// Texts that are not a configuration. The old key may have been taken away.
+struct UnreadableText {
+  std::string name{};
+  std::string text{};
+};
+
+void PrintTo(const UnreadableText& unreadable, std::ostream* stream);
+
+std::vector<UnreadableText> UnreadableTexts();
+
 }  // namespace radishrudder::platform
 
 #endif  // TESTS_PLATFORM_ACCESS_FORMS_H_
--- a/tests/platform/access_forms_program_test.cc
+++ b/tests/platform/access_forms_program_test.cc
@@ -119,6 +119,38 @@
                          testing::ValuesIn(AccessForms()),
                          [](const auto& info) { return info.param.name; });
 
+class UnreadableProgramTest
+    : public AccessProgramTest,
+      public testing::WithParamInterface<UnreadableText> {};
+
+// Guards against keys that are accepted for good because the configuration that
+// may take them away can't be read.
+TEST_P(UnreadableProgramTest, RunningEntryStopsAcceptingKeys) {
+  ASSERT_NO_FATAL_FAILURE(StartInForce());
+  m_standin.Write({kKey, GetParam().text});
+  const auto written_at = Clock::now();
+  ASSERT_TRUE(m_program.AwaitLog(" document-rejected ", 1, kLimit));
+  std::this_thread::sleep_until(written_at + kRevocationLimit);
+  ExpectAccess(Access::kNobody);
+  m_standin.Write({kKey, ConfigurationText("9", FormInForce())});
+  EXPECT_TRUE(AwaitServed(kOldKey));
+}
+
+// Guards against an entry that starts on a part of such a configuration.
+TEST_P(UnreadableProgramTest, StartingEntryServesNobody) {
+  m_standin.Write({kKey, GetParam().text});
+  ASSERT_NO_FATAL_FAILURE(Start());
+  ASSERT_TRUE(m_program.AwaitLog(" document-rejected ", 1, kLimit));
+  ExpectAccess(Access::kNobody);
+  m_standin.Write({kKey, ConfigurationText("9", FormInForce())});
+  EXPECT_TRUE(AwaitServed(kOldKey));
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         UnreadableProgramTest,
+                         testing::ValuesIn(UnreadableTexts()),
+                         [](const auto& info) { return info.param.name; });
+
 class AccessFormAgentTest : public testing::TestWithParam<AccessForm> {
  protected:
   RunningProgram m_program{"agent"};
--- a/tests/platform/access_forms_test.cc
+++ b/tests/platform/access_forms_test.cc
@@ -70,5 +70,20 @@
                          testing::ValuesIn(AccessForms()),
                          [](const auto& info) { return info.param.name; });
 
+class UnreadableTextTest : public testing::TestWithParam<UnreadableText> {};
+
+// Guards against a text of which the check or a reader uses a part, such as one
+// without a version.
+TEST_P(UnreadableTextTest, IsNoConfiguration) {
+  const auto checked = CheckConfigurationText("f.json", GetParam().text, {});
+  EXPECT_FALSE(checked.configuration);
+  EXPECT_TRUE(checked.findings.HasErrors());
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         UnreadableTextTest,
+                         testing::ValuesIn(UnreadableTexts()),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace radishrudder::platform
