--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -1,6 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <string>
+#include <tuple>
+
 #include "platform/endpoint_codec.h"
+#include "platform/json_fields.h"
 #include "platform/messages.h"
 #include "platform/settings.h"
 #include "platform/store_codec.h"
@@ -482,6 +486,45 @@
   }
 }
 
+struct SettingsLimitForm {
+  const char* name;
+  const char* value;
+};
+
+class SettingsLimitTest : public testing::TestWithParam<
+                              std::tuple<const char*, SettingsLimitForm>> {};
+
+// Guards against settings that take effect without one of their limits.
+TEST_P(SettingsLimitTest, IsAnErrorIfItCanNotBeRead) {
+  const auto& [pointer, form] = GetParam();
+  Json document = Json::parse(kSettings);
+  document[Json::json_pointer(pointer)] = Json::parse(form.value);
+  kernel::Findings findings;
+  ParseSettings("node.json", document.dump(), findings);
+  EXPECT_TRUE(findings.HasErrors());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    SettingsLimitTest,
+    testing::Combine(testing::Values("/bounds/retry_budget_ratio",
+                                     "/bounds/revoke_ms",
+                                     "/bounds/config_apply_ms",
+                                     "/bounds/grace_s",
+                                     "/limits/memory_mb",
+                                     "/limits/max_fds"),
+                     testing::Values(SettingsLimitForm{"Text", R"("1")"},
+                                     SettingsLimitForm{"True", "true"},
+                                     SettingsLimitForm{"List", "[]"},
+                                     SettingsLimitForm{"Object", "{}"},
+                                     SettingsLimitForm{"Negative", "-1"},
+                                     SettingsLimitForm{"Huge", "1e300"})),
+    [](const auto& info) {
+      const std::string pointer = std::get<0>(info.param);
+      return pointer.substr(pointer.rfind('/') + 1) +
+             std::get<1>(info.param).name;
+    });
+
 struct StoreEraCase {
   const char* name;
   int status;
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -143,6 +143,50 @@
         PriorityCase{"List", R"(,"priority":[])", kLowest, kLowest, 2}),
     [](const auto& test) { return test.param.name; });
 
+struct CallerLimitForm {
+  const char* name;
+  const char* limits;
+};
+
+class CallerLimitTest : public testing::TestWithParam<CallerLimitForm> {};
+
+// Guards against a limit of callers that is gone because it can't be read.
+TEST_P(CallerLimitTest, HasItsDefaultIfItCanNotBeRead) {
+  const std::string text =
+      R"({"version": 1, "routes": [], "services": [], "limits": )" +
+      std::string(GetParam().limits) + "}";
+  kernel::Findings findings;
+  const auto configuration = DecodeConfiguration(text, findings);
+  ASSERT_TRUE(configuration);
+  const direct::CallerLimits expected;
+  const direct::CallerLimits& limits = configuration->caller_limits;
+  EXPECT_EQ(limits.head_bytes, expected.head_bytes);
+  EXPECT_EQ(limits.body_bytes, expected.body_bytes);
+  EXPECT_EQ(limits.head_timeout, expected.head_timeout);
+  EXPECT_EQ(limits.idle_timeout, expected.idle_timeout);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    CallerLimitTest,
+    testing::Values(CallerLimitForm{"Null", "null"},
+                    CallerLimitForm{"EmptyObject", "{}"},
+                    CallerLimitForm{"List", "[]"},
+                    CallerLimitForm{"Number", "7"},
+                    CallerLimitForm{"Nulls", R"({"max_header_bytes": null,
+            "max_body_bytes": null, "header_timeout_ms": null,
+            "idle_timeout_ms": null})"},
+                    CallerLimitForm{"Texts", R"({"max_header_bytes": "1",
+            "max_body_bytes": "1", "header_timeout_ms": "1",
+            "idle_timeout_ms": "1"})"},
+                    CallerLimitForm{"Negative", R"({"max_header_bytes": -1,
+            "max_body_bytes": -1, "header_timeout_ms": -1,
+            "idle_timeout_ms": -1})"},
+                    CallerLimitForm{"Huge", R"({"max_header_bytes": 1e300,
+            "max_body_bytes": 1e300, "header_timeout_ms": 1e300,
+            "idle_timeout_ms": 1e300})"}),
+    [](const auto& test) { return test.param.name; });
+
 struct ColdRuleCase {
   const char* name;
   const char* fields;
