entry: no call is served by a configuration that an unreadable one replaced

Callers saw: where the configuration in force defines no workspaces, or a route is exempt, calls went on for good after a newer configuration that can't be read, although that one may require keys or allow other regions. Only calls with keys ended.

Cause: a configuration that is too old still serves calls that need no key, which is right while the store is away. Here a newer one is known to exist. The decision now stands in Entry::OnNewestConfiguration, as for a newer configuration that another entry uses: nothing is served by the old one once it is too old, until one can be read.

UnreadableConfigurationTest has the steps.

--- a/include/radishrudder/direct/entry.h
+++ b/include/radishrudder/direct/entry.h
@@ -97,6 +97,11 @@
                            kernel::Time in_force_since);
   // When the current configuration came into force; nothing: there is none.
   std::optional<kernel::Time> ConfigurationInForceSince() const;
+  // The store returned its newest configuration, which could be read or not.
+  // One that can't be read may take keys away or require them: until another
+  // one can be read, the configuration in force is not confirmed any more, and
+  // no call is served by it once it is too old.
+  void OnNewestConfiguration(bool readable);
   // A response of the store showed that the configuration was current when the
   // request was sent, at `requested_at`.
   void OnConfigurationConfirmed(kernel::BootTime requested_at);
--- a/include/radishrudder/serving/entry_process.h
+++ b/include/radishrudder/serving/entry_process.h
@@ -507,10 +507,7 @@
                       changes->failed_for);
     } else if (const auto* confirmed =
                    std::get_if<dissemination::PrefixConfirmed>(&output)) {
-      // One that can't be read may take keys away.
-      if (m_configuration_readable) {
-        m_core.OnConfigurationConfirmed(confirmed->requested_at);
-      }
+      m_core.OnConfigurationConfirmed(confirmed->requested_at);
       m_peers.OnStoreRead(kernel::ToTime(confirmed->complete_at));
     } else if (const auto* answered =
                    std::get_if<dissemination::StoreAnswered>(&output)) {
@@ -580,7 +577,7 @@
       }
       const bool readable = OnConfigurationItem(*item);
       if (std::exchange(is_newest, false)) {
-        m_configuration_readable = readable;
+        m_core.OnNewestConfiguration(readable);
       }
       if (readable) {
         return;
@@ -1048,8 +1045,6 @@
   std::uint64_t m_received_in_stop = 0;  // Requests.
   direct::CallId m_last_call = 0;
   bool m_ready = false;
-  // Of the newest configuration in the store.
-  bool m_configuration_readable = true;
 };
 
 }  // namespace radishrudder::serving
--- a/source/radishrudder/direct/entry.cc
+++ b/source/radishrudder/direct/entry.cc
@@ -149,8 +149,14 @@
              : std::nullopt;
 }
 
+void Entry::OnNewestConfiguration(bool readable) {
+  m_state->newest_configuration_readable = readable;
+}
+
 void Entry::OnConfigurationConfirmed(kernel::BootTime requested_at) {
-  m_state->age.OnConfigurationConfirmed(requested_at);
+  if (m_state->newest_configuration_readable) {
+    m_state->age.OnConfigurationConfirmed(requested_at);
+  }
 }
 
 std::optional<kernel::Time> Entry::OnVersionDeclared(
@@ -446,7 +452,8 @@
 }
 
 bool Entry::State::MayServeByOldConfiguration() const {
-  return !peer_configuration.supersedes && !configurations.LimitsRegions();
+  return newest_configuration_readable && !peer_configuration.supersedes &&
+         !configurations.LimitsRegions();
 }
 
 // The store may return a change to one entry later than to another; only what
--- a/source/radishrudder/direct/entry_state.h
+++ b/source/radishrudder/direct/entry_state.h
@@ -229,6 +229,7 @@
   ConfigurationAge age;
   kernel::Time configured_at{};  // Of the current configuration.
   PeerConfiguration peer_configuration;
+  bool newest_configuration_readable = true;
   CrashSuspects<PromptPartSignature> suspect_parts;
   CrashSuspects<RequestSignature> suspect_requests;
   routing::DemandShares demand;
--- a/tests/direct/entry_admission_test.cc
+++ b/tests/direct/entry_admission_test.cc
@@ -229,6 +229,50 @@
                                          .workspace_regions = {"east"}}),
     [](const auto& info) { return std::string(info.param.name); });
 
+struct UnreadableCase {
+  const char* name;
+  bool key_exempt;
+  bool readable_again;
+  int status;  // 0: served.
+};
+
+void PrintTo(const UnreadableCase& unreadable, std::ostream* stream) {
+  *stream << unreadable.name;
+}
+
+class UnreadableConfigurationTest
+    : public EntryFixture,
+      public testing::WithParamInterface<UnreadableCase> {};
+
+// Guards against calls that are served for good by a configuration although the
+// newest one, which can't be read, may take their key away or require one.
+TEST_P(UnreadableConfigurationTest, EndsServiceUntilOneCanBeRead) {
+  RouteRule route = Route(RouteKind::kIdempotent, false);
+  route.key_exempt = GetParam().key_exempt;
+  Start(route);
+  m_entry.OnNewestConfiguration(/*readable=*/false);
+  Call();
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(), 1U);
+  m_boot += milliseconds(5000);
+  if (GetParam().readable_again) {
+    m_entry.OnNewestConfiguration(/*readable=*/true);
+  }
+  m_entry.OnConfigurationConfirmed(m_boot);
+  Call();
+  EXPECT_EQ(ResponseStatus(), GetParam().status);
+  EXPECT_EQ(TakeOutputsOf<SendAttempt>().size(),
+            GetParam().status == 0 ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    UnreadableConfigurationTest,
+    testing::Values(UnreadableCase{"Key", false, false, 503},
+                    UnreadableCase{"Exempt", true, false, 503},
+                    UnreadableCase{"KeyReadableAgain", false, true, 0},
+                    UnreadableCase{"ExemptReadableAgain", true, true, 0}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST_F(AdmissionTest, RespondsUnavailableForUnknownRouteOnStaleConfiguration) {
   Start(Route(RouteKind::kNonIdempotent, false));
   m_boot += std::chrono::seconds(60);
--- a/tests/platform/access_forms.cc
+++ b/tests/platform/access_forms.cc
@@ -73,8 +73,7 @@
 }
 
 void AddWorkspaceForms(std::vector<AccessForm>& forms) {
-  forms.push_back(
-      Valid({"WorkspacesAbsent", Route("/s/", ""), ""}, Access::kEverybody));
+  forms.push_back(FormWithoutWorkspaces());
   // An error only in comparison with the configuration in force.
   forms.push_back(
       Valid(OfWorkspaces("WorkspacesEmpty", "[]"), Access::kNobody));
@@ -240,6 +239,10 @@
   return OfOldWorkspace("InForce", "");
 }
 
+AccessForm FormWithoutWorkspaces() {
+  return Valid({"WorkspacesAbsent", Route("/s/", ""), ""}, Access::kEverybody);
+}
+
 std::vector<AccessForm> AccessForms() {
   std::vector<AccessForm> forms;
   AddWorkspaceForms(forms);
--- a/tests/platform/access_forms.h
+++ b/tests/platform/access_forms.h
@@ -31,6 +31,8 @@
 
 // The configuration in force before: one workspace with the old key.
 AccessForm FormInForce();
+// One that defines no workspaces.
+AccessForm FormWithoutWorkspaces();
 
 // Forms of a configuration that can be read, at least in part.
 std::vector<AccessForm> AccessForms();
--- a/tests/platform/access_forms_program_test.cc
+++ b/tests/platform/access_forms_program_test.cc
@@ -46,8 +46,8 @@
     }
     return false;
   }
-  void StartInForce() {
-    m_standin.Write({kKey, ConfigurationText("7", FormInForce())});
+  void StartInForce(const AccessForm& form = FormInForce()) {
+    m_standin.Write({kKey, ConfigurationText("7", form)});
     Start();
     ASSERT_TRUE(AwaitServed(kOldKey));
   }
@@ -136,6 +136,17 @@
   EXPECT_TRUE(AwaitServed(kOldKey));
 }
 
+// Guards against calls without keys that are served for good because the
+// configuration that may require keys can't be read.
+TEST_P(UnreadableProgramTest, RunningEntryStopsServingWithoutKeys) {
+  ASSERT_NO_FATAL_FAILURE(StartInForce(FormWithoutWorkspaces()));
+  m_standin.Write({kKey, GetParam().text});
+  const auto written_at = Clock::now();
+  ASSERT_TRUE(m_program.AwaitLog(" document-rejected ", 1, kLimit));
+  std::this_thread::sleep_until(written_at + kRevocationLimit);
+  ExpectAccess(Access::kNobody);
+}
+
 // Guards against an entry that starts on a part of such a configuration.
 TEST_P(UnreadableProgramTest, StartingEntryServesNobody) {
   m_standin.Write({kKey, GetParam().text});
