tests: a good configuration opens again, and the log tells of the last tenant

Not asked before: after each odd form that can be read, a configuration of the usual form has to serve its key again and nobody else. It did only after texts that can't be read. The log has to tell that the last workspace is gone (workspaces=0 keys=required) and why a key was refused.

--- a/tests/platform/access_forms_program_test.cc
+++ b/tests/platform/access_forms_program_test.cc
@@ -88,6 +88,15 @@
     }
   }
 
+  // A configuration without odd forms has its usual effect after them.
+  void ExpectOpensAgain() {
+    m_standin.Write({kKey, ConfigurationText("9", FormInForce())});
+    ASSERT_TRUE(m_program.AwaitLog(" version=9 ", 1, kLimit));
+    EXPECT_TRUE(AwaitServed(kOldKey));
+    EXPECT_FALSE(CallWithKey(kNewKey));
+    EXPECT_FALSE(Call(""));
+  }
+
   RunningProgram m_program{"entry"};
   PlatformStandin m_standin{m_program.StoreAddress()};
   StandinCaller m_caller{m_program.CallersAddress()};
@@ -104,6 +113,7 @@
   m_standin.Write({kKey, ConfigurationText("8", GetParam())});
   ASSERT_TRUE(m_program.AwaitLog(" version=8 ", 1, kLimit));
   ExpectAccess(GetParam().access);
+  ExpectOpensAgain();
 }
 
 // Guards against the same in an entry that has no older configuration.
@@ -112,6 +122,7 @@
   ASSERT_NO_FATAL_FAILURE(Start());
   ASSERT_TRUE(AwaitReady());
   ExpectAccess(GetParam().access);
+  ExpectOpensAgain();
 }
 
 INSTANTIATE_TEST_SUITE_P(All,
@@ -119,6 +130,20 @@
                          testing::ValuesIn(AccessForms()),
                          [](const auto& info) { return info.param.name; });
 
+// Guards against a log that does not tell a key that was taken away from a
+// configuration that left no workspace at all.
+TEST_F(AccessProgramTest, LogTellsThatTheLastWorkspaceIsGone) {
+  ASSERT_NO_FATAL_FAILURE(StartInForce());
+  AccessForm last = FormInForce();
+  last.members = R"(, "tenants": [])";
+  m_standin.Write({kKey, ConfigurationText("8", last)});
+  EXPECT_TRUE(m_program.AwaitLog(" workspaces=0 keys=required", 1, kLimit));
+  EXPECT_FALSE(CallWithKey(kOldKey));
+  EXPECT_TRUE(m_program.AwaitLog(" reason=unknown-key ", 1, kLimit));
+  EXPECT_FALSE(Call(""));
+  EXPECT_TRUE(m_program.AwaitLog(" reason=no-key ", 1, kLimit));
+}
+
 class UnreadableProgramTest
     : public AccessProgramTest,
       public testing::WithParamInterface<UnreadableText> {};
@@ -132,8 +157,7 @@
   ASSERT_TRUE(m_program.AwaitLog(" document-rejected ", 1, kLimit));
   std::this_thread::sleep_until(written_at + kRevocationLimit);
   ExpectAccess(Access::kNobody);
-  m_standin.Write({kKey, ConfigurationText("9", FormInForce())});
-  EXPECT_TRUE(AwaitServed(kOldKey));
+  ExpectOpensAgain();
 }
 
 // Guards against calls without keys that are served for good because the
@@ -153,8 +177,7 @@
   ASSERT_NO_FATAL_FAILURE(Start());
   ASSERT_TRUE(m_program.AwaitLog(" document-rejected ", 1, kLimit));
   ExpectAccess(Access::kNobody);
-  m_standin.Write({kKey, ConfigurationText("9", FormInForce())});
-  EXPECT_TRUE(AwaitServed(kOldKey));
+  ExpectOpensAgain();
 }
 
 INSTANTIATE_TEST_SUITE_P(All,
